Relay large tables along trees, compressed

Cause: a table of 1,480 routes is 150 kB. A reader sent it to all 43 hosts of its availability zone at once, 6.5 MB on a link of 10 Mbit/s, and each message had 600 ms. A reader also gave its watch up 150 ms after a check had shown a newer revision, while the answer of 0.8 s was on its way, and began again.

Change: messages above 4 kB are compressed; batches of more than 100 objects and routes are announced, then passed on along a tree with six branches a host; time-outs grow with the size. A silent watch gets a second one beside it.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -139,8 +139,19 @@
 	whole    bool
 	revision verbenastand.Revision
 	provedAt time.Time
-	// passOn is set if the receiver is to tell the hosts of its zone.
-	passOn bool
+	// passOn are the hosts that the receiver is to tell.
+	passOn []verbenastand.HostID
+}
+
+// large reports whether sending the batch to many peers would fill a slow link.
+func (b batch) large() bool {
+	routes := 0
+	for _, c := range b.changes {
+		if c.Table != nil {
+			routes += len(c.Table.Routes())
+		}
+	}
+	return routes+len(b.changes) > largeBatch
 }
 
 // apply takes a batch over. It reports false if changes before it are missing.
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -203,6 +203,8 @@
 	staleRevision verbenastand.Revision
 	// answerDelay is how long the changes of a watch take to arrive.
 	answerDelay time.Duration
+	// newestDelay is how long cheap calls take.
+	newestDelay time.Duration
 	// deafCalls is the number of calls of which the watches hear nothing any more.
 	deafCalls int
 	down      map[verbenastand.HostID]bool
@@ -248,9 +250,16 @@
 	return snapshot, nil
 }
 
-func (v view) Newest(context.Context) (verbenastand.Revision, error) {
+func (v view) Newest(ctx context.Context) (verbenastand.Revision, error) {
 	s := v.store
 	s.mu.Lock()
+	delay := s.newestDelay
+	s.mu.Unlock()
+	pause(ctx, delay)
+	if ctx.Err() != nil {
+		return 0, ctx.Err()
+	}
+	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.cheapCalls++
 	if s.down[v.host] {
@@ -414,6 +423,15 @@
 	return ids
 }
 
+func (f *fleet) hostOfRank(rank int) verbenastand.HostID {
+	for _, h := range f.hosts {
+		if f.followers[h.ID()].rank() == rank {
+			return h.ID()
+		}
+	}
+	return ""
+}
+
 // settle ends the followers of a test and lets their messages arrive.
 func settle(cancel context.CancelFunc) {
 	cancel()
@@ -529,11 +547,7 @@
 		// Two readers reach two other zones each, for each change and each check; a
 		// repeated message for each leaves room.
 		require.Less(t, f.between, 2*2*2*(changes+2*changes))
-		for _, h := range f.hosts {
-			if f.followers[h.ID()].rank() == 0 {
-				f.cut[h.ID()] = true
-			}
-		}
+		f.cut[f.hostOfRank(0)] = true
 		f.mu.Unlock()
 		f.store.write(func(r verbenastand.Revision) verbenastand.Change { return registered("late", r, nil) })
 		time.Sleep(2 * time.Second)
@@ -544,36 +558,53 @@
 // TestALargeTableCrossesSlowLinks: a table of 1,480 routes is in force on 129 hosts
 // with links of 10 Mbit/s within the operators' bound of 2.5 s.
 func TestALargeTableCrossesSlowLinks(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer settle(cancel)
-		const size = 129
-		f := newFleet(size)
-		f.linkBytesPerSecond = 10_000_000 / 8
-		f.store.write(func(r verbenastand.Revision) verbenastand.Change { return table(r, 1) })
-		f.run(ctx)
-		time.Sleep(10 * time.Second)
-		// The worst moment is right after a proof, when hosts wait longest.
-		for f.followers["h5"].Age() > 100*time.Millisecond {
-			time.Sleep(10 * time.Millisecond)
-		}
-		f.store.mu.Lock()
-		f.store.answerDelay = 800 * time.Millisecond
-		f.store.mu.Unlock()
-		f.store.write(func(r verbenastand.Revision) verbenastand.Change { return largeTable(r, 2, 1480) })
-		time.Sleep(2500 * time.Millisecond)
-		behind := 0
-		for _, x := range f.followers {
-			if x.View().Table().Version() != 2 {
-				behind++
-			}
-		}
-		require.Zero(t, behind)
-	})
+	cases := []struct {
+		name    string
+		disturb func(f *fleet)
+	}{
+		{"nothing else happens", func(*fleet) {}},
+		{"short answers of the store are late as well", func(f *fleet) { f.store.newestDelay = 500 * time.Millisecond }},
+		{"a host that passes messages on is cut off", func(f *fleet) { f.cut[f.hostOfRank(0)] = true }},
+		{"a reader is cut off", func(f *fleet) { f.cut[f.readers()[0]], f.store.down[f.readers()[0]] = true, true }},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer settle(cancel)
+				const size = 129
+				f := newFleet(size)
+				f.linkBytesPerSecond = 10_000_000 / 8
+				f.store.write(func(r verbenastand.Revision) verbenastand.Change { return table(r, 1) })
+				f.run(ctx)
+				time.Sleep(10 * time.Second)
+				// The worst moment is right after a proof, when hosts wait longest.
+				for f.followers["h5"].Age() > 100*time.Millisecond {
+					time.Sleep(10 * time.Millisecond)
+				}
+				f.mu.Lock()
+				f.store.mu.Lock()
+				f.store.answerDelay = 800 * time.Millisecond
+				tc.disturb(f)
+				cut := len(f.cut)
+				f.store.mu.Unlock()
+				f.mu.Unlock()
+				f.store.write(func(r verbenastand.Revision) verbenastand.Change { return largeTable(r, 2, 1480) })
+				time.Sleep(2500 * time.Millisecond)
+				behind := 0
+				for _, x := range f.followers {
+					if x.View().Table().Version() != 2 {
+						behind++
+					}
+				}
+				require.LessOrEqual(t, behind, cut)
+			})
+		})
+	}
 }
 
 func largeTable(revision verbenastand.Revision, version verbenastand.TableVersion, routes int) verbenastand.Change {
-	c := verbenastand.RouteTableConfig{Version: version}
+	c := verbenastand.RouteTableConfig{Version: version, Services: make(map[verbenastand.ServiceName]verbenastand.ServiceSettings)}
 	for i := range routes {
 		c.Routes = append(c.Routes, verbenastand.NewRoute(verbenastand.RouteConfig{
 			Name: verbenastand.RouteName(fmt.Sprintf("r-%08x", i*2654435761)), HostName: fmt.Sprintf("h%d.example", i%7),
@@ -608,21 +639,49 @@
 }
 
 func TestMessagesKeepEverything(t *testing.T) {
-	clock := fake.NewClock()
-	b := batch{after: 3, revision: 9, provedAt: clock.Now(), changes: []verbenastand.Change{
-		registered("a", 4, func(c *verbenastand.RegistrationConfig) { c.Warmup, c.Version = time.Second, "v1" }),
-		removed("b", 5), table(6, 2), {Key: "servers/c", Revision: 7, Fault: faultText("no")},
-	}}
-	data, err := encode(b, clock.Now())
+	cases := []struct {
+		name  string
+		table verbenastand.Change
+	}{
+		{"small", table(6, 2)},
+		{"compressed", largeTable(6, 2, 1480)},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			clock := fake.NewClock()
+			b := batch{after: 3, revision: 9, provedAt: clock.Now(), passOn: []verbenastand.HostID{"h1", "h2"}, changes: []verbenastand.Change{
+				registered("a", 4, func(c *verbenastand.RegistrationConfig) { c.Warmup, c.Version = time.Second, "v1" }),
+				removed("b", 5), tc.table, {Key: "servers/c", Revision: 7, Fault: faultText("no")},
+			}}
+			data, err := encode(b, clock.Now())
+			require.NoError(t, err)
+			m, err := decode(data)
+			require.NoError(t, err)
+			require.Equal(t, b, m.batch(clock.Now()))
+		})
+	}
+}
+
+func TestAMessageThatUnpacksWithoutEndIsRefused(t *testing.T) {
+	packed, err := pack(make([]byte, MaxMessageBytes+1))
+	require.NoError(t, err)
+	data, err := marshal(message{Version: messageVersion, Packed: packed})
+	require.NoError(t, err)
+	_, err = decode(data)
+	require.ErrorContains(t, err, "exceeds")
+	packed, err = pack(data)
 	require.NoError(t, err)
-	m, err := decode(data)
+	data, err = marshal(message{Version: messageVersion, Packed: packed})
 	require.NoError(t, err)
-	require.Equal(t, b, m.batch(clock.Now()))
+	_, err = decode(data)
+	require.ErrorContains(t, err, "twice")
 }
 
 func FuzzDecode(f *testing.F) {
 	data, _ := encode(batch{revision: 9, changes: []verbenastand.Change{registered("a", 4, nil), table(6, 2)}}, time.Now())
 	f.Add(data)
+	packed, _ := encode(batch{revision: 9, changes: []verbenastand.Change{largeTable(6, 2, 200)}}, time.Now())
+	f.Add(packed)
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		m, err := decode(data)
 		if err != nil {
--- a/follower/message.go
+++ b/follower/message.go
@@ -1,7 +1,11 @@
 package follower
 
 import (
+	"bytes"
+	"compress/flate"
+	"errors"
 	"fmt"
+	"io"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -14,6 +18,9 @@
 	// MaxMessageBytes bounds a message between hosts.
 	MaxMessageBytes = 16 << 20
 	maxChanges      = 100_000
+	// packBytes is the size of a message from which on it is compressed; shorter
+	// ones fit a few packets as they are.
+	packBytes = 4 << 10
 )
 
 // message tells a peer of changes, or asks it for them.
@@ -26,8 +33,10 @@
 	Revision uint64         `cbor:"5,keyasint,omitempty"`
 	Age      time.Duration  `cbor:"6,keyasint,omitempty"`
 	Changes  []changeRecord `cbor:"7,keyasint,omitempty"`
-	// PassOn is set if the receiver is to tell the hosts of its zone.
-	PassOn bool `cbor:"8,keyasint,omitempty"`
+	// PassOn are the hosts that the receiver is to tell.
+	PassOn []string `cbor:"8,keyasint,omitempty"`
+	// Packed is a compressed message that stands for this one.
+	Packed []byte `cbor:"9,keyasint,omitempty"`
 }
 
 type changeRecord struct {
@@ -91,15 +100,26 @@
 func encode(b batch, now time.Time) ([]byte, error) {
 	m := message{
 		Version: messageVersion, After: uint64(b.after), Whole: b.whole, Revision: uint64(b.revision),
-		Age: unknownAge, PassOn: b.passOn,
+		Age: unknownAge,
 	}
 	if !b.provedAt.IsZero() {
 		m.Age = max(0, now.Sub(b.provedAt))
 	}
+	for _, id := range b.passOn {
+		m.PassOn = append(m.PassOn, string(id))
+	}
 	for _, c := range b.changes {
 		m.Changes = append(m.Changes, recordOf(c))
 	}
-	return marshal(m)
+	data, err := marshal(m)
+	if err != nil || len(data) < packBytes {
+		return data, err
+	}
+	packed, err := pack(data)
+	if err != nil {
+		return nil, err
+	}
+	return marshal(message{Version: messageVersion, Packed: packed})
 }
 
 func marshal(m message) ([]byte, error) {
@@ -118,18 +138,64 @@
 	if err := cbor.Unmarshal(data, &m); err != nil {
 		return m, fmt.Errorf("follower: decode message: %w", err)
 	}
+	if m.Packed != nil {
+		return unpack(m.Packed)
+	}
+	return m, m.check()
+}
+
+// check reports whether a message is within its bounds.
+func (m message) check() error {
 	if m.Version != messageVersion {
-		return m, fmt.Errorf("follower: message version %d is unknown", m.Version)
+		return fmt.Errorf("follower: message version %d is unknown", m.Version)
 	}
 	if len(m.Changes) > maxChanges || m.Age < 0 {
-		return m, fmt.Errorf("follower: message with %d changes is out of bounds", len(m.Changes))
+		return fmt.Errorf("follower: message with %d changes is out of bounds", len(m.Changes))
+	}
+	return nil
+}
+
+// pack compresses an encoded message.
+func pack(data []byte) ([]byte, error) {
+	var packed bytes.Buffer
+	w, err := flate.NewWriter(&packed, flate.BestSpeed)
+	if err != nil {
+		return nil, fmt.Errorf("follower: compress message: %w", err)
+	}
+	if _, err := w.Write(data); err != nil {
+		return nil, fmt.Errorf("follower: compress message: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, fmt.Errorf("follower: compress message: %w", err)
 	}
-	return m, nil
+	return packed.Bytes(), nil
+}
+
+// unpack decodes a compressed message, which may not hold another one.
+func unpack(packed []byte) (message, error) {
+	var m message
+	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), MaxMessageBytes+1))
+	if err != nil {
+		return m, fmt.Errorf("follower: decompress message: %w", err)
+	}
+	if len(data) > MaxMessageBytes {
+		return m, fmt.Errorf("follower: message exceeds %d bytes", MaxMessageBytes)
+	}
+	if err := cbor.Unmarshal(data, &m); err != nil {
+		return m, fmt.Errorf("follower: decode message: %w", err)
+	}
+	if m.Packed != nil {
+		return m, errors.New("follower: message is compressed twice")
+	}
+	return m, m.check()
 }
 
 // batch returns the changes of a message as received at the given time.
 func (m message) batch(now time.Time) batch {
-	b := batch{after: verbenastand.Revision(m.After), whole: m.Whole, revision: verbenastand.Revision(m.Revision), passOn: m.PassOn}
+	b := batch{after: verbenastand.Revision(m.After), whole: m.Whole, revision: verbenastand.Revision(m.Revision)}
+	for _, id := range m.PassOn {
+		b.passOn = append(b.passOn, verbenastand.HostID(id))
+	}
 	if m.Age < unknownAge {
 		b.provedAt = now.Add(-m.Age)
 	}
--- a/follower/read.go
+++ b/follower/read.go
@@ -25,6 +25,9 @@
 	// deafTime is how long a watch may stay silent about a revision that is known
 	// to exist.
 	deafTime = 150 * time.Millisecond
+	// longAnswer is how long an answer of the store may be on its way: a large table
+	// takes this long on a link of 10 Mbit/s that calls use as well.
+	longAnswer = time.Second
 	// listTimeout bounds a list of all objects.
 	listTimeout = 1500 * time.Millisecond
 	// gatherPause follows a watch that brought changes, so that changes in quick
@@ -45,8 +48,17 @@
 	// firstBackoff and longestBackoff bound the pause after a failed call.
 	firstBackoff   = 60 * time.Millisecond
 	longestBackoff = time.Second
-	// relayTimeout bounds a message to a peer.
+	// relayTimeout bounds a short message to a peer.
 	relayTimeout = 600 * time.Millisecond
+	// slowestRelay is the rate, in bytes per second, below which a longer message
+	// is given up: a tenth of a link of 10 Mbit/s.
+	slowestRelay = 125_000
+	// fanOut is the number of peers that a host sends a large batch to; with it 129
+	// hosts in three zones are reached in three steps.
+	fanOut = 6
+	// largeBatch is the number of objects and routes from which on a batch is large;
+	// compressed, each takes about 20 bytes.
+	largeBatch = 100
 	// askTimeout bounds the question to a peer of a host that starts.
 	askTimeout = 300 * time.Millisecond
 	// directHosts is the size of a fleet up to which readers tell every host.
@@ -156,45 +168,64 @@
 	err      error
 }
 
-// errDeaf ends a watch that does not tell of changes that exist.
-var errDeaf = errors.New("follower: the watch heard nothing of a newer revision")
+// errDeaf ends watches that do not tell of changes that exist.
+var errDeaf = errors.New("follower: the watches heard nothing of a newer revision")
+
+// maxWatches is the number of watches that wait side by side: a second one starts
+// if the first is silent about a newer revision, since its answer may be lost or
+// only large.
+const maxWatches = 2
 
 // watch waits for changes, and proves to the peers meanwhile that the store is
 // still reached.
 func (f *Follower) watch(ctx context.Context) (changed bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	after := f.Revision()
-	result := make(chan heard, 1)
-	f.count()
-	go func() {
-		changes, revision, err := f.config.Store.Watch(ctx, after, watchWait)
-		result <- heard{changes, revision, err}
-	}()
+	results := make(chan heard, maxWatches)
+	f.listen(ctx, after, results)
+	waiting, started := 1, 1
 	check := time.NewTicker(checkPeriod)
 	defer check.Stop()
+	var deaf <-chan time.Time
 	for {
 		select {
-		case h := <-result:
-			return f.takeHeard(ctx, after, h)
+		case h := <-results:
+			waiting--
+			if h.err == nil || waiting == 0 {
+				return f.takeHeard(ctx, after, h)
+			}
 		case <-check.C:
 			newest, err := f.check(ctx, after)
 			if err != nil {
 				return false, err
 			}
-			if newest <= after {
-				continue
+			if newest > after && deaf == nil {
+				deaf = time.After(deafTime)
 			}
-			select {
-			case h := <-result:
-				return f.takeHeard(ctx, after, h)
-			case <-time.After(deafTime):
+		case <-deaf:
+			if started == maxWatches {
 				return false, errDeaf
 			}
+			f.listen(ctx, after, results)
+			waiting++
+			started++
+			deaf = time.After(longAnswer)
 		}
 	}
 }
 
+// listen starts a watch.
+func (f *Follower) listen(ctx context.Context, after verbenastand.Revision, results chan<- heard) {
+	f.count()
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+		defer cancel()
+		changes, revision, err := f.config.Store.Watch(ctx, after, watchWait)
+		results <- heard{changes, revision, err}
+	}()
+}
+
 func (f *Follower) takeHeard(ctx context.Context, after verbenastand.Revision, h heard) (changed bool, err error) {
 	if errors.Is(h.err, verbenastand.ErrHistoryGone) {
 		return f.list(context.WithoutCancel(ctx), false)
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -2,85 +2,140 @@
 
 import (
 	"context"
+	"slices"
+	"time"
 
 	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/placer"
 )
 
-// spread sends a batch to every peer, in large fleets through one host of each
-// availability zone. One that lacks changes before it gets them.
+// spread tells every peer of a batch. In large fleets it reaches each other
+// availability zone through one host, which passes it on there.
 func (f *Follower) spread(ctx context.Context, b batch) {
 	hosts := f.config.Membership.Hosts()
 	ctx = context.WithoutCancel(ctx)
 	if len(hosts) <= directHosts {
-		f.send(ctx, b, hosts)
+		f.send(ctx, b, f.branches(b, f.others(hosts)))
 		return
 	}
-	f.send(ctx, b, f.ownZone(hosts))
-	b.passOn = true
-	f.send(ctx, b, f.relays(hosts))
+	var branches []branch
+	for zone, members := range f.byZone(hosts) {
+		if zone == f.config.Self.Zone() {
+			branches = append(branches, f.branches(b, members)...)
+			continue
+		}
+		branches = append(branches, branch{head: members[0], rest: members[1:]})
+	}
+	f.send(ctx, b, branches)
+}
+
+// branch is a peer that a batch is sent to, with the peers it passes it on to.
+type branch struct {
+	head verbenastand.Host
+	rest []verbenastand.Host
 }
 
-// ownZone returns the hosts in the availability zone of this one.
-func (f *Follower) ownZone(hosts []verbenastand.Host) []verbenastand.Host {
-	var near []verbenastand.Host
+// byZone returns the other hosts of each availability zone. Each reader has
+// another order, so that the loss of a host holds up only what one of them sends.
+func (f *Follower) byZone(hosts []verbenastand.Host) map[verbenastand.Zone][]verbenastand.Host {
+	zones := make(map[verbenastand.Zone][]verbenastand.Host)
+	for _, h := range f.others(placer.Homes(relaysKey, len(hosts), hosts)) {
+		zones[h.Zone()] = append(zones[h.Zone()], h)
+	}
+	if place := max(0, f.rank()+readers) % readers; place > 0 {
+		for zone, members := range zones {
+			half := len(members) / readers * place
+			zones[zone] = slices.Concat(members[half:], members[:half])
+		}
+	}
+	return zones
+}
+
+// others returns the hosts without this one.
+func (f *Follower) others(hosts []verbenastand.Host) []verbenastand.Host {
+	others := make([]verbenastand.Host, 0, len(hosts))
 	for _, h := range hosts {
-		if h.Zone() == f.config.Self.Zone() {
-			near = append(near, h)
+		if h.ID() != f.config.Self.ID() {
+			others = append(others, h)
 		}
 	}
-	return near
+	return others
 }
 
-// relays returns a host of each other availability zone. Each reader takes
-// another one, so that the loss of one leaves the zone the other's.
-func (f *Follower) relays(hosts []verbenastand.Host) []verbenastand.Host {
-	place := max(0, f.rank()+readers)
-	seen := make(map[verbenastand.Zone]int)
-	var relays []verbenastand.Host
-	for _, h := range placer.Homes(relaysKey, len(hosts), hosts) {
-		if h.Zone() == f.config.Self.Zone() {
+// branches divides peers so that a small batch reaches each of them directly and a
+// large one leaves this host's link only a few times.
+func (f *Follower) branches(b batch, peers []verbenastand.Host) []branch {
+	count := len(peers)
+	if b.large() {
+		count = min(count, fanOut)
+	}
+	branches := make([]branch, count)
+	for i, h := range peers {
+		at := &branches[i%count]
+		if i < count {
+			at.head = h
 			continue
 		}
-		if seen[h.Zone()] == place%readers {
-			relays = append(relays, h)
-		}
-		seen[h.Zone()]++
+		at.rest = append(at.rest, h)
 	}
-	return relays
+	return branches
 }
 
-// send sends a batch to hosts other than this one.
-func (f *Follower) send(ctx context.Context, b batch, hosts []verbenastand.Host) {
-	data, err := encode(b, f.config.Clock.Now())
-	if err != nil {
-		f.config.OnEvent(Event{What: "relayFailed", Err: err})
+// send sends a batch along its branches.
+func (f *Follower) send(ctx context.Context, b batch, branches []branch) {
+	for _, to := range branches {
+		go f.tell(ctx, b, to)
+	}
+}
+
+// tell sends a batch to a peer, after it whatever the peer lacks. A large batch is
+// announced first, since the peer may have it from another host.
+func (f *Follower) tell(ctx context.Context, b batch, to branch) {
+	message := b
+	if b.large() {
+		message = batch{after: b.revision, revision: b.revision, provedAt: b.provedAt}
+	}
+	known, err := f.exchange(ctx, message, to)
+	if err != nil || known >= b.revision {
 		return
 	}
-	for _, peer := range hosts {
-		if peer.ID() != f.config.Self.ID() {
-			go f.tell(ctx, peer, data, b.revision)
-		}
+	// A peer that still lacks changes after this is told with the next batch.
+	_, err = f.exchange(ctx, f.since(known), to)
+	if err != nil {
+		f.config.OnEvent(Event{What: "relayFailed", Key: string(to.head.ID()), Revision: b.revision, Err: err})
 	}
 }
 
-func (f *Follower) tell(ctx context.Context, peer verbenastand.Host, data []byte, revision verbenastand.Revision) {
-	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+// exchange sends a message to a peer and returns the revision known there.
+func (f *Follower) exchange(ctx context.Context, b batch, to branch) (verbenastand.Revision, error) {
+	for _, h := range to.rest {
+		b.passOn = append(b.passOn, h.ID())
+	}
+	data, err := encode(b, f.config.Clock.Now())
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout+time.Duration(len(data))*time.Second/slowestRelay)
 	defer cancel()
-	for range 2 {
-		answer, err := f.config.Relay.Relay(ctx, peer, data)
-		if err != nil {
-			return
-		}
-		m, err := decode(answer)
-		if err != nil || verbenastand.Revision(m.Revision) >= revision {
-			return
-		}
-		data, err = encode(f.since(verbenastand.Revision(m.Revision)), f.config.Clock.Now())
-		if err != nil {
-			return
+	answer, err := f.config.Relay.Relay(ctx, to.head, data)
+	if err != nil {
+		return 0, err
+	}
+	m, err := decode(answer)
+	return verbenastand.Revision(m.Revision), err
+}
+
+// passOn sends a batch to the peers that its sender left to this host. Those that
+// are not known here learn of it from the next reader.
+func (f *Follower) passOn(b batch) {
+	var peers []verbenastand.Host
+	for _, h := range f.others(f.config.Membership.Hosts()) {
+		if slices.Contains(b.passOn, h.ID()) {
+			peers = append(peers, h)
 		}
 	}
+	b.passOn = nil
+	f.send(context.Background(), b, f.branches(b, peers))
 }
 
 // ask takes over what a peer knows.
@@ -112,10 +167,8 @@
 		return encode(f.since(verbenastand.Revision(m.After)), now)
 	}
 	b := m.batch(now)
-	f.apply(b)
-	if b.passOn {
-		b.passOn = false
-		f.send(context.Background(), b, f.ownZone(f.config.Membership.Hosts()))
+	if f.apply(b) {
+		f.passOn(b)
 	}
 	return marshal(message{Version: messageVersion, Revision: uint64(f.Revision())})
 }
