Use kept connections before new ones

Cause: hosts took servers in random order.

Change: among servers of a bucket and zone those with a kept connection go first; one round of looks for waiting requests in six opens connections. Sender.HasIdle is used now, Sender.Forget is gone.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -34,6 +34,8 @@
 	// Look asks a server for its health and load. The error of a look that met
 	// another process wraps ErrOtherProcess.
 	Look(ctx context.Context, server *Server, healthPath string) (Sight, error)
+	// Connected reports whether a look at the server needs no new connection.
+	Connected(server *Server) bool
 }
 
 // Config holds the values of a Balancer.
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -26,6 +26,7 @@
 	silent    bool
 	err       error
 	looks     int
+	connected bool
 }
 
 type machines map[verbenastand.ServerID]*machine
@@ -51,6 +52,10 @@
 	return Sight{Report: m.report, Reported: !m.silent, Healthy: !m.unhealthy, Held: noConnection{&w.released}}, nil
 }
 
+func (w *world) Connected(s *Server) bool {
+	return w.machines[s.Registration().Server()].connected
+}
+
 func (w *world) looks() (n int) {
 	for _, m := range w.machines {
 		n += m.looks
@@ -155,6 +160,49 @@
 	require.Equal(t, "far", string(w.choose(t).Server.Registration().Server()))
 }
 
+// TestKeptConnectionsAreUsedWhileTheirServersAreCalm answers the pattern of a large
+// fleet with little traffic on each host: without it each request met another
+// server, and two connections were opened for three requests.
+func TestKeptConnectionsAreUsedWhileTheirServersAreCalm(t *testing.T) {
+	var list []verbenastand.Registration
+	for i := range 50 {
+		list = append(list, registration(fmt.Sprintf("s%d", i), nil))
+	}
+	w := newWorld(list...)
+	w.machines["s7"].connected = true
+	w.machines["s8"].connected = true
+	for range 20 {
+		w.clock.Advance(time.Second)
+		require.Contains(t, []string{"s7", "s8"}, string(w.choose(t).Server.Registration().Server()))
+	}
+	w.machines["s7"].report.Slowdown = 5
+	w.machines["s8"].report.Slowdown = 5
+	w.clock.Advance(time.Second)
+	require.NotContains(t, []string{"s7", "s8"}, string(w.choose(t).Server.Registration().Server()))
+}
+
+func TestLooksForWaitingRequestsRarelyOpenConnections(t *testing.T) {
+	w := newWorld(registration("a", nil), registration("b", nil), registration("c", nil))
+	for _, m := range w.machines {
+		m.report.Slowdown = 5
+	}
+	w.machines["a"].connected = true
+	s := w.balancer.Service("s")
+	opened := 0
+	const rounds = 60
+	for round := range rounds {
+		w.clock.Advance(scoutPeriod)
+		server := longestUnseen(s.candidates(Query{Route: testRoute}), false, round%exploreEvery != 0)
+		s.look(Query{Route: testRoute}, server)
+		if server.Registration().Server() != "a" {
+			opened++
+		}
+	}
+	require.LessOrEqual(t, opened, rounds/exploreEvery)
+	require.Positive(t, w.machines["b"].looks)
+	require.Positive(t, w.machines["c"].looks)
+}
+
 func TestLooksAreBounded(t *testing.T) {
 	var list []verbenastand.Registration
 	for i := range 50 {
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -78,6 +78,8 @@
 	// bucket orders candidates: usual ones, doubtful ones, ejected ones.
 	bucket  int
 	foreign bool
+	// connected is set if a look at the server needs no new connection.
+	connected bool
 	// seenAt is the time of the server's last report.
 	seenAt time.Time
 	order  uint64
@@ -154,11 +156,13 @@
 		}
 		c, ok := server.candidate(now)
 		if ok {
+			c.connected = s.balancer.config.Looker.Connected(server)
 			list = append(list, c)
 		}
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.bucket, b.bucket), compareBool(a.foreign, b.foreign), cmp.Compare(a.order, b.order))
+		return cmp.Or(cmp.Compare(a.bucket, b.bucket), compareBool(a.foreign, b.foreign),
+			compareBool(b.connected, a.connected), cmp.Compare(a.order, b.order))
 	})
 	return list
 }
--- a/balancer/queue.go
+++ b/balancer/queue.go
@@ -12,6 +12,9 @@
 	// scoutPeriod is how often a server is looked at for requests that wait;
 	// neighbours' noise changes within tens of milliseconds.
 	scoutPeriod = 15 * time.Millisecond
+	// exploreEvery is the number of rounds of looks in which one goes to servers
+	// without a kept connection: a new connection costs a server as much as many looks.
+	exploreEvery = 6
 	// grantWeight is the weight of one grant in the mean time between grants.
 	grantWeight = 0.2
 	// maxQueue bounds the requests that wait for one service.
@@ -152,7 +155,7 @@
 
 // scout looks at servers while requests wait.
 func (s *Service) scout() {
-	for {
+	for round := 1; ; round++ {
 		s.mu.Lock()
 		if len(s.queue.waiters) == 0 {
 			s.queue.scouting = false
@@ -163,7 +166,7 @@
 		s.mu.Unlock()
 		candidates := s.candidates(query)
 		for _, foreign := range []bool{false, true} {
-			if server := longestUnseen(candidates, foreign); server != nil {
+			if server := longestUnseen(candidates, foreign, round%exploreEvery != 0); server != nil {
 				s.look(query, server)
 			}
 		}
@@ -172,20 +175,29 @@
 }
 
 // longestUnseen returns the usual candidate, in the own availability zone or
-// outside of it, whose report is the oldest.
-func longestUnseen(candidates []candidate, foreign bool) *Server {
+// outside of it, whose report is the oldest, among connected ones if there are any
+// and they go first.
+func longestUnseen(candidates []candidate, foreign, connectedFirst bool) *Server {
 	var oldest candidate
 	for _, c := range candidates {
 		if c.bucket != bucketUsual || c.foreign != foreign {
 			continue
 		}
-		if oldest.server == nil || c.seenAt.Before(oldest.seenAt) {
+		if oldest.server == nil || c.unseenBefore(oldest, connectedFirst) {
 			oldest = c
 		}
 	}
 	return oldest.server
 }
 
+// unseenBefore reports whether a look at c goes before one at other.
+func (c candidate) unseenBefore(other candidate, connectedFirst bool) bool {
+	if connectedFirst && c.connected != other.connected {
+		return c.connected
+	}
+	return c.seenAt.Before(other.seenAt)
+}
+
 // look offers the room of a server to the waiters if it has any.
 func (s *Service) look(q Query, server *Server) {
 	choice, _, ok := s.inspect(context.Background(), q, server)
--- a/carrier/look.go
+++ b/carrier/look.go
@@ -30,6 +30,11 @@
 	return sender.Target{Server: r.Server(), Address: r.Address(), Born: r.Born()}
 }
 
+// Connected implements balancer.Looker.
+func (l *Looker) Connected(server *balancer.Server) bool {
+	return l.Sender.HasIdle(targetOf(server.Registration()))
+}
+
 // Look implements balancer.Looker. A kept connection that proves to be dead is
 // replaced once, for the server may have closed it.
 func (l *Looker) Look(ctx context.Context, server *balancer.Server, healthPath string) (balancer.Sight, error) {
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -130,11 +130,13 @@
 	s.idle[c.target] = append(list, c)
 }
 
-// HasIdle reports whether a connection to the server is kept.
+// HasIdle reports whether a connection to the server is kept that is not too old.
 func (s *Sender) HasIdle(t Target) bool {
+	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.idle[t]) > 0
+	list := s.idle[t]
+	return len(list) > 0 && now.Before(list[len(list)-1].usableUntil)
 }
 
 // Sweep closes kept connections that are too old, and those to servers that are
@@ -163,16 +165,6 @@
 // ended them meanwhile, and nothing would show it.
 func (s *Sender) Void() { s.Sweep(func(Target) bool { return false }) }
 
-// Forget closes the kept connections to a server, after one of them was lost.
-func (s *Sender) Forget(t Target) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, c := range s.idle[t] {
-		c.Close()
-	}
-	delete(s.idle, t)
-}
-
 // Idle returns the number of kept connections.
 func (s *Sender) Idle() int {
 	s.mu.Lock()
