Prove the store reached before a watch in the readers' stead

Cause: when the readers are cut off, hosts read by themselves 60 ms apart, but the first of them tells the others only after its first check, 0.9 s later.

Change: a host whose proof is stale asks for the newest revision first, a tenth of the price of a watch, and tells its peers at once.

--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -555,6 +555,41 @@
 	})
 }
 
+// TestFewHostsReadWhileTheReadersAreCutOff: the readers reach the store but no peer,
+// as in a partition. The hosts that read in their stead prove it to the others at once.
+func TestFewHostsReadWhileTheReadersAreCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer settle(cancel)
+		const size = 99
+		f := newFleet(size)
+		f.store.write(func(r verbenastand.Revision) verbenastand.Change { return table(r, 1) })
+		f.run(ctx)
+		time.Sleep(10 * time.Second)
+		f.mu.Lock()
+		f.store.mu.Lock()
+		before := f.store.calls
+		for _, id := range f.readers() {
+			f.cut[id] = true
+		}
+		f.store.mu.Unlock()
+		f.mu.Unlock()
+		const cutTime = 12 * time.Second
+		time.Sleep(cutTime)
+		f.store.mu.Lock()
+		defer f.store.mu.Unlock()
+		// A call each two seconds from both readers and from four in their stead.
+		require.Less(t, f.store.calls-before, 6*int(cutTime/(2*time.Second)))
+		stale := 0
+		for _, x := range f.followers {
+			if x.Age() > 2*time.Second {
+				stale++
+			}
+		}
+		require.Zero(t, stale)
+	})
+}
+
 // TestALargeTableCrossesSlowLinks: a table of 1,480 routes is in force on 129 hosts
 // with links of 10 Mbit/s within the operators' bound of 2.5 s.
 func TestALargeTableCrossesSlowLinks(t *testing.T) {
--- a/follower/read.go
+++ b/follower/read.go
@@ -183,6 +183,12 @@
 	defer cancel()
 	after := f.Revision()
 	results := make(chan heard, maxWatches)
+	if f.Age() > staleAge {
+		// Tells the peers that they need not read as well.
+		if _, err := f.check(ctx, after); err != nil {
+			return false, err
+		}
+	}
 	f.listen(ctx, after, results)
 	waiting, started := 1, 1
 	check := time.NewTicker(checkPeriod)
