Back off by rank while the store is away

Change: the readers and two deputies try as before; the others pause from 600 ms up to 3 s and hear of the store's return from those.

--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -590,6 +590,34 @@
 	})
 }
 
+// TestAnOutageOfTheStoreCostsFewCalls: the store refuses everybody for eight seconds.
+// Refused calls have their price; all hosts are up to date soon after its return.
+func TestAnOutageOfTheStoreCostsFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer settle(cancel)
+		f := newFleet(14)
+		f.store.write(func(r verbenastand.Revision) verbenastand.Change { return table(r, 1) })
+		f.run(ctx)
+		time.Sleep(10 * time.Second)
+		outage := func(down bool) (calls int) {
+			f.store.mu.Lock()
+			defer f.store.mu.Unlock()
+			for _, h := range f.hosts {
+				f.store.down[h.ID()] = down
+			}
+			return f.store.calls + f.store.cheapCalls
+		}
+		before := outage(true)
+		time.Sleep(8 * time.Second)
+		// The operators pay for 250 calls a day, of which a day without an outage takes 150.
+		require.Less(t, outage(false)-before, 100)
+		f.store.write(func(r verbenastand.Revision) verbenastand.Change { return registered("new", r, nil) })
+		time.Sleep(2 * time.Second)
+		require.Equal(t, 14, f.inForce("new"))
+	})
+}
+
 // TestALargeTableCrossesSlowLinks: a table of 1,480 routes is in force on 129 hosts
 // with links of 10 Mbit/s within the operators' bound of 2.5 s.
 func TestALargeTableCrossesSlowLinks(t *testing.T) {
--- a/follower/read.go
+++ b/follower/read.go
@@ -48,6 +48,12 @@
 	// firstBackoff and longestBackoff bound the pause after a failed call.
 	firstBackoff   = 60 * time.Millisecond
 	longestBackoff = time.Second
+	// firstDeputies is the number of hosts that try as often as the readers while
+	// these bring no proof; lateFirstBackoff and lateLongestBackoff bound the pauses of
+	// the others, which hear of the store's return from them.
+	firstDeputies      = 2
+	lateFirstBackoff   = 600 * time.Millisecond
+	lateLongestBackoff = 3 * time.Second
 	// relayTimeout bounds a short message to a peer.
 	relayTimeout = 600 * time.Millisecond
 	// slowestRelay is the rate, in bytes per second, below which a longer message
@@ -71,7 +77,7 @@
 
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	backoff := firstBackoff
+	var backoff time.Duration
 	reading := false
 	for ctx.Err() == nil {
 		due := f.due()
@@ -80,6 +86,7 @@
 			f.config.OnEvent(Event{What: readingEvent(due), Revision: f.Revision(), Age: f.Age()})
 		}
 		if !due {
+			backoff = 0
 			pause(ctx, idlePause)
 			continue
 		}
@@ -87,17 +94,26 @@
 		switch {
 		case err != nil && ctx.Err() == nil:
 			f.config.OnEvent(Event{What: "storeCallFailed", Revision: f.Revision(), Age: f.Age(), Err: err})
+			backoff = f.nextBackoff(backoff)
 			pause(ctx, backoff/2+rand.N(backoff))
-			backoff = min(2*backoff, longestBackoff)
 		case changed:
-			backoff = firstBackoff
+			backoff = 0
 			pause(ctx, f.gatherPause())
 		default:
-			backoff = firstBackoff
+			backoff = 0
 		}
 	}
 }
 
+// nextBackoff returns the mean pause after a failed call, given the one before it.
+func (f *Follower) nextBackoff(last time.Duration) time.Duration {
+	first, longest := firstBackoff, longestBackoff
+	if f.rank() >= firstDeputies {
+		first, longest = lateFirstBackoff, lateLongestBackoff
+	}
+	return min(max(2*last, first), longest)
+}
+
 // gatherPause returns the pause of this host after a watch that brought changes.
 func (f *Follower) gatherPause() time.Duration {
 	if f.rank() == -readers {
