Let hosts that start together learn of each other before they read

Cause: a host that knows no peer yet takes itself for a reader.

Change: a host alone in its membership waits up to the age at which a proof is stale before it reads. Hosts without peers read after that as before.

--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -333,6 +333,20 @@
 // Hosts implements the membership of every follower.
 func (f *fleet) Hosts() []verbenastand.Host { return f.hosts }
 
+// lateMembership knows only one host until the others are known.
+type lateMembership struct {
+	fleet   *fleet
+	alone   []verbenastand.Host
+	knownAt time.Time
+}
+
+func (m lateMembership) Hosts() []verbenastand.Host {
+	if time.Now().Before(m.knownAt) {
+		return m.alone
+	}
+	return m.fleet.hosts
+}
+
 type relayFrom struct {
 	fleet *fleet
 	from  verbenastand.HostID
@@ -408,7 +422,7 @@
 func (f *fleet) run(ctx context.Context) {
 	for _, h := range f.hosts {
 		go func() {
-			f.followers[h.ID()].Bootstrap(ctx, f.hosts[:2])
+			f.followers[h.ID()].Bootstrap(ctx, f.hosts[:min(2, len(f.hosts))])
 			f.followers[h.ID()].Run(ctx)
 		}()
 	}
@@ -472,6 +486,41 @@
 	})
 }
 
+// TestHostsThatStartTogetherDoNotAllRead: after a loss of power no host knows the
+// others at first.
+func TestHostsThatStartTogetherDoNotAllRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer settle(cancel)
+		f := newFleet(14)
+		for _, h := range f.hosts {
+			f.followers[h.ID()].config.Membership = lateMembership{f, []verbenastand.Host{h}, time.Now().Add(300 * time.Millisecond)}
+		}
+		f.store.write(func(r verbenastand.Revision) verbenastand.Change { return table(r, 1) })
+		f.run(ctx)
+		time.Sleep(3 * time.Second)
+		// A list at start for each host, and two calls of each reader.
+		require.LessOrEqual(t, f.store.calls, 14+2*2)
+		for _, x := range f.followers {
+			require.Less(t, x.Age(), 2*time.Second)
+		}
+	})
+}
+
+func TestAHostWithoutPeersReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer settle(cancel)
+		f := newFleet(1)
+		f.store.write(func(r verbenastand.Revision) verbenastand.Change { return table(r, 1) })
+		f.run(ctx)
+		time.Sleep(5 * time.Second)
+		f.store.write(func(r verbenastand.Revision) verbenastand.Change { return registered("new", r, nil) })
+		time.Sleep(100 * time.Millisecond)
+		require.Equal(t, 1, f.inForce("new"))
+	})
+}
+
 func TestChangesReachAllWithinTheBound(t *testing.T) {
 	const bound = 2 * time.Second // The operators' bound for drains and for tables.
 	// settling is the time after a disturbance of the store during which the
--- a/follower/schedule.go
+++ b/follower/schedule.go
@@ -10,12 +10,17 @@
 // due reports whether this host is to read the store now: as one of the readers,
 // or because no fresh proof came from them.
 func (f *Follower) due() bool {
+	running := f.config.Clock.Now().Sub(f.began)
+	if running < staleAge && len(f.config.Membership.Hosts()) == 1 {
+		// The peers are not known yet.
+		return false
+	}
 	rank := f.rank()
 	if rank < 0 {
 		return true
 	}
 	wait := min(time.Duration(rank)*rankDelay, longestRankDelay)
-	age := min(f.Age(), f.config.Clock.Now().Sub(f.began))
+	age := min(f.Age(), running)
 	return age > staleAge+wait
 }
 
