--- a/carrier/carrier_test.go
+++ b/carrier/carrier_test.go
@@ -237,6 +237,22 @@
 	}
 }
 
+// TestARefusalTellsWhatTimeTheCallerLeft: without it a refusal beside free servers
+// cannot be explained from the logs.
+func TestARefusalTellsWhatTimeTheCallerLeft(t *testing.T) {
+	inWorld(t, nil, []*server{{serve: good(usual)}}, func(w *world) {
+		w.call("GET", "/x/1", "", "X-Deadline: 20")
+		synctest.Wait()
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		e := w.events[len(w.events)-1]
+		require.True(t, e.Refused)
+		require.Equal(t, verbenastand.NotRun, e.Verdict)
+		require.Equal(t, 20*time.Millisecond, e.Deadline)
+		require.Greater(t, e.Estimate, e.Deadline)
+	})
+}
+
 // TestASecondCopyRescues: a request whose server stands still is sent to another
 // one within the budget, in time, and its first copy is stopped.
 func TestASecondCopyRescues(t *testing.T) {
--- a/carrier/event.go
+++ b/carrier/event.go
@@ -38,6 +38,9 @@
 	Waiting int
 	// RepeatDenied says why a failed request was not sent to another server.
 	RepeatDenied string
+	// Target and Deadline are when, after its arrival, the request is late and when
+	// the caller gives it up.
+	Target, Deadline time.Duration
 	// Late is set if the answer came after the route's target latency.
 	Late bool
 }
@@ -58,6 +61,9 @@
 		ID: l.id, Route: l.route.Name(), Version: l.version, Service: l.name, At: l.arrived,
 		Took: now.Sub(l.arrived), Status: status, Verdict: verbenastand.Ran, Late: now.After(l.target),
 	}
+	if !l.deadline.IsZero() {
+		e.Target, e.Deadline = l.target.Sub(l.arrived), l.deadline.Sub(l.arrived)
+	}
 	e.RepeatDenied = l.repeatDenied
 	if l.service != nil {
 		e.Waiting = l.service.Waiting()
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -68,6 +68,7 @@
 			"retryAfterMs": milliseconds(e.RetryAfter), "repeatDenied": e.RepeatDenied, "waiting": e.Waiting,
 			"server": string(e.Server), "estimateMs": milliseconds(e.Estimate), "slowdown": e.Report.Slowdown,
 			"running": e.Report.Running, "error": errorText(e.Err),
+			"targetMs": milliseconds(e.Target), "deadlineMs": milliseconds(e.Deadline),
 		}).Info(eventRefused)
 		return
 	}
@@ -78,6 +79,7 @@
 	r.entry(e).WithFields(log.Fields{
 		"server": string(e.Server), "status": e.Status, "late": e.Late,
 		"repeatDenied": e.RepeatDenied, "waiting": e.Waiting, "error": errorText(e.Err),
+		"targetMs": milliseconds(e.Target), "deadlineMs": milliseconds(e.Deadline),
 	}).Info(eventAnswered)
 }
 
