Pass on what a list of the store shows, within the link

Traced with the logs of all hosts: the store dropped its history at 1 s; two readers and three others learnt the table by lists between 2.7 and 3.4 s, but a list was not passed on. Their next proofs met hosts that stood before the list, and each of these got all objects, up to 33 at a time over 10 Mbit/s: 132 relays timed out between 4.75 and 6 s. A reader that was still behind proved the old revision to its zone meanwhile.

Change: lists are passed on; after a list the history goes on, so that peers from before it get only what changed; at most six large batches are on their way from a host, each announced first; a revision older than the newest a peer told of is no proof.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -73,14 +73,20 @@
 	objects  map[string]*object
 	table    *verbenastand.RouteTable
 	revision verbenastand.Revision
-	// history holds the changes after historyFrom, in the order of arrival.
-	history     []verbenastand.Change
-	historyFrom verbenastand.Revision
-	provedAt    time.Time
-	returnedAt  time.Time
-	calls       int
+	// newest is the newest revision that any peer told of.
+	newest verbenastand.Revision
+	// history holds the changes after historyFrom, in the order of arrival. Between
+	// gapFrom and gapUntil it holds only what a list of all objects showed.
+	history           []verbenastand.Change
+	historyFrom       verbenastand.Revision
+	gapFrom, gapUntil verbenastand.Revision
+	provedAt          time.Time
+	returnedAt        time.Time
+	calls             int
 
 	publishing sync.Mutex
+	// largeSends has room for the large batches that may be on their way at a time.
+	largeSends chan struct{}
 }
 
 // NewFollower returns a follower that knows nothing.
@@ -88,7 +94,7 @@
 	if c.OnEvent == nil {
 		c.OnEvent = func(Event) {}
 	}
-	f := &Follower{config: c, began: c.Clock.Now(), objects: make(map[string]*object)}
+	f := &Follower{config: c, began: c.Clock.Now(), objects: make(map[string]*object), largeSends: make(chan struct{}, fanOut)}
 	f.view.Store(verbenastand.NewView(verbenastand.ViewConfig{}))
 	return f
 }
@@ -143,6 +149,11 @@
 	passOn []verbenastand.HostID
 }
 
+// announcement returns the batch without its changes.
+func (b batch) announcement() batch {
+	return batch{after: b.revision, revision: b.revision, provedAt: b.provedAt}
+}
+
 // large reports whether sending the batch to many peers would fill a slow link.
 func (b batch) large() bool {
 	routes := 0
@@ -157,11 +168,16 @@
 // apply takes a batch over. It reports false if changes before it are missing.
 func (f *Follower) apply(b batch) bool {
 	f.mu.Lock()
+	f.newest = max(f.newest, b.revision)
 	if !b.whole && b.after > f.revision {
 		f.mu.Unlock()
 		return false
 	}
-	events := f.proveLocked(b.provedAt)
+	var events []Event
+	if b.revision >= f.newest {
+		// What is older than a peer's knowledge does not prove the present.
+		events = f.proveLocked(b.provedAt)
+	}
 	changed := false
 	for _, c := range b.changes {
 		news, event := f.applyLocked(c)
@@ -172,8 +188,7 @@
 	}
 	if b.whole {
 		changed = f.removeMissingLocked(b) || changed
-		// Objects that came and went before are not known here.
-		f.historyFrom = max(f.historyFrom, b.revision)
+		f.noteGapLocked(b.revision)
 	}
 	f.revision = max(f.revision, b.revision)
 	f.mu.Unlock()
@@ -303,13 +318,33 @@
 	return changed
 }
 
+// noteGapLocked notes that a list of all objects brought this host to a revision:
+// objects that came and went on the way are not known. Hosts that are behind the
+// way need not know of them, hosts on it get all objects.
+func (f *Follower) noteGapLocked(until verbenastand.Revision) {
+	if until <= f.revision {
+		return
+	}
+	if f.revision == 0 {
+		f.historyFrom = max(f.historyFrom, until)
+		return
+	}
+	f.historyFrom = max(f.historyFrom, f.gapUntil)
+	f.gapFrom, f.gapUntil = f.revision, until
+}
+
+// contiguousLocked reports whether all changes after a revision are known.
+func (f *Follower) contiguousLocked(after verbenastand.Revision) bool {
+	return after != 0 && after >= f.historyFrom && (after <= f.gapFrom || after >= f.gapUntil)
+}
+
 // since returns the changes after a revision, or all objects if they are no
 // longer known one by one.
 func (f *Follower) since(after verbenastand.Revision) batch {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	b := batch{after: after, revision: f.revision, provedAt: f.provedAt}
-	if after != 0 && after >= f.historyFrom {
+	if f.contiguousLocked(after) {
 		for _, c := range f.history {
 			if c.Revision > after {
 				b.changes = append(b.changes, c)
@@ -342,6 +377,13 @@
 	}
 }
 
+// Newest returns the newest revision that is known to exist.
+func (f *Follower) Newest() verbenastand.Revision {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.newest
+}
+
 // publish puts the present state in force.
 func (f *Follower) publish() {
 	f.publishing.Lock()
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -145,6 +145,64 @@
 	})
 }
 
+// TestWhatAHostPassesOnIsComplete: a host that learnt by lists and by changes brings a
+// peer that stands at any revision to its own state.
+func TestWhatAHostPassesOnIsComplete(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var changes []verbenastand.Change
+		for i := range rapid.IntRange(1, 25).Draw(t, "changes") {
+			id := string(rune('a' + rapid.IntRange(0, 3).Draw(t, "server")))
+			revision := verbenastand.Revision(i + 1)
+			if rapid.Bool().Draw(t, "removed") {
+				changes = append(changes, removed(id, revision))
+				continue
+			}
+			changes = append(changes, registered(id, revision, nil))
+		}
+		follow := func(f *Follower, until int) {
+			after := f.Revision()
+			f.apply(batch{changes: changes[after:until], after: after, revision: verbenastand.Revision(until)})
+		}
+		list := func(f *Follower, until int) {
+			latest := make(map[string]verbenastand.Change)
+			for _, c := range changes[:until] {
+				latest[c.Key] = c
+			}
+			b := batch{whole: true, revision: verbenastand.Revision(until)}
+			for _, c := range latest {
+				if !c.Removed {
+					b.changes = append(b.changes, c)
+				}
+			}
+			f.apply(b)
+		}
+		teller, peer := newFollower(fake.NewClock()), newFollower(fake.NewClock())
+		for range rapid.IntRange(1, 5).Draw(t, "steps") {
+			until := rapid.IntRange(int(teller.Revision()), len(changes)).Draw(t, "until")
+			if rapid.Bool().Draw(t, "list") {
+				list(teller, until)
+				continue
+			}
+			follow(teller, until)
+		}
+		follow(peer, rapid.IntRange(0, int(teller.Revision())).Draw(t, "peer"))
+		peer.apply(teller.since(peer.Revision()))
+		if peer.Revision() != teller.Revision() || fmt.Sprint(states(peer)) != fmt.Sprint(states(teller)) {
+			t.Fatalf("%d: %v, want %d: %v", peer.Revision(), states(peer), teller.Revision(), states(teller))
+		}
+	})
+}
+
+func TestAnOldRevisionDoesNotProveThePresent(t *testing.T) {
+	clock := fake.NewClock()
+	f := newFollower(clock)
+	f.apply(batch{changes: []verbenastand.Change{registered("a", 2, nil)}, revision: 2, provedAt: clock.Now()})
+	clock.Advance(time.Second)
+	f.apply(batch{after: 5, revision: 5, provedAt: clock.Now()})
+	f.apply(batch{after: 2, revision: 2, provedAt: clock.Now()})
+	require.Equal(t, time.Second, f.Age(), "a peer knows of revision 5")
+}
+
 func TestAListRemovesWhatItNoLongerHolds(t *testing.T) {
 	f := newFollower(fake.NewClock())
 	f.apply(batch{changes: []verbenastand.Change{registered("a", 2, nil), registered("b", 3, nil), table(4, 1)}, revision: 4})
@@ -285,7 +343,8 @@
 			s.mu.Unlock()
 			return nil, 0, verbenastand.ErrStoreBusy
 		}
-		if after < s.history {
+		deaf := call <= s.deafCalls
+		if after < s.history && !deaf {
 			s.mu.Unlock()
 			return nil, 0, verbenastand.ErrHistoryGone
 		}
@@ -296,7 +355,6 @@
 			}
 		}
 		revision, news := s.revision, s.news
-		deaf := call <= s.deafCalls
 		s.mu.Unlock()
 		if deaf {
 			<-ctx.Done()
@@ -639,6 +697,53 @@
 	})
 }
 
+// TestALargeFleetCatchesUpAfterTheStoreForgotItsHistory: the store drops its history,
+// its watches hear nothing and its short answers are old for a second, as while it elects
+// a leader. All objects of a large deployment are then many times what a slow
+// link carries in time if every host gets them from one.
+func TestALargeFleetCatchesUpAfterTheStoreForgotItsHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer settle(cancel)
+		const size = 129
+		f := newFleet(size)
+		f.store.write(func(r verbenastand.Revision) verbenastand.Change { return table(r, 1) })
+		for i := range 421 {
+			f.store.write(func(r verbenastand.Revision) verbenastand.Change {
+				return registered(fmt.Sprintf("i-%010x", i*2654435761), r, func(c *verbenastand.RegistrationConfig) {
+					c.Address, c.Born = fmt.Sprintf("10.%d.%d.%d:8480", i%4, i/200, i%200), int64(i)*2654435761
+				})
+			})
+		}
+		f.run(ctx)
+		time.Sleep(10 * time.Second)
+		f.mu.Lock()
+		// Calls take three quarters of a link of 10 Mbit/s.
+		f.linkBytesPerSecond = 10_000_000 / 8 / 4
+		f.mu.Unlock()
+		f.store.mu.Lock()
+		f.store.staleRevision = f.store.revision
+		f.store.deafCalls = f.store.calls
+		f.store.history = f.store.revision + 1
+		f.store.mu.Unlock()
+		f.store.write(func(r verbenastand.Revision) verbenastand.Change { return largeTable(r, 60) })
+		calls := f.store.calls
+		time.Sleep(time.Second)
+		f.store.mu.Lock()
+		f.store.staleRevision = 0
+		f.store.mu.Unlock()
+		time.Sleep(2500 * time.Millisecond)
+		behind := 0
+		for _, x := range f.followers {
+			if x.View().Table().Version() != 2 {
+				behind++
+			}
+		}
+		require.Zero(t, behind)
+		require.Less(t, f.store.calls-calls, size)
+	})
+}
+
 // TestAnOutageOfTheStoreCostsFewCalls: the store refuses everybody for eight seconds.
 // Refused calls have their price; all hosts are up to date soon after its return.
 func TestAnOutageOfTheStoreCostsFewCalls(t *testing.T) {
@@ -701,7 +806,7 @@
 				cut := len(f.cut)
 				f.store.mu.Unlock()
 				f.mu.Unlock()
-				f.store.write(func(r verbenastand.Revision) verbenastand.Change { return largeTable(r, 2, 1480) })
+				f.store.write(func(r verbenastand.Revision) verbenastand.Change { return largeTable(r, 1480) })
 				time.Sleep(2500 * time.Millisecond)
 				behind := 0
 				for _, x := range f.followers {
@@ -715,8 +820,9 @@
 	}
 }
 
-func largeTable(revision verbenastand.Revision, version verbenastand.TableVersion, routes int) verbenastand.Change {
-	c := verbenastand.RouteTableConfig{Version: version, Services: make(map[verbenastand.ServiceName]verbenastand.ServiceSettings)}
+// largeTable is the second version of the table.
+func largeTable(revision verbenastand.Revision, routes int) verbenastand.Change {
+	c := verbenastand.RouteTableConfig{Version: 2, Services: make(map[verbenastand.ServiceName]verbenastand.ServiceSettings)}
 	for i := range routes {
 		c.Routes = append(c.Routes, verbenastand.NewRoute(verbenastand.RouteConfig{
 			Name: verbenastand.RouteName(fmt.Sprintf("r-%08x", i*2654435761)), HostName: fmt.Sprintf("h%d.example", i%7),
@@ -756,7 +862,7 @@
 		table verbenastand.Change
 	}{
 		{"small", table(6, 2)},
-		{"compressed", largeTable(6, 2, 1480)},
+		{"compressed", largeTable(6, 1480)},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -792,7 +898,7 @@
 func FuzzDecode(f *testing.F) {
 	data, _ := encode(batch{revision: 9, changes: []verbenastand.Change{registered("a", 4, nil), table(6, 2)}}, time.Now())
 	f.Add(data)
-	packed, _ := encode(batch{revision: 9, changes: []verbenastand.Change{largeTable(6, 2, 200)}}, time.Now())
+	packed, _ := encode(batch{revision: 9, changes: []verbenastand.Change{largeTable(6, 200)}}, time.Now())
 	f.Add(packed)
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		m, err := decode(data)
--- a/follower/read.go
+++ b/follower/read.go
@@ -269,6 +269,7 @@
 	started := f.config.Clock.Now()
 	f.count()
 	newest, err := f.config.Store.Newest(ctx)
+	newest = max(newest, f.Newest())
 	if err != nil || newest > after {
 		return newest, err
 	}
@@ -302,6 +303,9 @@
 		b.provedAt = time.Time{}
 	}
 	f.apply(b)
+	if !stale {
+		f.spread(ctx, b)
+	}
 	return true, nil
 }
 
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -91,16 +91,23 @@
 // tell sends a batch to a peer, after it whatever the peer lacks. A large batch is
 // announced first, since the peer may have it from another host.
 func (f *Follower) tell(ctx context.Context, b batch, to branch) {
-	message := b
-	if b.large() {
-		message = batch{after: b.revision, revision: b.revision, provedAt: b.provedAt}
+	if !b.large() {
+		known, err := f.exchange(ctx, b, to)
+		if err != nil || known >= b.revision {
+			return
+		}
+		b = f.since(known)
 	}
-	known, err := f.exchange(ctx, message, to)
-	if err != nil || known >= b.revision {
-		return
+	if b.large() {
+		f.largeSends <- struct{}{}
+		defer func() { <-f.largeSends }()
+		known, err := f.exchange(ctx, b.announcement(), to)
+		if err != nil || known >= b.revision {
+			return
+		}
+		b = f.since(known)
 	}
-	// A peer that still lacks changes after this is told with the next batch.
-	_, err = f.exchange(ctx, f.since(known), to)
+	_, err := f.exchange(ctx, b, to)
 	if err != nil {
 		f.config.OnEvent(Event{What: "relayFailed", Key: string(to.head.ID()), Revision: b.revision, Err: err})
 	}
