--- a/configurer/gateway.go
+++ b/configurer/gateway.go
@@ -18,6 +18,7 @@
 	ReadinessAddress string `long:"readiness-address" env:"VERBENASTAND_READINESS_ADDRESS" description:"IP address and TCP port that answers readiness checks"`
 	MetricsAddress   string `long:"metrics-address" env:"VERBENASTAND_METRICS_ADDRESS" description:"IP address and TCP port that serves metrics"`
 	PeerAddress      string `long:"peer-address" env:"VERBENASTAND_PEER_ADDRESS" description:"IP address and UDP port for other hosts"`
+	PeerAdvertise    string `long:"peer-advertise" env:"VERBENASTAND_PEER_ADVERTISE" description:"IP address and UDP port under which other hosts reach this one, if another than the peer address"`
 
 	Store        string   `long:"store" env:"VERBENASTAND_STORE" description:"IP address and port of the configuration store"`
 	Peers        []string `long:"peer" env:"VERBENASTAND_PEERS" env-delim:"," description:"IP address and UDP port of a host to contact at start; may be repeated"`
@@ -54,6 +55,9 @@
 		{"call-address", g.CallAddress}, {"directory-address", g.DirectoryAddress}, {"readiness-address", g.ReadinessAddress},
 		{"metrics-address", g.MetricsAddress}, {"peer-address", g.PeerAddress}, {"store", g.Store},
 	}
+	if g.PeerAdvertise != "" {
+		addresses = append(addresses, struct{ flag, value string }{"peer-advertise", g.PeerAdvertise})
+	}
 	for _, p := range g.Peers {
 		addresses = append(addresses, struct{ flag, value string }{"peer", p})
 	}
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -1,6 +1,7 @@
 package launcher
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -119,7 +120,7 @@
 		config: c, log: c.Log, began: now, timer: timer.NewService(timer.Config{}), meter: meter.NewMeter(),
 		self: verbenastand.NewHost(verbenastand.HostConfig{
 			Instance: instance, Zone: verbenastand.Zone(s.Zone), CallAddress: s.CallAddress,
-			APIAddress: s.DirectoryAddress, PeerAddress: s.PeerAddress,
+			APIAddress: s.DirectoryAddress, PeerAddress: cmp.Or(s.PeerAdvertise, s.PeerAddress),
 		}),
 	}
 	g.recorder = recorder.NewRecorder(recorder.Config{Log: c.Log, Meter: g.meter, Share: s.LogShare})
