--- a/commander/gateway_test.go
+++ b/commander/gateway_test.go
@@ -25,6 +25,7 @@
 		{"a settings file cut short", file(`{"nodeName":`), nil, "unexpected end"},
 		{"settings without ports", file(`{"nodeName":"h"}`), nil, "without ports"},
 		{"a share out of bounds", "", []string{"--log-share", "2"}, "--log-share: 2"},
+		{"an address that others cannot use", "", []string{"--peer-advertise", "nowhere"}, "--peer-advertise: \"nowhere\""},
 		{"an unknown flag", "", []string{"--no-such-flag"}, "no-such-flag"},
 	}
 	for _, tc := range cases {
