Leave the key of a former field of relay messages unused

A host of the version before reads the field as a truth value and would refuse the whole message while hosts are replaced one by one.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -73,7 +73,7 @@
 	objects  map[string]*object
 	table    *verbenastand.RouteTable
 	revision verbenastand.Revision
-	// newest is the newest revision that any peer told of.
+	// newest is the newest revision that this host or a peer has seen.
 	newest verbenastand.Revision
 	// history holds the changes after historyFrom, in the order of arrival. Between
 	// gapFrom and gapUntil it holds only what a list of all objects showed.
--- a/follower/message.go
+++ b/follower/message.go
@@ -33,10 +33,11 @@
 	Revision uint64         `cbor:"5,keyasint,omitempty"`
 	Age      time.Duration  `cbor:"6,keyasint,omitempty"`
 	Changes  []changeRecord `cbor:"7,keyasint,omitempty"`
-	// PassOn are the hosts that the receiver is to tell.
-	PassOn []string `cbor:"8,keyasint,omitempty"`
 	// Packed is a compressed message that stands for this one.
 	Packed []byte `cbor:"9,keyasint,omitempty"`
+	// PassOn are the hosts that the receiver is to tell. Key 8 had another meaning in
+	// earlier versions.
+	PassOn []string `cbor:"10,keyasint,omitempty"`
 }
 
 type changeRecord struct {
