Do not use a connection whose look was overtaken by its end

Cause: a look's context sets the connection's deadline when it ends. If it ends while the response is read, that happens in a goroutine of its own, on a host short of processor time after the look has returned without an error: the deadline then ends the request sent behind the look. The response is given up, 502 for one that must not run twice, while its server is at work.

Change: such a look fails, and its connection is closed.

Test: TestALookThatItsEndOvertookIsNotUsed failed first (no error), passes now.

--- a/sender/connection.go
+++ b/sender/connection.go
@@ -149,8 +149,13 @@
 func (c *Connection) Look(ctx context.Context, path string) (report verbenastand.LoadReport, reported, healthy bool, err error) {
 	release := c.guard(ctx)
 	defer func() {
-		if !release() {
-			c.sound = false
+		if release() {
+			return
+		}
+		// The end of ctx may set its deadline later, while a request is under way.
+		c.sound = false
+		if err == nil {
+			err = lost(ctx, nil)
 		}
 	}()
 	c.sound = false
--- a/sender/sender_test.go
+++ b/sender/sender_test.go
@@ -283,6 +283,47 @@
 	}
 }
 
+// overtaken is a connection whose user's context ends while a response is read, and
+// whose deadline is then set late, as on a host that is short of processor time.
+type overtaken struct {
+	net.Conn
+	cancel context.CancelFunc
+	hold   chan struct{}
+}
+
+func (o *overtaken) Read(b []byte) (int, error) {
+	n, err := o.Conn.Read(b)
+	o.cancel()
+	return n, err
+}
+
+func (o *overtaken) SetDeadline(at time.Time) error {
+	if !at.IsZero() {
+		<-o.hold
+	}
+	return o.Conn.SetDeadline(at)
+}
+
+// TestALookThatItsEndOvertookIsNotUsed: the deadline that ends the look would end the
+// request that follows on the connection.
+func TestALookThatItsEndOvertookIsNotUsed(t *testing.T) {
+	server := newScripted(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Instance: s1\r\nX-Load: 4\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	hold := make(chan struct{})
+	defer close(hold)
+	s := NewSender(Config{Dialect: testDialect{}, Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := dialTCP(ctx, address)
+		return &overtaken{Conn: conn, cancel: cancel, hold: hold}, err
+	}})
+	c, err := s.Connect(t.Context(), server.target)
+	require.NoError(t, err)
+	_, _, _, err = c.Look(ctx, "/health")
+	require.ErrorIs(t, err, context.Canceled)
+}
+
 func TestARefusalWithoutIdentifierIsTrue(t *testing.T) {
 	server := newScripted(t, func(conn net.Conn, _ *http.Request, _ int) bool {
 		_, _ = io.WriteString(conn, "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
