--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -148,6 +149,31 @@
 	}
 }
 
+// TestALeavingHostOpensFewConnections: a handshake costs a small host as much as
+// several requests, and its callers still wait for answers.
+func TestALeavingHostOpensFewConnections(t *testing.T) {
+	const size, neighbours = 129, 8
+	w, nodes := newNetwork(size)
+	for _, n := range nodes {
+		n.config.Neighbours, n.config.LifetimePerHost = neighbours, 20*time.Millisecond
+	}
+	for range rounds(20 * time.Second) {
+		w.round(nodes)
+	}
+	met := make(map[string]bool)
+	var mu sync.Mutex
+	w.cut = func(from, to string) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		if from == nodes[0].address {
+			met[to] = true
+		}
+		return true
+	}
+	nodes[0].Leave(t.Context())
+	require.LessOrEqual(t, len(met), 2*neighbours)
+}
+
 func TestDeadHostIsForgottenAndReturnsAsANewInstance(t *testing.T) {
 	w, nodes := newNetwork(14)
 	for range rounds(10 * time.Second) {
