--- a/follower/read.go
+++ b/follower/read.go
@@ -269,7 +269,7 @@
 	started := f.config.Clock.Now()
 	f.count()
 	newest, err := f.config.Store.Newest(ctx)
-	newest = max(newest, f.Newest())
+	newest = max(newest, f.newestKnown())
 	if err != nil || newest > after {
 		return newest, err
 	}
