Check the settings of both programs by one piece of code

Cause: gateway.go repeated the checks of addresses, durations and numbers of settings.go, with small differences: only one of them refused what is not a number, and the gateway did not check its trace endpoint at all.

Test: "a collector without a scheme" failed before, passes now; all other cases are as they were. Ruled out: looser bounds (flags and bounds are the same lines).

--- a/commander/gateway_test.go
+++ b/commander/gateway_test.go
@@ -26,6 +26,8 @@
 		{"settings without ports", file(`{"nodeName":"h"}`), nil, "without ports"},
 		{"a share out of bounds", "", []string{"--log-share", "2"}, "--log-share: 2"},
 		{"an address that others cannot use", "", []string{"--peer-advertise", "nowhere"}, "--peer-advertise: \"nowhere\""},
+		{"a share that is no number", "", []string{"--log-share", "NaN"}, "--log-share: NaN"},
+		{"a collector without a scheme", "", []string{"--trace-endpoint", "collector:4318"}, "--trace-endpoint"},
 		{"an unknown flag", "", []string{"--no-such-flag"}, "no-such-flag"},
 	}
 	for _, tc := range cases {
--- a/configurer/gateway.go
+++ b/configurer/gateway.go
@@ -1,9 +1,6 @@
 package configurer
 
 import (
-	"errors"
-	"fmt"
-	"net/netip"
 	"time"
 )
 
@@ -42,58 +39,29 @@
 
 // Validate returns every fault of the settings, joined.
 func (g Gateway) Validate() error {
-	var faults []error
-	add := func(name, format string, args ...any) {
-		faults = append(faults, fmt.Errorf("--%s: %s", name, fmt.Sprintf(format, args...)))
-	}
-	for _, n := range []struct{ flag, value string }{{"host", g.Host}, {"zone", g.Zone}} {
+	var f faults
+	for _, n := range []text{{"host", g.Host}, {"zone", g.Zone}} {
 		if n.value == "" {
-			add(n.flag, "is missing")
+			f.add(n.flag, "is missing")
 		}
 	}
-	addresses := []struct{ flag, value string }{
+	f.checkAddresses([]text{
 		{"call-address", g.CallAddress}, {"directory-address", g.DirectoryAddress}, {"readiness-address", g.ReadinessAddress},
 		{"metrics-address", g.MetricsAddress}, {"peer-address", g.PeerAddress}, {"store", g.Store},
-	}
-	if g.PeerAdvertise != "" {
-		addresses = append(addresses, struct{ flag, value string }{"peer-advertise", g.PeerAdvertise})
-	}
-	for _, p := range g.Peers {
-		addresses = append(addresses, struct{ flag, value string }{"peer", p})
-	}
-	for _, a := range addresses {
-		if address, err := netip.ParseAddrPort(a.value); err != nil || address.Port() == 0 {
-			add(a.flag, "%q is no IP address and port", a.value)
-		}
-	}
-	durations := []struct {
-		flag            string
-		value, low, top time.Duration
-	}{
+	}, g.PeerAdvertise, g.Peers)
+	f.checkURL(text{"trace-endpoint", g.TraceEndpoint})
+	checkSpans(&f, []span[time.Duration]{
 		{"grace-period", g.GracePeriod, time.Second, time.Hour},
 		{"start-timeout", g.StartTimeout, 0, time.Hour},
 		{"answer-validity", g.AnswerValidity, 100 * time.Millisecond, time.Hour},
 		{"retry-window", g.RetryWindow, time.Second, time.Hour},
-	}
-	for _, d := range durations {
-		if d.value < d.low || d.value > d.top {
-			add(d.flag, "%s is not between %s and %s", d.value, d.low, d.top)
-		}
-	}
-	numbers := []struct {
-		flag            string
-		value, low, top float64
-	}{
+	})
+	checkSpans(&f, []span[float64]{
 		{"retry-ratio", g.RetryRatio, 0, 10},
 		{"retry-allowance", g.RetryAllowance, 0, 1e6},
 		{"max-concurrent", float64(g.MaxConcurrent), 1, 1e6},
 		{"trace-share", g.TraceShare, 0, 1},
 		{"log-share", g.LogShare, 0, 1},
-	}
-	for _, n := range numbers {
-		if !(n.value >= n.low && n.value <= n.top) {
-			add(n.flag, "%g is not between %g and %g", n.value, n.low, n.top)
-		}
-	}
-	return errors.Join(faults...)
+	})
+	return f.all()
 }
--- a/configurer/settings.go
+++ b/configurer/settings.go
@@ -2,11 +2,6 @@
 package configurer
 
 import (
-	"errors"
-	"fmt"
-	"net/netip"
-	"net/url"
-	"strings"
 	"time"
 
 	verbenastand "github.com/verbenastand/verbenastand"
@@ -59,38 +54,18 @@
 
 // Validate returns every fault of the settings, joined.
 func (s Settings) Validate() error {
-	var faults []error
-	add := func(name, format string, args ...any) {
-		faults = append(faults, fmt.Errorf("--%s: %s", name, fmt.Sprintf(format, args...)))
-	}
-	for _, n := range []struct{ flag, value string }{{"host", s.Host}, {"zone", s.Zone}} {
+	var f faults
+	for _, n := range []text{{"host", s.Host}, {"zone", s.Zone}} {
 		if !verbenastand.ValidName(n.value) {
-			add(n.flag, "%q is no valid name", n.value)
+			f.add(n.flag, "%q is no valid name", n.value)
 		}
 	}
-	addresses := []struct{ flag, value string }{
+	f.checkAddresses([]text{
 		{"call-address", s.CallAddress}, {"api-address", s.APIAddress}, {"peer-address", s.PeerAddress},
-	}
-	if s.PeerAdvertise != "" {
-		addresses = append(addresses, struct{ flag, value string }{"peer-advertise", s.PeerAdvertise})
-	}
-	for _, p := range s.Peers {
-		addresses = append(addresses, struct{ flag, value string }{"peer", p})
-	}
-	for _, a := range addresses {
-		if address, err := netip.ParseAddrPort(a.value); err != nil || address.Port() == 0 {
-			add(a.flag, "%q is no IP address and port", a.value)
-		}
-	}
-	for _, u := range []struct{ flag, value string }{{"platform", s.Platform}, {"trace-endpoint", s.TraceEndpoint}} {
-		if u.value != "" && !validURL(u.value) {
-			add(u.flag, "%q is no http or https URL", u.value)
-		}
-	}
-	durations := []struct {
-		flag            string
-		value, low, top time.Duration
-	}{
+	}, s.PeerAdvertise, s.Peers)
+	f.checkURL(text{"platform", s.Platform})
+	f.checkURL(text{"trace-endpoint", s.TraceEndpoint})
+	checkSpans(&f, []span[time.Duration]{
 		{"answer-validity", s.AnswerValidity, 100 * time.Millisecond, time.Hour},
 		{"key-validity", s.KeyValidity, time.Second, time.Hour},
 		{"drain-timeout", s.DrainTimeout, 0, 24 * time.Hour},
@@ -100,16 +75,8 @@
 		{"stall-timeout", s.StallTimeout, 100 * time.Millisecond, time.Hour},
 		{"zone-rtt", s.ZoneRTT, 0, time.Second},
 		{"probe-cost", s.ProbeCost, time.Microsecond, time.Minute},
-	}
-	for _, d := range durations {
-		if d.value < d.low || d.value > d.top {
-			add(d.flag, "%s is not between %s and %s", d.value, d.low, d.top)
-		}
-	}
-	numbers := []struct {
-		flag            string
-		value, low, top float64
-	}{
+	})
+	checkSpans(&f, []span[float64]{
 		{"fleet", float64(s.Fleet), 1, 10_000},
 		{"max-body", float64(s.MaxBody), 1, 1 << 50},
 		{"max-header", float64(s.MaxHeader), 1024, 1 << 20},
@@ -117,16 +84,6 @@
 		{"max-queue", float64(s.MaxQueue), 1, 1e6},
 		{"probe-budget", s.ProbeBudget, 1e-6, 0.5},
 		{"trace-share", s.TraceShare, 0, 1},
-	}
-	for _, n := range numbers {
-		if n.value < n.low || n.value > n.top {
-			add(n.flag, "%g is not between %g and %g", n.value, n.low, n.top)
-		}
-	}
-	return errors.Join(faults...)
-}
-
-func validURL(text string) bool {
-	u, err := url.Parse(text)
-	return err == nil && u.Host != "" && strings.HasPrefix(u.Scheme, "http")
+	})
+	return f.all()
 }
