Respond to the requests that a stopping host gives up

Cause: Gateway.drain ended with its time and closed.

Change: shortly before the process exits, the carrier ends every request that waits for a server or for its response. One that no server received is refused with 503 as not run; any other gets 504. Requests that arrive later are refused at once. The line requestsStopped tells how many there were.

Ruled out: ending them earlier, since a response may still come within the grace period.

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -73,6 +73,9 @@
 type Carrier struct {
 	config    Config
 	semaphore chan struct{}
+	// stopped ends when Stop is called.
+	stopped context.Context
+	stop    context.CancelFunc
 
 	mu      sync.Mutex
 	budgets map[verbenastand.ServiceName]*retrier.WindowBudget
@@ -80,12 +83,35 @@
 
 // NewCarrier returns a carrier.
 func NewCarrier(c Config) *Carrier {
+	stopped, stop := context.WithCancel(context.Background())
 	return &Carrier{
-		config: c, semaphore: make(chan struct{}, c.MaxConcurrent),
+		config: c, semaphore: make(chan struct{}, c.MaxConcurrent), stopped: stopped, stop: stop,
 		budgets: make(map[verbenastand.ServiceName]*retrier.WindowBudget),
 	}
 }
 
+// errStopped ends requests that are still being handled when Stop is called.
+var errStopped = errors.New("carrier: the host is stopping")
+
+// Stop responds to all requests that wait for a server or for its response, with a
+// verdict that indicates whether they may have run. Later requests are refused.
+// Responses whose delivery has begun are not interrupted.
+func (c *Carrier) Stop() { c.stop() }
+
+// withStop returns a context that also ends when Stop is called, with errStopped as
+// its cause.
+func (c *Carrier) withStop(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	if c.stopped.Err() != nil {
+		cancel(errStopped)
+	}
+	unregister := context.AfterFunc(c.stopped, func() { cancel(errStopped) })
+	return ctx, func() {
+		unregister()
+		cancel(nil)
+	}
+}
+
 // InFlight returns the number of requests that are being handled.
 func (c *Carrier) InFlight() int { return len(c.semaphore) }
 
@@ -141,16 +167,24 @@
 	}
 	ctx, incoming.span = c.config.Tracer.Start(incoming.extractTrace(ctx), "call", trace.WithSpanKind(trace.SpanKindServer))
 	defer incoming.span.End()
+	ctx, release := c.withStop(ctx)
+	defer release()
 	if !incoming.route.Retryable() {
 		// A request that must not run twice is sent only after the responses to
 		// earlier requests of the connection, since one of them may close it.
-		if err := r.AwaitTurn(ctx); err != nil {
-			incoming.abandon()
-			return
-		}
+		// The context is checked below.
+		_ = r.AwaitTurn(ctx)
+	}
+	if ctx.Err() != nil {
+		incoming.interrupt(ctx, verbenastand.NotRun)
+		return
 	}
 	incoming.budget.RecordRequest()
 	if err := c.config.Quarantiner.Acquire(ctx, incoming.fingerprint); err != nil {
+		if ctx.Err() != nil {
+			incoming.interrupt(ctx, verbenastand.NotRun)
+			return
+		}
 		incoming.refuse(err)
 		return
 	}
--- a/carrier/carrier_test.go
+++ b/carrier/carrier_test.go
@@ -394,3 +394,49 @@
 		}
 	})
 }
+
+// TestStopRespondsToPendingRequests guards against a planned stop that closes
+// connections without a response, or that reports a request as not run although a
+// server has received it.
+func TestStopRespondsToPendingRequests(t *testing.T) {
+	hanging := func() *backend { return &backend{serve: reply(20 * time.Second)} }
+	full := func() *backend {
+		return &backend{serve: reply(delay), report: func() string { return "6,4,6,1" }}
+	}
+	long := func(safety verbenastand.RetrySafety) func(*verbenastand.RouteConfig) {
+		return func(c *verbenastand.RouteConfig) {
+			c.RetrySafety, c.Timeout, c.Target, c.MaxAttempts = safety, 30*time.Second, 25*time.Second, 1
+		}
+	}
+	cases := []struct {
+		name    string
+		server  *backend
+		safety  verbenastand.RetrySafety
+		status  int
+		verdict verbenastand.Verdict
+	}{
+		{"an idempotent request at a server", hanging(), verbenastand.Idempotent, http.StatusGatewayTimeout, verbenastand.MayHaveRun},
+		{"an at-most-once request at a server", hanging(), verbenastand.AtMostOnce, http.StatusGatewayTimeout, verbenastand.MayHaveRun},
+		{"an idempotent request that waits for a server", full(), verbenastand.Idempotent, http.StatusServiceUnavailable, verbenastand.NotRun},
+		{"an at-most-once request that waits for a server", full(), verbenastand.AtMostOnce, http.StatusServiceUnavailable, verbenastand.NotRun},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			withHarness(t, long(tc.safety), []*backend{tc.server}, func(h *harness) {
+				time.AfterFunc(time.Second, h.carrier.Stop)
+				began := time.Now()
+				response, _ := h.call("POST", "/x/1", "")
+				require.NotNil(t, response)
+				require.Equal(t, time.Second, time.Since(began))
+				require.Equal(t, tc.status, response.StatusCode)
+				require.Equal(t, tc.verdict.String(), response.Header.Get(verbenastand.HeaderVerdict))
+				require.Equal(t, tc.verdict == verbenastand.NotRun, response.Header.Get("Retry-After") != "")
+				if tc.verdict == verbenastand.NotRun {
+					require.Empty(t, h.requests())
+				}
+				response, _ = h.call("POST", "/x/2", "")
+				require.Equal(t, http.StatusServiceUnavailable, response.StatusCode, "a request after the stop")
+			})
+		})
+	}
+}
--- a/carrier/respond.go
+++ b/carrier/respond.go
@@ -1,6 +1,7 @@
 package carrier
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"strconv"
@@ -46,7 +47,7 @@
 	status := http.StatusServiceUnavailable
 	if re.Verdict() != verbenastand.NotRun {
 		status = http.StatusBadGateway
-		if re.Reason() == verbenastand.ReasonDeadline {
+		if re.Reason() == verbenastand.ReasonDeadline || re.Reason() == verbenastand.ReasonDraining {
 			status = http.StatusGatewayTimeout
 		}
 	}
@@ -96,6 +97,20 @@
 	c.config.Observer.RequestEnded(e)
 }
 
+// interrupt ends a request whose context has ended: its caller has disconnected, or
+// the host is stopping and responds with the verdict.
+func (c *call) interrupt(ctx context.Context, verdict verbenastand.Verdict) {
+	if !errors.Is(context.Cause(ctx), errStopped) {
+		c.abandon()
+		return
+	}
+	refusal := verbenastand.NewRequestError(verdict, verbenastand.ReasonDraining, errStopped)
+	if verdict == verbenastand.NotRun {
+		refusal = refusal.WithRetryAfter(shortestRetryAfter)
+	}
+	c.refuse(refusal)
+}
+
 // abandon ends a request whose caller has disconnected.
 func (c *call) abandon() {
 	c.writer.Abort()
--- a/carrier/run.go
+++ b/carrier/run.go
@@ -70,7 +70,7 @@
 	choice, err := c.admit(ctx)
 	if err != nil {
 		if ctx.Err() != nil {
-			c.abandon()
+			c.interrupt(ctx, verbenastand.NotRun)
 			return false
 		}
 		c.refuse(err)
@@ -86,7 +86,7 @@
 		case <-r.hedgeTimer.C:
 			r.hedge()
 		case <-ctx.Done():
-			c.abandon()
+			c.interrupt(ctx, r.verdict())
 			return false
 		case <-limit.C:
 			r.timeOut()
@@ -155,6 +155,10 @@
 		return true, true
 	}
 	r.recordOutcome(o)
+	if r.ctx.Err() != nil {
+		r.interrupt(r.ctx, r.verdict())
+		return true, false
+	}
 	if r.retry(o) {
 		return false, false
 	}
@@ -277,9 +281,13 @@
 
 // timeOut responds to a request whose time limit has passed.
 func (r *runner) timeOut() {
-	verdict := verbenastand.NotRun
+	r.refuse(verbenastand.NewRequestError(r.verdict(), verbenastand.ReasonDeadline, r.lastErr))
+}
+
+// verdict returns whether the request may have run, if no further attempt is made.
+func (r *runner) verdict() verbenastand.Verdict {
 	if r.mayHaveRun || r.running > 0 {
-		verdict = verbenastand.MayHaveRun
+		return verbenastand.MayHaveRun
 	}
-	r.refuse(verbenastand.NewRequestError(verdict, verbenastand.ReasonDeadline, r.lastErr))
+	return verbenastand.NotRun
 }
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -40,7 +40,9 @@
 	gossipLifetimePerHost = 20 * time.Millisecond
 	// gossipNeighbours limits the hosts with which a host exchanges gossip messages.
 	gossipNeighbours = 8
-	followerPeriod   = 100 * time.Millisecond
+	// urgentPeriod is the time between two checks for urgent changes to pass on.
+	urgentPeriod   = 200 * time.Millisecond
+	followerPeriod = 100 * time.Millisecond
 	// discoveryPeriod is the time after the start during which the number of hosts
 	// counts as unknown.
 	discoveryPeriod = 2 * time.Second
@@ -52,6 +54,9 @@
 	// that is reserved for the exit of the process.
 	acceptFraction = 0.5
 	exitTime       = 400 * time.Millisecond
+	// deliveryTime is the time before exitTime in which a stopping host responds to
+	// the requests that are still being handled.
+	deliveryTime = 200 * time.Millisecond
 	// The default limits apply until a route table is known.
 	defaultHeaderBytes   = 16 << 10
 	defaultBodyBytes     = 64 << 20
@@ -246,11 +251,11 @@
 	g.balancer.Update(v)
 }
 
-// onCrashSuspected sends new evidence about a request that crashes servers to all
-// peers.
+// onCrashSuspected sends new evidence about a request that crashes servers to the
+// neighbours, which pass it on.
 func (g *Gateway) onCrashSuspected() {
 	g.log.Warn("requestSuspected")
-	g.gossiper.Push(context.Background(), g.gossiper.Hosts())
+	g.gossiper.PushNeighbours(context.Background())
 }
 
 func (g *Gateway) limits() verbenastand.CallerLimits {
--- a/launcher/gateway_run.go
+++ b/launcher/gateway_run.go
@@ -98,6 +98,7 @@
 
 func (g *Gateway) subscribe() {
 	g.timer.Every(gossipPeriod, g.gossiper.Tick)
+	g.timer.Every(urgentPeriod, g.gossiper.PassOn)
 	g.timer.Every(followerPeriod, g.follower.ExpireRegistrations)
 	g.timer.Every(sweepPeriod, g.quarantiner.Sweep)
 	g.timer.Every(sweepPeriod, func(time.Time) { g.sender.Sweep(g.knownTargets()) })
@@ -164,8 +165,9 @@
 }
 
 // drain shuts the host down gracefully. Lookups stop returning this host at once.
-// Callers that still connect are served while the grace period allows, and until it
-// ends no connection with a pending request is closed.
+// Callers that still connect are served while the grace period allows. Requests that
+// are still being handled at its end get a response that says whether they may have
+// run.
 func (g *Gateway) drain(l listeners) {
 	started := time.Now()
 	grace := g.config.Settings.GracePeriod
@@ -177,6 +179,8 @@
 	g.background.Go(func() { g.gossiper.Leave(ctx) })
 	sleep(ctx, time.Duration(acceptFraction*float64(grace)))
 	_ = l.calls.Close()
+	stopCarrier := time.AfterFunc(grace-exitTime-deliveryTime-time.Since(started), g.stopCarrier)
+	defer stopCarrier.Stop()
 	for ctx.Err() == nil {
 		g.acceptor.CloseIdle()
 		if g.acceptor.Connections() == 0 {
@@ -186,3 +190,9 @@
 	}
 	g.log.WithField("tookMs", time.Since(started).Milliseconds()).WithField("unanswered", g.carrier.InFlight()).Info("drained")
 }
+
+// stopCarrier responds to the requests that are still being handled.
+func (g *Gateway) stopCarrier() {
+	g.log.WithField("unanswered", g.carrier.InFlight()).Info("requestsStopped")
+	g.carrier.Stop()
+}
