--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -274,12 +274,32 @@
 	require.Empty(t, states(f))
 }
 
+// tableWithWarning returns a table of which a part was not understood.
+func tableWithWarning() verbenastand.Change {
+	c := table(6, 2)
+	c.Warning = decodingError("unknown kind")
+	return c
+}
+
+func TestATableWithAWarningTakesEffect(t *testing.T) {
+	clock := fake.NewClock()
+	f := newFollower(clock)
+	var events []Event
+	f.config.OnEvent = func(e Event) { events = append(events, e) }
+	f.apply(batch{changes: []verbenastand.Change{tableWithWarning()}, revision: 6, confirmedAt: clock.Now()})
+	require.True(t, f.HasRouteTable())
+	require.Len(t, events, 1)
+	require.Equal(t, "tableInForce", events[0].Name)
+	require.ErrorContains(t, events[0].Err, "unknown kind")
+}
+
 func TestMessagesRoundTrip(t *testing.T) {
 	cases := []struct {
 		name  string
 		table verbenastand.Change
 	}{
 		{"small", table(6, 2)},
+		{"with a warning", tableWithWarning()},
 		{"compressed", largeTable(6, 1480)},
 	}
 	for _, tc := range cases {
--- a/follower/message.go
+++ b/follower/message.go
@@ -46,6 +46,7 @@
 	Registration *registrationRecord `cbor:"3,keyasint,omitempty"`
 	Table        *tableRecord        `cbor:"4,keyasint,omitempty"`
 	Err          string              `cbor:"5,keyasint,omitempty"`
+	Warning      string              `cbor:"6,keyasint,omitempty"`
 }
 
 type registrationRecord struct {
@@ -217,6 +218,9 @@
 	if c.Err != nil {
 		r.Err = c.Err.Error()
 	}
+	if c.Warning != nil {
+		r.Warning = c.Warning.Error()
+	}
 	return r
 }
 
@@ -272,6 +276,9 @@
 	default:
 		c.Removed = true
 	}
+	if r.Warning != "" {
+		c.Warning = decodingError(r.Warning)
+	}
 	return c
 }
 
--- a/follower/object.go
+++ b/follower/object.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"errors"
 	"time"
 
 	verbenastand "github.com/verbenastand/verbenastand"
@@ -28,7 +29,7 @@
 	if c.Revision <= o.change.Revision {
 		return false, Event{}
 	}
-	event := Event{Key: c.Key, Revision: c.Revision, Staleness: f.stalenessLocked(), Err: c.Err}
+	event := Event{Key: c.Key, Revision: c.Revision, Staleness: f.stalenessLocked(), Err: errors.Join(c.Err, c.Warning)}
 	if c.Table != nil || (c.Err != nil && o.change.Table != nil) {
 		return f.applyTableLocked(o, c, event)
 	}
--- a/store.go
+++ b/store.go
@@ -25,6 +25,9 @@
 	Removed bool
 	// Err is the error if the object could not be decoded.
 	Err error
+	// Warning describes parts of the object that were not understood and were
+	// replaced by the strictest interpretation, nil if there are none.
+	Warning error
 }
 
 // Snapshot is the state of all objects of the store at one revision.
