Send crash evidence to hosts that a partition has hidden

Evidence went only to the home hosts that its sender considered alive, which was itself alone; and the first message on a connection that had failed during the partition was lost with the connection.

Change: evidence also goes to known hosts that are considered failed. A message between hosts is sent again on a new connection if one that was used before fails. The harness logs how and when a process ended, with exit status, signal and memory, and after each fault which hosts are gone, so that a process that ends without a last line can be explained.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -95,17 +95,17 @@
 	return &Forwarder{config: c, connections: make(map[string]*peerConn)}
 }
 
-// connection returns the connection to a peer. A connection to an earlier instance,
-// as known by its boot number, is replaced.
-func (f *Forwarder) connection(peer verbenastand.Host) *peerConn {
+// connection returns the connection to a peer, and whether it has been used before. A
+// connection to an earlier instance, as known by its boot number, is replaced.
+func (f *Forwarder) connection(peer verbenastand.Host) (c *peerConn, used bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	address := peer.PeerAddress()
 	boot := peer.Instance().Boot()
-	c := f.connections[address]
+	c = f.connections[address]
 	if c != nil && (boot == 0 || c.boot == boot || c.boot == 0) {
 		c.boot = max(c.boot, boot)
-		return c
+		return c, true
 	}
 	if c != nil {
 		c.retire()
@@ -115,7 +115,7 @@
 		TLSClientConfig: f.config.Certifier.ClientConfig(http3.NextProtoH3),
 	}}
 	f.connections[address] = c
-	return c
+	return c, false
 }
 
 // discard removes a failed connection, so that the next request dials a new one.
@@ -163,19 +163,38 @@
 	return err
 }
 
+// post sends a message and returns the response. A message may arrive twice: if a
+// connection that has been used before fails, for example after a partition, the
+// message is sent again on a new one.
 func (f *Forwarder) post(ctx context.Context, peer verbenastand.Host, purpose, query string, body []byte, limit int64) ([]byte, error) {
+	for {
+		c, used := f.connection(peer)
+		response, err := f.roundTrip(ctx, c, peer, purpose, query, body)
+		if err == nil {
+			return readResponse(response, peer, purpose, limit)
+		}
+		f.discard(c)
+		if !used || ctx.Err() != nil {
+			return nil, err
+		}
+	}
+}
+
+func (f *Forwarder) roundTrip(ctx context.Context, c *peerConn, peer verbenastand.Host, purpose, query string, body []byte) (*http.Response, error) {
 	url := peerScheme + "://" + peer.PeerAddress() + "/?" + query
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return nil, fmt.Errorf("forwarder: %w", err)
 	}
 	r.Header.Set(purposeHeader, purpose)
-	c := f.connection(peer)
 	response, err := c.transport.RoundTrip(r)
 	if err != nil {
-		f.discard(c)
 		return nil, fmt.Errorf("forwarder: %s with %s: %w", purpose, peer.PeerAddress(), err)
 	}
+	return response, nil
+}
+
+func readResponse(response *http.Response, peer verbenastand.Host, purpose string, limit int64) ([]byte, error) {
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(response.Body, limit))
 	if err != nil {
@@ -197,7 +216,7 @@
 	out.URL.Scheme = peerScheme
 	out.URL.Host = peer.PeerAddress()
 	out.Header.Set(purposeHeader, purposeForward)
-	c := f.connection(peer)
+	c, _ := f.connection(peer)
 	response, err := c.transport.RoundTrip(out)
 	if err == nil {
 		return response, nil
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -298,6 +298,7 @@
 	}
 	require.Len(t, nodes[0].Hosts(), 5)
 	require.Len(t, nodes[13].Hosts(), 9)
+	require.Len(t, nodes[0].Unreachable(), 9, "evidence is sent to the other side, too")
 	net.drops = func(string, string) bool { return false }
 	for range rounds(10 * time.Second) {
 		net.round(nodes)
--- a/gossiper/peer.go
+++ b/gossiper/peer.go
@@ -137,6 +137,21 @@
 	}
 }
 
+// Unreachable returns the known hosts that are considered failed. They may be on the
+// other side of a partition that has just ended.
+func (g *Gossiper) Unreachable() []verbenastand.Host {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.config.Timer.Now()
+	var hosts []verbenastand.Host
+	for _, p := range g.peers {
+		if now.Sub(p.lastSeen) >= g.lifetimeLocked() {
+			hosts = append(hosts, p.record.host())
+		}
+	}
+	return hosts
+}
+
 // PeerStatus describes a peer in the status report for operators.
 type PeerStatus struct {
 	Host   verbenastand.Host
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -70,6 +70,8 @@
 	command *exec.Cmd
 	output  *bytes.Buffer
 	done    chan struct{}
+	// ended describes how and when the process ended, valid once done is closed.
+	ended string
 }
 
 func (p *process) start(t testing.TB) {
@@ -80,10 +82,22 @@
 	p.done = make(chan struct{})
 	go func(c *exec.Cmd, done chan struct{}) {
 		_ = c.Wait()
+		p.ended = describeEnd(c.ProcessState, time.Now())
 		close(done)
 	}(p.command, p.done)
 }
 
+// describeEnd tells how a process ended. The status separates an exit of its own (2
+// after a panic or a fatal error of the runtime, 66 after a report of the race
+// detector) from a signal that was sent to it.
+func describeEnd(s *os.ProcessState, at time.Time) string {
+	text := fmt.Sprintf("process %d ended at %s: %s", s.Pid(), at.Format("05.000"), s)
+	if usage, ok := s.SysUsage().(*syscall.Rusage); ok {
+		text += fmt.Sprintf(", at most %d KiB resident", usage.Maxrss)
+	}
+	return text
+}
+
 func (p *process) signal(s syscall.Signal) { _ = p.command.Process.Signal(s) }
 
 func (p *process) kill() {
@@ -282,7 +296,7 @@
 		if time.Now().After(deadline) {
 			for _, e := range k.entries {
 				if e.output != nil && !e.running() {
-					k.t.Logf("%s: %s", e.id, e.output.String())
+					k.t.Logf("%s: %s\n%s", e.id, e.ended, e.output.String())
 				}
 			}
 			require.FailNow(k.t, "condition not met in time", condition)
--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -170,7 +170,19 @@
 	s.counts[f.name]++
 	started := time.Now()
 	f.run()
-	s.t.Logf("%s to %s: %s", started.Format("05.000"), time.Now().Format("05.000"), f.name)
+	s.t.Logf("%s to %s: %s%s", started.Format("05.000"), time.Now().Format("05.000"), f.name, s.unexpectedEnds())
+}
+
+// unexpectedEnds describes the hosts that are not running after a fault, although
+// every fault leaves all of them running.
+func (s *soak) unexpectedEnds() string {
+	var text strings.Builder
+	for _, e := range s.entries {
+		if !e.running() {
+			fmt.Fprintf(&text, "; %s: %s", e.id, e.ended)
+		}
+	}
+	return text.String()
 }
 
 // sendCrashingRequest sends a request that crashes its servers through several hosts
@@ -284,7 +296,9 @@
 	})
 	require.Less(s.t, time.Since(started), convergenceLimit)
 	for _, e := range s.entries {
-		require.True(s.t, e.running(), "%s exited: %s", e.id, e.output)
+		if !e.running() {
+			require.Fail(s.t, "a host exited", "%s: %s\n%s", e.id, e.ended, e.output)
+		}
 		require.Zero(s.t, s.status(e).InvariantFailures)
 	}
 	s.waitUntil("a request succeeds", func() bool {
--- a/launcher/event.go
+++ b/launcher/event.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	verbenastand "github.com/verbenastand/verbenastand"
@@ -116,8 +117,10 @@
 	h.background.Go(func() { h.gossiper.Push(context.Background(), h.gossiper.Hosts()) })
 }
 
+// onCrashSuspected sends new evidence to the other home hosts, and to hosts that may
+// consider themselves home hosts since a partition.
 func (h *Host) onCrashSuspected(homes []verbenastand.Host) {
-	h.gossiper.Push(context.Background(), homes)
+	h.gossiper.Push(context.Background(), slices.Concat(homes, h.gossiper.Unreachable()))
 }
 
 func (h *Host) addStatus(s *api.Status) {
