Bound what a server can send in each place where it is read

Cause: servers in trouble may send bytes that are no answer without end. Found by a test for each place, failing first: interim responses without number; the body of a response to another request, counted without its chunk headers; bodies without a length; the rest of a health check's body, which closing it read to its end; a health check that took a late copy of a response for its own; bytes on an idle connection, noticed only at its next use. Found beside: a failure, a refusal or a large response whose caller had left kept its connection and its place in the server's count for good, because its body was never read to the end; and a body that its caller broke off was waited for by the server until the deadline.

Change: each read has a bound in bytes (headers, interim responses, skipped responses together, health checks, bodies without a length) besides the time limit that it had. Buffered responses share 8 MB; those that find no memory are delivered while they are read. A failure or refusal whose body is too long to be kept ends its connection; a refusal holds without its body. Sweeping also closes idle connections on which data arrived or that the server closed. An upload whose server was unreachable is sent to another, since none of its body was read.

Ruled out: closing bodies as net/http asks, which reads them to their end.

--- a/carrier/attempt.go
+++ b/carrier/attempt.go
@@ -20,11 +20,9 @@
 type outcome struct {
 	server   *balancer.Server
 	response *sender.Response
-	// buffered is the part of the body that has been read; complete is set if that
-	// is all of it.
-	buffered []byte
-	complete bool
-	err      error
+	// body is the part of the response body that has been read.
+	body bufferedBody
+	err  error
 	// finish ends the attempt after the rest of the body has been read.
 	finish func(error)
 }
@@ -59,6 +57,9 @@
 	}
 	request := c.newRequest(registration.Server())
 	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(request.Header))
+	if request.Stream != nil {
+		c.bodyTaken.Store(true)
+	}
 	tracked := choice.Begin(c.route.Name())
 	event := c.event(choice, number)
 	c.carrier.config.Observer.AttemptSent(event)
@@ -68,10 +69,7 @@
 		o.err = c.validate(response)
 	}
 	if o.err == nil {
-		o.buffered, o.complete, o.err = readBuffered(response.Body, response.Length)
-		if o.err != nil && verbenastand.VerdictOf(o.err) != verbenastand.MayHaveRun {
-			o.err = verbenastand.NewRequestError(verbenastand.MayHaveRun, verbenastand.ReasonInvalidResponse, o.err)
-		}
+		o.err = c.readBody(o)
 	}
 	o.finish = func(err error) {
 		result := c.attemptResult(ctx, o, err)
@@ -89,12 +87,38 @@
 			c.confirmCrash(choice.Server)
 		}
 	}
-	if o.err != nil || o.complete {
+	switch {
+	case o.err != nil || o.body.complete:
 		o.finish(o.err)
+	case !o.acceptable():
+		o.finish(errOversizedFailure)
 	}
 	return o
 }
 
+// readBody reads the beginning of the response body. A failure must be read
+// completely, since it is delivered only if there is no better response. A refusal
+// holds without its body.
+func (c *call) readBody(o *outcome) error {
+	length := o.response.Length
+	if c.request.Method == http.MethodHead {
+		length = 0
+	}
+	var err error
+	o.body, err = readBuffered(o.response.Body, length, c.carrier.responseMemory)
+	if o.response.NotRun {
+		return nil
+	}
+	if err == nil && !o.body.complete && !o.acceptable() {
+		err = errOversizedFailure
+	}
+	var re *verbenastand.RequestError
+	if err == nil || errors.As(err, &re) {
+		return err
+	}
+	return verbenastand.NewRequestError(verbenastand.MayHaveRun, verbenastand.ReasonInvalidResponse, err)
+}
+
 // connect uses the connection of the health check, or else another one.
 func (c *call) connect(ctx context.Context, choice balancer.Choice, r verbenastand.Registration) (*sender.Connection, error) {
 	if checked, ok := choice.Conn.(*checkConn); ok && checked != nil {
@@ -166,8 +190,8 @@
 	}()
 }
 
-// fullBody returns the response body from its beginning.
-func (o *outcome) fullBody() io.Reader { return &bodyReader{outcome: o} }
+// fullBody returns the response body from its beginning. It must be closed.
+func (o *outcome) fullBody() *bodyReader { return &bodyReader{outcome: o} }
 
 // bodyReader reads the buffered part of a body, then the rest from the server.
 type bodyReader struct {
@@ -179,19 +203,27 @@
 // Read implements io.Reader.
 func (r *bodyReader) Read(p []byte) (int, error) {
 	o := r.outcome
-	if r.offset < len(o.buffered) {
-		n := copy(p, o.buffered[r.offset:])
+	if r.offset < len(o.body.data) {
+		n := copy(p, o.body.data[r.offset:])
 		r.offset += n
 		return n, nil
 	}
 	n, err := o.response.Body.Read(p)
-	if err != nil && !r.ended {
-		r.ended = true
-		if errors.Is(err, io.EOF) {
-			o.finish(nil)
-		} else {
-			o.finish(err)
-		}
+	if errors.Is(err, io.EOF) {
+		r.end(nil)
+	} else if err != nil {
+		r.end(err)
 	}
 	return n, err
 }
+
+// close ends an attempt whose response was not read to its end, for example because
+// the caller has disconnected.
+func (r *bodyReader) close() { r.end(errNotNeeded) }
+
+func (r *bodyReader) end(err error) {
+	if !r.ended {
+		r.ended = true
+		r.outcome.finish(err)
+	}
+}
--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -6,12 +6,12 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,6 +22,7 @@
 	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/acceptor"
 	"github.com/verbenastand/verbenastand/balancer"
+	"github.com/verbenastand/verbenastand/internal/bounder"
 	"github.com/verbenastand/verbenastand/quarantiner"
 	"github.com/verbenastand/verbenastand/retrier"
 	"github.com/verbenastand/verbenastand/router"
@@ -79,6 +80,8 @@
 
 	mu      sync.Mutex
 	budgets map[verbenastand.ServiceName]*retrier.WindowBudget
+	// responseMemory bounds the response bodies in memory, of all requests together.
+	responseMemory *bounder.Budget
 }
 
 // NewCarrier returns a carrier.
@@ -86,7 +89,7 @@
 	stopped, stop := context.WithCancel(context.Background())
 	return &Carrier{
 		config: c, semaphore: make(chan struct{}, c.MaxConcurrent), stopped: stopped, stop: stop,
-		budgets: make(map[verbenastand.ServiceName]*retrier.WindowBudget),
+		budgets: make(map[verbenastand.ServiceName]*retrier.WindowBudget), responseMemory: bounder.NewBudget(maxResponseMemory),
 	}
 }
 
@@ -146,6 +149,9 @@
 	// fingerprint is a hash of the caller and the request, used for quarantine.
 	fingerprint uint64
 
+	// bodyTaken is set once an attempt may have read a part of a body that is not in
+	// memory. The request can't be sent to another server afterwards.
+	bodyTaken atomic.Bool
 	// rejected is the choice that was considered when the request was refused.
 	rejected balancer.Choice
 	// retryDenied is the reason why a failed request was not retried.
@@ -319,27 +325,3 @@
 	}
 	return r
 }
-
-// maxBufferedBody bounds the part of a response that is buffered before the caller
-// receives any of it, so that another attempt can replace a response that ends
-// early.
-const maxBufferedBody = 1 << 20
-
-// readBuffered reads up to maxBufferedBody of a body, and reports whether that is
-// all of it.
-func readBuffered(r io.Reader, length int64) (body []byte, complete bool, err error) {
-	if length >= 0 && length <= maxBufferedBody {
-		body = make([]byte, length)
-		if _, err = io.ReadFull(r, body); err != nil {
-			return nil, false, err
-		}
-		// The connection is reusable only after the end of the body has been read.
-		var end [1]byte
-		if n, err := r.Read(end[:]); n != 0 || !errors.Is(err, io.EOF) {
-			return nil, false, errors.Join(sender.ErrUnexpectedResponse, err)
-		}
-		return body, true, nil
-	}
-	body, err = io.ReadAll(io.LimitReader(r, maxBufferedBody+1))
-	return body, len(body) <= maxBufferedBody, err
-}
--- a/carrier/carrier_test.go
+++ b/carrier/carrier_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -440,3 +441,170 @@
 		})
 	}
 }
+
+// sendUntilClosed sends the prefix and then bytes without end until the connection is
+// closed.
+func sendUntilClosed(prefix string) func(net.Conn, *http.Request) {
+	filler := make([]byte, 32<<10)
+	return func(conn net.Conn, r *http.Request) {
+		_, err := io.WriteString(conn, strings.ReplaceAll(prefix, "ID", r.Header.Get("X-Id")))
+		for err == nil {
+			_, err = conn.Write(filler)
+		}
+	}
+}
+
+const (
+	endlessSuccess = "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Signature: s\r\n\r\n"
+	hugeSuccess    = "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Signature: s\r\nContent-Length: 1000000000\r\n\r\n"
+	endlessFailure = "HTTP/1.1 500 X\r\nX-Id: ID\r\nX-Signature: s\r\n\r\n"
+	endlessRefusal = "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\n\r\n"
+)
+
+// TestResponsesWithoutEndUseLittleMemory: fifty responses without end arrive at once
+// on a host of 184 MB, and their callers are slow.
+func TestResponsesWithoutEndUseLittleMemory(t *testing.T) {
+	const calls, bound = 50, 32 << 20
+	cases := []struct{ name, prefix string }{
+		{"success without a length", endlessSuccess},
+		{"success with a large length", hugeSuccess},
+		{"failure", endlessFailure},
+		{"refusal", endlessRefusal},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			long := func(c *verbenastand.RouteConfig) { c.Timeout, c.Target = time.Minute, time.Minute }
+			withHarness(t, long, []*backend{{serve: sendUntilClosed(tc.prefix)}}, func(h *harness) {
+				heap := func() int64 {
+					var m runtime.MemStats
+					runtime.GC()
+					runtime.ReadMemStats(&m)
+					return int64(m.HeapAlloc)
+				}
+				before := heap()
+				for i := range calls {
+					conn := h.connect()
+					_, err := fmt.Fprintf(conn, "GET /x/1 HTTP/1.1\r\nHost: a.example\r\nX-Id: %d\r\n\r\n", i)
+					require.NoError(t, err)
+					defer func() { _ = conn.Close() }()
+				}
+				synctest.Wait()
+				require.LessOrEqual(t, heap()-before, int64(bound))
+			})
+		})
+	}
+}
+
+// TestAFailureWithoutEnd: the connection of a failure or refusal that does not end is
+// closed, the request gets a true verdict, and memory is returned.
+func TestAFailureWithoutEnd(t *testing.T) {
+	cases := []struct {
+		name, prefix string
+		safety       verbenastand.RetrySafety
+		status       int
+		verdict      string
+	}{
+		{"failure, idempotent", endlessFailure, verbenastand.Idempotent, http.StatusOK, ""},
+		{"failure, at most once", endlessFailure, verbenastand.AtMostOnce, http.StatusBadGateway, "mayHaveRun"},
+		{"refusal, idempotent", endlessRefusal, verbenastand.Idempotent, http.StatusOK, ""},
+		{"refusal, at most once", endlessRefusal, verbenastand.AtMostOnce, http.StatusOK, ""},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			var closed atomic.Int32
+			var first atomic.Bool
+			serve := func(conn net.Conn, r *http.Request) {
+				if first.CompareAndSwap(false, true) {
+					sendUntilClosed(tc.prefix)(conn, r)
+					closed.Add(1)
+					return
+				}
+				reply(delay)(conn, r)
+			}
+			change := func(c *verbenastand.RouteConfig) { c.RetrySafety = tc.safety }
+			withHarness(t, change, []*backend{{serve: serve}, {serve: serve}}, func(h *harness) {
+				response, _ := h.call("POST", "/x/1", "")
+				require.Equal(t, tc.status, response.StatusCode)
+				require.Equal(t, tc.verdict, response.Header.Get(verbenastand.HeaderVerdict))
+				synctest.Wait()
+				require.EqualValues(t, 1, closed.Load())
+				require.EqualValues(t, maxResponseMemory, h.carrier.responseMemory.Left())
+			})
+		})
+	}
+}
+
+// TestACallerThatLeavesDuringAResponseEndsIt: a server must not go on with a response
+// that nobody reads.
+func TestACallerThatLeavesDuringAResponseEndsIt(t *testing.T) {
+	for _, safety := range []verbenastand.RetrySafety{verbenastand.Bulk, verbenastand.AtMostOnce} {
+		t.Run(safety.String(), func(t *testing.T) {
+			var closed atomic.Bool
+			serve := func(conn net.Conn, r *http.Request) {
+				sendUntilClosed(hugeSuccess)(conn, r)
+				closed.Store(true)
+			}
+			long := func(c *verbenastand.RouteConfig) { c.RetrySafety, c.Timeout = safety, time.Hour }
+			withHarness(t, long, []*backend{{serve: serve}}, func(h *harness) {
+				conn := h.connect()
+				_, err := io.WriteString(conn, "GET /x/1 HTTP/1.1\r\nHost: a.example\r\nX-Id: 1\r\n\r\n")
+				require.NoError(t, err)
+				_, err = io.ReadFull(conn, make([]byte, 100<<10))
+				require.NoError(t, err)
+				require.NoError(t, conn.Close())
+				synctest.Wait()
+				require.True(t, closed.Load())
+				require.EqualValues(t, maxResponseMemory, h.carrier.responseMemory.Left())
+				require.Zero(t, h.carrier.InFlight())
+			})
+		})
+	}
+}
+
+// TestUploads: a body that is too large to be kept is sent to another server only if
+// no server has received any of it.
+func TestUploads(t *testing.T) {
+	const size = 700_000
+	refuse := func(conn net.Conn, _ *http.Request) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	}
+	report := func(conn net.Conn, r *http.Request) {
+		_, _ = io.WriteString(conn, okResponse(r, "body", "X-Load: 1,0,6,1"))
+	}
+	cases := []struct {
+		name     string
+		first    func(net.Conn, *http.Request)
+		down     bool
+		status   int
+		verdict  string
+		received int
+	}{
+		{"accepted", reply(delay), false, http.StatusOK, "", 1},
+		{"the server is unreachable", report, true, http.StatusOK, "", 2},
+		{"the server refuses it", refuse, false, http.StatusServiceUnavailable, "notRun", 1},
+		{"the server closes the connection", replyRaw(""), false, http.StatusBadGateway, "mayHaveRun", 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			withHarness(t, atMostOnce, []*backend{{serve: tc.first}, {serve: reply(delay)}}, func(h *harness) {
+				// The second server is chosen only if there is no other.
+				h.balancer.Service("svc").Servers()[1].MarkUnreachable()
+				if tc.down {
+					// The first one is chosen without a check, since its report is recent.
+					h.call("GET", "/x/0", "")
+					h.carrier.config.Sender.CloseIdle()
+					h.mu.Lock()
+					h.servers["10.0.0.0:80"].down = true
+					h.mu.Unlock()
+				}
+				response, _ := h.call("POST", "/x/1", strings.Repeat("x", size))
+				require.NotNil(t, response)
+				require.Equal(t, tc.status, response.StatusCode)
+				require.Equal(t, tc.verdict, response.Header.Get(verbenastand.HeaderVerdict))
+				received := h.requests()
+				require.Len(t, received, tc.received)
+				require.Len(t, received[tc.received-1].body, size)
+			})
+		})
+	}
+}
--- a/carrier/respond.go
+++ b/carrier/respond.go
@@ -26,10 +26,12 @@
 	h := endToEnd(o.response.Header)
 	h.Del(c.carrier.config.Names.Load)
 	var err error
-	if o.complete {
-		err = c.writer.Write(o.response.Status, h, o.buffered)
+	if o.body.complete {
+		err = c.writer.Write(o.response.Status, h, o.body.data)
 	} else {
-		err = c.writer.Copy(o.response.Status, h, o.response.Length, o.fullBody())
+		body := o.fullBody()
+		err = c.writer.Copy(o.response.Status, h, o.response.Length, body)
+		body.close()
 	}
 	c.reportEnd(o.response.Status, func(e *Event) {
 		e.Server = o.server.Registration().Server()
--- a/carrier/run.go
+++ b/carrier/run.go
@@ -56,6 +56,8 @@
 	// hedgeTimer fires when a hedge is to be considered.
 	hedgeTimer *time.Timer
 	cancels    []context.CancelFunc
+	// handled holds the outcomes of the attempts that have ended.
+	handled []*outcome
 }
 
 // run sends the request to servers until one responds, and reports whether a
@@ -67,6 +69,7 @@
 	r.hedgeTimer = time.NewTimer(time.Hour)
 	defer r.hedgeTimer.Stop()
 	defer r.cancelAttempts()
+	defer r.releaseMemory()
 	choice, err := c.admit(ctx)
 	if err != nil {
 		if ctx.Err() != nil {
@@ -109,13 +112,22 @@
 	}
 	go func() {
 		for range r.running {
-			if o := <-r.results; o.err == nil && !o.complete {
+			o := <-r.results
+			if o.acceptable() && !o.body.complete {
 				o.finish(errNotNeeded)
 			}
+			o.body.release(r.carrier.responseMemory)
 		}
 	}()
 }
 
+// releaseMemory gives up the responses in memory.
+func (r *runner) releaseMemory() {
+	for _, o := range r.handled {
+		o.body.release(r.carrier.responseMemory)
+	}
+}
+
 // startAttempt sends the request to the chosen server.
 func (r *runner) startAttempt(choice balancer.Choice) {
 	base := r.ctx
@@ -150,6 +162,7 @@
 // responded whether a server's response was delivered.
 func (r *runner) handleOutcome(o *outcome) (done, responded bool) {
 	r.running--
+	r.handled = append(r.handled, o)
 	if o.acceptable() {
 		r.deliver(o)
 		return true, true
@@ -217,7 +230,7 @@
 	switch {
 	case r.ctx.Err() != nil:
 		return "callerLeft"
-	case !r.request.Buffered():
+	case r.bodyTaken.Load():
 		return "bodyNotHeld"
 	case !o.notRun() && !r.route.Retryable():
 		return "mayHaveRun"
--- a/internal/bounder/bounder.go
+++ b/internal/bounder/bounder.go
@@ -1,4 +1,5 @@
-// Package bounder limits the number of bytes read for each message header.
+// Package bounder limits the number of bytes read for each message header, and the
+// memory that several messages share.
 package bounder
 
 import (
@@ -25,6 +26,9 @@
 // Allow sets how many bytes may be read from now on.
 func (r *Reader) Allow(bytes int64) { r.remaining = bytes }
 
+// Remaining returns how many bytes may still be read.
+func (r *Reader) Remaining() int64 { return r.remaining }
+
 // Exceeded reports whether the limit is reached.
 func (r *Reader) Exceeded() bool { return r.remaining <= 0 }
 
--- a/sender/connection.go
+++ b/sender/connection.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -24,10 +23,12 @@
 	// asyncBodySize is the size above which a request body is written while the
 	// response is read, since a server may respond before it has read the body.
 	asyncBodySize = 8 << 10
-	// maxSkipped bounds the responses to other requests that are skipped.
-	maxSkipped = 3
-	// maxSkippedBytes bounds the body of a skipped response.
+	// maxSkipped bounds the responses to other requests that are skipped, and
+	// maxSkippedBytes their bodies together.
+	maxSkipped      = 3
 	maxSkippedBytes = 4 << 20
+	// maxInterim bounds the interim responses (status 1xx) before a response.
+	maxInterim = 8
 	// maxCheckBody bounds the body of a health check response.
 	maxCheckBody = 64 << 10
 )
@@ -171,11 +172,14 @@
 	if err != nil {
 		return report, false, false, classifyError(ctx, err)
 	}
-	defer func() { _ = response.Body.Close() }()
-	c.limit.Allow(bounder.Unlimited)
-	_, err = io.CopyN(io.Discard, response.Body, maxCheckBody)
-	if !errors.Is(err, io.EOF) {
-		return report, false, false, fmt.Errorf("%w: %w", ErrUnexpectedResponse, errors.Join(err))
+	if response.StatusCode < http.StatusOK || response.Header.Get(c.sender.names.RequestID) != "" {
+		// A late response to an earlier request of the connection.
+		return report, false, false, ErrUnexpectedResponse
+	}
+	c.limit.Allow(maxCheckBody)
+	// Closing the body would read all of it.
+	if _, err = io.Copy(io.Discard, response.Body); err != nil {
+		return report, false, false, classifyError(ctx, err)
 	}
 	if id := response.Header.Get(c.sender.names.Instance); id != "" && id != string(c.target.Server) {
 		return report, false, false, ErrInstanceMismatch
--- a/sender/exchange.go
+++ b/sender/exchange.go
@@ -78,17 +78,43 @@
 		_, err := c.conn.Write(r.Body)
 		return err
 	}
-	if r.Length >= 0 {
-		_, err := io.CopyN(c.conn, r.Stream, r.Length)
+	source := &sourceReader{reader: r.Stream}
+	err := c.writeStream(source, r.Length)
+	if source.err != nil {
+		// The body will never be complete, so the server must not wait for it.
+		_ = c.conn.Close()
+	}
+	return err
+}
+
+func (c *Connection) writeStream(body io.Reader, length int64) error {
+	if length >= 0 {
+		_, err := io.CopyN(c.conn, body, length)
 		return err
 	}
 	chunks := newChunkWriter(c.conn)
-	if _, err := io.Copy(chunks, r.Stream); err != nil {
+	if _, err := io.Copy(chunks, body); err != nil {
 		return err
 	}
 	return chunks.close()
 }
 
+// sourceReader keeps the error with which a body ended early, as distinct from an
+// error of the connection that it is written to.
+type sourceReader struct {
+	reader io.Reader
+	err    error
+}
+
+// Read implements io.Reader.
+func (s *sourceReader) Read(p []byte) (int, error) {
+	n, err := s.reader.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		s.err = err
+	}
+	return n, err
+}
+
 // bodySent reports whether the complete request body has been sent.
 func (c *Connection) bodySent() bool {
 	if c.bodyWritten == nil {
@@ -105,7 +131,8 @@
 // readResponse skips late responses to other requests until it finds the one to this
 // request.
 func (c *Connection) readResponse(ctx context.Context, r *Request) (*http.Response, error) {
-	skipped := 0
+	skipped, interim := 0, 0
+	skippable := int64(maxSkippedBytes)
 	for {
 		c.limit.Allow(maxHeaderBytes)
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
@@ -114,17 +141,26 @@
 		}
 		c.limit.Allow(bounder.Unlimited)
 		if response.StatusCode >= 100 && response.StatusCode < 200 {
+			interim++
+			if interim > maxInterim {
+				return nil, mayHaveRun(verbenastand.ReasonInvalidResponse, ErrUnexpectedResponse)
+			}
 			continue
 		}
 		if c.matches(response, r) {
 			if skipped > 0 {
 				response.Close = true
 			}
+			if response.ContentLength < 0 {
+				c.limit.Allow(c.sender.config.MaxUnframedBody)
+			}
 			return response, nil
 		}
 		skipped++
-		_, err = io.CopyN(io.Discard, response.Body, maxSkippedBytes)
-		if skipped > maxSkipped || !errors.Is(err, io.EOF) || response.Close {
+		c.limit.Allow(skippable)
+		_, err = io.Copy(io.Discard, response.Body)
+		skippable = c.limit.Remaining()
+		if skipped > maxSkipped || err != nil || response.Close {
 			return nil, mayHaveRun(verbenastand.ReasonInvalidResponse, ErrUnexpectedResponse)
 		}
 	}
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -23,6 +23,8 @@
 	DefaultIdleTimeout = 5 * time.Second
 	// DefaultMaxIdle bounds the idle connections to one server.
 	DefaultMaxIdle = 16
+	// DefaultMaxUnframedBody bounds the response bodies whose length is not announced.
+	DefaultMaxUnframedBody = 256 << 20
 )
 
 // keepAliveShare is the share of the server's keep-alive timeout during which a
@@ -36,6 +38,9 @@
 	DialTimeout  time.Duration
 	IdleTimeout  time.Duration
 	MaxIdle      int
+	// MaxUnframedBody bounds a response body in bytes, with its chunk headers, if its
+	// length is not announced: a server in trouble may send without end.
+	MaxUnframedBody int64
 	// OnDial is called for each new connection.
 	OnDial func()
 }
@@ -68,6 +73,9 @@
 	if c.MaxIdle == 0 {
 		c.MaxIdle = DefaultMaxIdle
 	}
+	if c.MaxUnframedBody == 0 {
+		c.MaxUnframedBody = DefaultMaxUnframedBody
+	}
 	if c.Dial == nil {
 		c.Dial = dialTCP
 	}
@@ -140,8 +148,9 @@
 	return len(list) > 0 && now.Before(list[len(list)-1].idleUntil)
 }
 
-// Sweep closes idle connections that have expired and those to servers that are no
-// longer wanted.
+// Sweep closes idle connections that have expired, those to servers that are no longer
+// wanted, and those that the server has closed or on which it sends data that no
+// request asked for.
 func (s *Sender) Sweep(wanted func(Target) bool) {
 	now := time.Now()
 	s.mu.Lock()
@@ -149,7 +158,7 @@
 	for t, list := range s.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if wanted(t) && now.Before(c.idleUntil) {
+			if wanted(t) && now.Before(c.idleUntil) && c.stillIdle() {
 				kept = append(kept, c)
 				continue
 			}
