Announce the close after a response that precedes the rest of a body

Cause: a request refused before its body was read got a response without Connection: close, although the connection was closed; a caller that sends the whole body first got a reset in place of the refusal, so that an upload that was "not run" could not be sent again. Bodies up to 256 KB were buffered without a bound on their sum: 700 callers fill a host of 184 MB.

Change: such a response announces the close; the rest of the body is read and dropped for up to three seconds, within the operators' limit for bodies. Buffered bodies share 16 MB; beyond, they are streamed. Memory for bodies of known length is allocated once.

TestAnEarlyResponseEndsTheConnection, TestARefusalReachesACallerThatSendsItsBodyFirst and TestMemoryForRequestBodiesIsBounded failed first.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -13,6 +13,7 @@
 	"time"
 
 	verbenastand "github.com/verbenastand/verbenastand"
+	"github.com/verbenastand/verbenastand/internal/bounder"
 )
 
 // Handler responds to one request. It must call exactly one of the Response's
@@ -36,6 +37,9 @@
 	MaxPipelined int
 	// BufferedBody is the size up to which a request body is buffered in memory.
 	BufferedBody int64
+	// RequestMemory bounds the buffered bodies of all requests together. Bodies that
+	// find no memory left are read while they are sent to a server.
+	RequestMemory int64
 	// StallTimeout bounds how long a caller may take to send a body or to accept a
 	// part of a response.
 	StallTimeout time.Duration
@@ -45,13 +49,16 @@
 const (
 	DefaultMaxPipelined = 32
 	DefaultBufferedBody = 256 << 10
-	DefaultStallTimeout = 10 * time.Second
+	// DefaultRequestMemory is a small part of the memory of the smallest hosts.
+	DefaultRequestMemory = 16 << 20
+	DefaultStallTimeout  = 10 * time.Second
 )
 
 // Acceptor serves the connections accepted by a listener.
 type Acceptor struct {
-	config   Config
-	draining atomic.Bool
+	config        Config
+	requestMemory *bounder.Budget
+	draining      atomic.Bool
 
 	mu          sync.Mutex
 	connections map[*connection]struct{}
@@ -69,7 +76,10 @@
 	if c.StallTimeout == 0 {
 		c.StallTimeout = DefaultStallTimeout
 	}
-	return &Acceptor{config: c, connections: make(map[*connection]struct{})}
+	if c.RequestMemory == 0 {
+		c.RequestMemory = DefaultRequestMemory
+	}
+	return &Acceptor{config: c, requestMemory: bounder.NewBudget(c.RequestMemory), connections: make(map[*connection]struct{})}
 }
 
 // Serve accepts connections until the listener is closed.
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -276,6 +277,118 @@
 	})
 }
 
+func post(path, body string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a.example\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
+}
+
+// TestAnEarlyResponseEndsTheConnection: a request is refused before its body was read.
+// What follows must never be taken for the next request, and the caller must learn
+// that the connection is closed.
+func TestAnEarlyResponseEndsTheConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var paths []string
+		_, c := connect(t, func(_ context.Context, w *Response, r *Request) {
+			paths = append(paths, r.URL.Path)
+			_ = w.Write(http.StatusServiceUnavailable, http.Header{}, nil)
+		})
+		go func() { _, _ = io.WriteString(c, post("/1", strings.Repeat(get("/inside"), 10_000))) }()
+		response, _ := c.receive(t)
+		require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+		require.True(t, response.Close)
+		_, err := c.reader.ReadByte()
+		require.ErrorIs(t, err, io.EOF)
+		synctest.Wait()
+		require.Equal(t, []string{"/1"}, paths)
+	})
+}
+
+// TestARefusalReachesACallerThatSendsItsBodyFirst: most callers read the response
+// after they have sent the whole body. A reset because of unread data would discard a
+// refusal that tells them to send an at-most-once request again.
+func TestARefusalReachesACallerThatSendsItsBodyFirst(t *testing.T) {
+	cases := []struct {
+		name   string
+		size   int
+		status int
+	}{
+		{"refused by the handler", 900_000, http.StatusServiceUnavailable},
+		{"too large", 1<<20 + 1, http.StatusRequestEntityTooLarge},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			a := NewAcceptor(Config{
+				Limits: func() verbenastand.CallerLimits { return testLimits },
+				Handler: HandlerFunc(func(_ context.Context, w *Response, _ *Request) {
+					_ = w.Write(http.StatusServiceUnavailable, http.Header{}, nil)
+				}),
+			})
+			go func() { _ = a.Serve(l) }()
+			defer a.Close()
+			defer func() { _ = l.Close() }()
+			conn, err := net.Dial("tcp", l.Addr().String())
+			require.NoError(t, err)
+			defer func() { _ = conn.Close() }()
+			// The small buffer keeps a part of the body on the way while the response is
+			// written.
+			require.NoError(t, conn.(*net.TCPConn).SetWriteBuffer(16<<10))
+			_, err = io.WriteString(conn, post("/1", strings.Repeat("x", tc.size)))
+			require.NoError(t, err)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err)
+			require.Equal(t, tc.status, response.StatusCode)
+			require.True(t, response.Close)
+		})
+	}
+}
+
+// TestMemoryForRequestBodiesIsBounded: many callers upload at once to a small host.
+func TestMemoryForRequestBodiesIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const callers, size, memory = 100, 200 << 10, 4 << 20
+		var buffered, complete atomic.Int64
+		release := make(chan struct{})
+		a := NewAcceptor(Config{
+			RequestMemory: memory, Limits: func() verbenastand.CallerLimits { return testLimits },
+			Handler: HandlerFunc(func(_ context.Context, w *Response, r *Request) {
+				if r.Buffered() {
+					buffered.Add(int64(len(r.Bytes())))
+				}
+				<-release
+				n := int64(len(r.Bytes()))
+				if !r.Buffered() {
+					n, _ = io.Copy(io.Discard, r.Stream())
+				}
+				if n == size {
+					complete.Add(1)
+				}
+				_ = w.Write(http.StatusOK, http.Header{}, nil)
+			}),
+		})
+		body := strings.Repeat("x", size)
+		for i := range callers {
+			client, conn := net.Pipe()
+			defer func() { _ = client.Close() }()
+			a.start(conn)
+			text := post("/1", body)
+			if i%2 == 1 {
+				text = fmt.Sprintf("POST /1 HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", size, body)
+			}
+			go func() { _, _ = io.WriteString(client, text) }()
+			go func() { _, _ = io.Copy(io.Discard, client) }()
+		}
+		synctest.Wait()
+		require.Positive(t, buffered.Load())
+		require.LessOrEqual(t, buffered.Load(), int64(memory))
+		close(release)
+		synctest.Wait()
+		require.EqualValues(t, callers, complete.Load())
+		require.EqualValues(t, memory, a.requestMemory.Left())
+		a.Close()
+	})
+}
+
 func FuzzConnection(f *testing.F) {
 	f.Add([]byte(get("/a") + get("/b")))
 	f.Add([]byte("POST /p HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"))
--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -26,6 +26,10 @@
 	lingerTimeout = 500 * time.Millisecond
 	// lingerBytes bounds what is read during that time.
 	lingerBytes = 256 << 10
+	// lingerBodyTimeout replaces lingerTimeout while the caller may still be sending a
+	// body: most callers read the response only after that. What is read is bounded by
+	// the limit for bodies.
+	lingerBodyTimeout = 3 * time.Second
 )
 
 var (
@@ -46,6 +50,8 @@
 	cancelHandlers context.CancelCauseFunc
 	pipelineSlots  chan struct{}
 	handlers       sync.WaitGroup
+	// bodyUnread is set if the caller may still be sending a body that nobody reads.
+	bodyUnread bool
 
 	mu sync.Mutex
 	// pending counts the requests that were read and have no response yet.
@@ -77,13 +83,18 @@
 		}
 		next := make(chan struct{})
 		if !c.addPending() {
+			c.acceptor.requestMemory.Return(r.bodyMemory)
 			break
 		}
 		w := &Response{connection: c, request: r, turn: turn, next: next}
 		r.turn = turn
 		c.handlers.Go(func() { c.handle(w, r) })
 		turn = next
-		if !c.awaitBody(r) || r.last {
+		if !c.awaitBody(r) {
+			c.bodyUnread = true
+			break
+		}
+		if r.last {
 			break
 		}
 	}
@@ -123,6 +134,7 @@
 		c.pending--
 		c.idleSince = time.Now()
 		c.mu.Unlock()
+		c.acceptor.requestMemory.Return(r.bodyMemory)
 		close(w.next)
 	}()
 	c.acceptor.config.Handler.Serve(c.ctx, w, r)
@@ -252,20 +264,32 @@
 			return err
 		}
 	}
-	maxBuffered := c.acceptor.config.BufferedBody
-	if r.ContentLength <= maxBuffered {
-		body, err := io.ReadAll(io.LimitReader(r.Body, maxBuffered+1))
-		if err != nil {
-			return err
-		}
-		if int64(len(body)) <= maxBuffered {
-			r.body = body
-			return nil
-		}
+	size := r.ContentLength
+	if size < 0 {
+		size = c.acceptor.config.BufferedBody
+	}
+	if size > c.acceptor.config.BufferedBody || !c.acceptor.requestMemory.Take(size) {
+		r.stream = newBodyStream(r.Body, limit)
+		return nil
+	}
+	body := make([]byte, size)
+	n, err := io.ReadFull(r.Body, body)
+	body = body[:n]
+	chunkedEnd := r.ContentLength < 0 && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF))
+	switch {
+	case chunkedEnd:
+		c.acceptor.requestMemory.Return(size - int64(n))
+		r.body, r.bodyMemory = bytes.Clone(body), int64(n)
+		return nil
+	case err != nil:
+		c.acceptor.requestMemory.Return(size)
+		return err
+	case r.ContentLength < 0:
+		r.bodyMemory = size
 		r.stream = newBodyStream(io.MultiReader(bytes.NewReader(body), r.Body), limit)
 		return nil
 	}
-	r.stream = newBodyStream(r.Body, limit)
+	r.body, r.bodyMemory = body, size
 	return nil
 }
 
@@ -291,7 +315,7 @@
 	_ = c.conn.SetReadDeadline(time.Now().Add(c.acceptor.config.StallTimeout))
 	select {
 	case <-r.stream.done:
-		return r.stream.complete
+		return r.stream.complete.Load()
 	case <-c.ctx.Done():
 		return false
 	}
@@ -304,6 +328,7 @@
 	var timeout net.Error
 	switch {
 	case errors.As(err, &status):
+		c.bodyUnread = true
 	case errors.Is(err, errHeaderTooLarge):
 		status = &statusError{http.StatusRequestHeaderFieldsTooLarge, "the header is too large"}
 	case errors.Is(err, errClosing):
@@ -366,8 +391,12 @@
 	if !ok || halfCloser.CloseWrite() != nil {
 		return
 	}
-	_ = c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
-	_, _ = io.CopyN(io.Discard, c.conn, lingerBytes)
+	timeout, limit := lingerTimeout, int64(lingerBytes)
+	if c.bodyUnread {
+		timeout, limit = lingerBodyTimeout, c.acceptor.config.Limits().BodyBytes
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(timeout))
+	_, _ = io.CopyN(io.Discard, c.conn, limit)
 }
 
 // closeIfIdle closes the connection if no request is pending.
--- a/acceptor/message.go
+++ b/acceptor/message.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -19,8 +20,10 @@
 	arrived time.Time
 	remote  string
 	body    []byte
-	stream  *bodyStream
-	turn    <-chan struct{}
+	// bodyMemory is the memory that body takes out of the budget for request bodies.
+	bodyMemory int64
+	stream     *bodyStream
+	turn       <-chan struct{}
 	// last is set if the caller sends no further request on the connection.
 	last bool
 }
@@ -55,7 +58,7 @@
 type bodyStream struct {
 	reader    io.Reader
 	remaining int64
-	complete  bool
+	complete  atomic.Bool
 	once      sync.Once
 	done      chan struct{}
 }
@@ -75,7 +78,7 @@
 		return n, errBodyTooLarge
 	}
 	if errors.Is(err, io.EOF) {
-		b.complete = true
+		b.complete.Store(true)
 	}
 	if err != nil {
 		b.finish()
@@ -186,7 +189,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	onlyPending := c.pending == 1
-	if w.request.last || (c.acceptor.draining.Load() && onlyPending) || (c.closing && onlyPending) {
+	// What is left of a body must not be taken for the next request.
+	bodyUnread := w.request.stream != nil && !w.request.stream.complete.Load()
+	if w.request.last || bodyUnread || (c.acceptor.draining.Load() && onlyPending) || (c.closing && onlyPending) {
 		c.closing = true
 		last = true
 		// Wakes the reader, which then stops reading requests.
