Match responses of servers to requests on the entry host, too

Cause: the entry host left late and second copies of a response to net/http, which takes one that arrives after the next request was written for the response to that request: it reached the next caller.

Change: each request to a server carries an ID in Verbenastand-Request; a response with another ID is discarded with the verdict mayHaveRun, and an idempotent request is retried. Servers that do not return the field are not checked.

Besides, the follower receives from no timer that has expired already: GOMAXPROCS threads that do so in a synctest bubble end a test process of the race detector (DEVELOPERS.md).

TestALateCopyOfAResponseIsDiscarded failed first; TestEndlessResponsesAreBounded passed at once.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -5,9 +5,11 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -53,6 +55,9 @@
 // ErrConnectionLost means that a server closed the connection during a request.
 var ErrConnectionLost = errors.New("connector: the server closed the connection")
 
+// ErrUnexpectedResponse means that a server sent the response to another request.
+var ErrUnexpectedResponse = errors.New("connector: the response belongs to another request")
+
 // emptyBody replaces an absent body. The transport of net/http retries requests with
 // an idempotency key by itself if their body is nil, which could run them twice. It
 // does not retry requests whose body it cannot rewind.
@@ -75,9 +80,11 @@
 	if keyed && (out.Body == nil || out.Body == http.NoBody) {
 		out.Body = emptyBody{}
 	}
+	id := strconv.FormatUint(rand.Uint64(), 36)
+	out.Header.Set(verbenastand.HeaderRequest, id)
 	response, err := c.transport.RoundTrip(out)
 	if err == nil {
-		return response, nil
+		return matchResponse(response, id)
 	}
 	if !connected.Load() {
 		return nil, verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonServerFailed, err)
@@ -85,6 +92,21 @@
 	return nil, verbenastand.NewRequestError(verbenastand.MayHaveRun, verbenastand.ReasonServerFailed, Classify(r.Context(), err))
 }
 
+// matchResponse rejects the response to another request: a server may send one late,
+// or twice, on a connection that is in use again. Servers that do not return the ID
+// are not checked.
+func matchResponse(response *http.Response, id string) (*http.Response, error) {
+	received := response.Header.Get(verbenastand.HeaderRequest)
+	response.Header.Del(verbenastand.HeaderRequest)
+	if received == "" || received == id {
+		return response, nil
+	}
+	// A body that is closed before its end closes the connection. A response without a
+	// body leaves it open, but the next one is checked like this one.
+	_ = response.Body.Close()
+	return nil, verbenastand.NewRequestError(verbenastand.MayHaveRun, verbenastand.ReasonInvalidResponse, ErrUnexpectedResponse)
+}
+
 // Classify joins ErrConnectionLost to err if the connection was closed by the
 // server, not because of a deadline or a cancelled caller.
 func Classify(ctx context.Context, err error) error {
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -99,3 +100,118 @@
 	require.NotErrorIs(t, Classify(ctx, errors.New("reset")), ErrConnectionLost)
 	require.ErrorIs(t, Classify(context.Background(), errors.New(strings.Repeat("x", 3))), ErrConnectionLost)
 }
+
+// TestALateCopyOfAResponseIsDiscarded: a server sends a second copy of a response on a
+// connection that carries the next request already.
+func TestALateCopyOfAResponseIsDiscarded(t *testing.T) {
+	for _, body := range []string{"", "first"} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer func() { _ = listener.Close() }()
+		respond := func(conn net.Conn, id, body string) {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", verbenastand.HeaderRequest, id, len(body), body)
+		}
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					defer func() { _ = conn.Close() }()
+					reader := bufio.NewReader(conn)
+					first := ""
+					for {
+						r, err := http.ReadRequest(reader)
+						if err != nil {
+							return
+						}
+						id := r.Header.Get(verbenastand.HeaderRequest)
+						if first == "" {
+							first = id
+							respond(conn, id, body)
+							continue
+						}
+						respond(conn, first, body)
+						respond(conn, id, "own")
+					}
+				}()
+			}
+		}()
+		c := NewConnector(Config{MaxConnections: 1})
+		defer c.Close()
+		server := verbenastand.NewServer(verbenastand.ServerConfig{Address: listener.Addr().String()})
+		wrong := 0
+		for range 20 {
+			r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+server.Address()+"/", nil)
+			require.NoError(t, err)
+			response, err := c.RoundTrip(server, r)
+			if err != nil {
+				require.Equal(t, verbenastand.MayHaveRun, verbenastand.VerdictOf(err))
+				wrong++
+				continue
+			}
+			data, err := io.ReadAll(response.Body)
+			require.NoError(t, err)
+			require.NoError(t, response.Body.Close())
+			require.Empty(t, response.Header.Get(verbenastand.HeaderRequest))
+			require.Contains(t, []string{"own", body}, string(data))
+		}
+		require.Positive(t, wrong, "no copy arrived")
+	}
+}
+
+// TestEndlessResponsesAreBounded: a server sends bytes without end; the connection must
+// be closed once the response is rejected or no longer needed.
+func TestEndlessResponsesAreBounded(t *testing.T) {
+	cases := []struct {
+		name, prefix, filler string
+		rejected             bool
+	}{
+		{"no HTTP", "", "\x00\xff", true},
+		{"a header", "HTTP/1.1 200 OK\r\n", "X-Fill: x\r\n", true},
+		{"interim responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n", true},
+		{"a body without a length", "HTTP/1.1 200 OK\r\n\r\n", "x", false},
+		{"a chunked body", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer func() { _ = listener.Close() }()
+			closed := make(chan struct{})
+			go func() {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer close(closed)
+				defer func() { _ = conn.Close() }()
+				_, _ = http.ReadRequest(bufio.NewReader(conn))
+				_, err = io.WriteString(conn, tc.prefix)
+				part := strings.Repeat(tc.filler, 1000)
+				for err == nil {
+					_, err = io.WriteString(conn, part)
+				}
+			}()
+			c := NewConnector(Config{})
+			defer c.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			server := verbenastand.NewServer(verbenastand.ServerConfig{Address: listener.Addr().String()})
+			r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+server.Address()+"/", nil)
+			require.NoError(t, err)
+			response, err := c.RoundTrip(server, r)
+			require.Equal(t, tc.rejected, err != nil)
+			if err == nil {
+				_, err = io.CopyN(io.Discard, response.Body, 1<<20)
+				require.NoError(t, err)
+				require.NoError(t, response.Body.Close())
+			} else {
+				require.Equal(t, verbenastand.MayHaveRun, verbenastand.VerdictOf(err))
+			}
+			<-closed
+			require.NoError(t, ctx.Err())
+		})
+	}
+}
--- a/dispatcher/execute.go
+++ b/dispatcher/execute.go
@@ -60,7 +60,7 @@
 
 func retryable(err error) bool {
 	var re *verbenastand.RequestError
-	return errors.As(err, &re) && re.Reason() == verbenastand.ReasonServerFailed
+	return errors.As(err, &re) && (re.Reason() == verbenastand.ReasonServerFailed || re.Reason() == verbenastand.ReasonInvalidResponse)
 }
 
 // sendAttempt sends the request to one server, or to two if it is hedged.
--- a/follower/fake_fleet_test.go
+++ b/follower/fake_fleet_test.go
@@ -207,8 +207,12 @@
 	free = free.Add(time.Duration(size) * time.Second / time.Duration(f.linkBytesPerSecond))
 	f.linkFree[from] = free
 	f.mu.Unlock()
+	wait := time.Until(free)
+	if wait <= 0 {
+		return nil
+	}
 	select {
-	case <-time.After(time.Until(free)):
+	case <-time.After(wait):
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
--- a/follower/read.go
+++ b/follower/read.go
@@ -332,6 +332,9 @@
 }
 
 func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/headers.go
+++ b/headers.go
@@ -16,6 +16,10 @@
 	HeaderReason = "Verbenastand-Reason"
 	// HeaderHost names in a response the host instance that handled the request.
 	HeaderHost = "Verbenastand-Host"
+	// HeaderRequest identifies one request to a backend server. A server that returns
+	// it in its response is protected from responses that are mistaken for those of
+	// other requests.
+	HeaderRequest = "Verbenastand-Request"
 	// HeaderIdempotencyKey carries the key of a non-idempotent request.
 	HeaderIdempotencyKey = "Idempotency-Key"
 	// HeaderLoad is the load report of a backend server in the ORCA text format.
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -141,6 +141,7 @@
 	for highest := s.maxInFlight.Load(); n > highest && !s.maxInFlight.CompareAndSwap(highest, n); {
 		highest = s.maxInFlight.Load()
 	}
+	w.Header().Set(verbenastand.HeaderRequest, r.Header.Get(verbenastand.HeaderRequest))
 	fault := s.currentFault()
 	if fault.Shedding {
 		s.setReportHeaders(w, fault)
