Keep large request bodies in their availability zone

Pattern: uploads of 60 KB beside short requests, with two servers of the service in each zone; as soon as both were saturated or noisy, the third check went to another zone, and the upload with it.

Change: for a request whose body exceeds 32 KB, a server of the own zone that is expected to respond in time goes before any elsewhere, even if it is not lightly loaded. Others choose as before.

Ruled out: the same for downloads, whose responses are not known to be large before they ran; not measured.

TestLargeRequestsStayInTheirZone failed first.

--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -111,6 +111,42 @@
 	return verbenastand.LoadReport{Running: 1, Slots: 6, Slowdown: 1}
 }
 
+// TestLargeRequestsStayInTheirZone: pattern: uploads beside short requests, while the
+// few servers of the own availability zone are busy. An upload goes to another zone
+// only if no server of its own can take it in time.
+func TestLargeRequestsStayInTheirZone(t *testing.T) {
+	elsewhere := func(c *verbenastand.RegistrationConfig) { c.Zone = "there" }
+	noisy := verbenastand.LoadReport{Running: 1, Slots: 6, Slowdown: 2}
+	saturated := verbenastand.LoadReport{Running: 5, Slots: 6, Slowdown: 1}
+	full := verbenastand.LoadReport{Running: 6, Waiting: 5, Slots: 6, Slowdown: 1}
+	cases := []struct {
+		name   string
+		local  verbenastand.LoadReport
+		within time.Duration
+		want   string
+	}{
+		{"small request, busy zone", saturated, 0, "there"},
+		{"large request, lightly loaded zone", lightLoad(), 3 * base, "here"},
+		{"large request, busy zone, in time", saturated, 3 * base, "here"},
+		{"large request, noisy zone, in time", noisy, 3 * base, "here"},
+		{"large request, busy zone, not in time", saturated, base, "there"},
+		{"large request, full zone", full, time.Hour, "there"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(registration("a", nil), registration("b", nil), registration("c", elsewhere))
+			h.fakeServers["a"].report, h.fakeServers["b"].report = tc.local, tc.local
+			q := Query{Route: testRoute, LocalWithin: tc.within}
+			choice, err := h.balancer.Service("s").Admit(t.Context(), q, h.clock.Now().Add(time.Minute))
+			require.NoError(t, err)
+			require.EqualValues(t, tc.want, choice.Server.Registration().Zone())
+			if tc.want == "here" {
+				require.Zero(t, h.fakeServers["c"].checks)
+			}
+		})
+	}
+}
+
 func TestChooseTakesTheFirstLightlyLoadedServer(t *testing.T) {
 	noisy := verbenastand.LoadReport{Running: 1, Slots: 6, Slowdown: 5}
 	saturated := verbenastand.LoadReport{Running: 5, Slots: 6, Slowdown: 1}
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -53,6 +53,10 @@
 	Tried []*Server
 	// CheckLimit bounds the health checks, MaxChecks if zero.
 	CheckLimit int
+	// LocalWithin is positive for a request that transfers much: a server of the local
+	// availability zone that is expected to respond within this time then goes before
+	// any server elsewhere, even if it is not lightly loaded.
+	LocalWithin time.Duration
 }
 
 // Choice is the server chosen for a request.
@@ -71,6 +75,8 @@
 	// Full is set if the request would wait long at the server, or not be accepted
 	// at all.
 	Full bool
+	// Sufficient is set if the server was chosen because of Query.LocalWithin.
+	Sufficient bool
 	// Checks is the number of health checks made; Age is the age of Report.
 	Checks int
 	Report verbenastand.LoadReport
@@ -120,6 +126,10 @@
 		if c.tier == tierEjected && best.Server != nil {
 			break
 		}
+		if c.crossZone && best.Server != nil && best.Estimate <= q.LocalWithin && !best.Full {
+			best.Sufficient = true
+			break
+		}
 		choice, checked, ok := s.evaluate(ctx, q, c.server)
 		if checked {
 			checks++
--- a/balancer/queue.go
+++ b/balancer/queue.go
@@ -49,7 +49,7 @@
 	lastGrant time.Time
 }
 
-// Admit returns a lightly loaded server for a first attempt and waits for one until
+// Admit returns a lightly loaded or sufficient server for a first attempt and waits for one until
 // startBy. It returns ErrNoCapacity as soon as none is expected in time. The choice
 // is then the best server found, or empty if the request has waited or other requests
 // are waiting.
@@ -57,7 +57,7 @@
 	var best Choice
 	if s.Waiting() == 0 {
 		choice, err := s.Choose(ctx, q)
-		if err != nil || choice.LightlyLoaded {
+		if err != nil || choice.LightlyLoaded || choice.Sufficient {
 			return choice, err
 		}
 		best = choice
--- a/carrier/admit.go
+++ b/carrier/admit.go
@@ -20,6 +20,9 @@
 	// lateChecks bounds the health checks for a request that is expected to miss its
 	// target latency.
 	lateChecks = 2
+	// largeBodyBytes is the size from which a request body should stay in its
+	// availability zone. Most requests and responses are a small part of it.
+	largeBodyBytes = 32 << 10
 	// shortestRetryAfter and longestRetryAfter bound the Retry-After field.
 	shortestRetryAfter = 100 * time.Millisecond
 	longestRetryAfter  = time.Second
@@ -37,6 +40,9 @@
 	}
 	query := balancer.Query{Route: c.route}
 	margin := time.Duration(targetMargin * float64(c.route.Target()))
+	if c.largeBody() {
+		query.LocalWithin = c.targetTime.Add(-margin).Sub(c.carrier.config.Clock.Now())
+	}
 	expected := time.Duration(waitFactor * float64(c.service.Expected(c.route)))
 	choice, err := c.service.Admit(ctx, query, c.targetTime.Add(-margin-expected))
 	overloaded := errors.Is(err, balancer.ErrNoCapacity) && choice.Server == nil
@@ -62,6 +68,11 @@
 	return choice, nil
 }
 
+// largeBody reports whether sending the request transfers much.
+func (c *call) largeBody() bool {
+	return !c.request.Buffered() || len(c.request.Bytes()) > largeBodyBytes
+}
+
 func (c *call) noServer(cause error) error {
 	refusal := verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonNoServer, cause)
 	return refusal.WithRetryAfter(c.retryAfter(shortestRetryAfter))
