Refuse less urgent requests where more urgent ones are refused

Pattern: short urgent reads (31 ms, target 120 ms) and bulk uploads (94 ms, target 400 ms) share a service. Cause: a host admits what can be in time; a request with little time to wait is refused more often, and the slots go to less urgent ones, which can wait. The queue orders by priority only those that wait at one host at the same time.

Change: a host counts for each service and priority level which share of the requests it admitted lately (half-life 2 s). A request whose level is admitted more often than a more urgent one, by over 3 in 100, is refused at once with the usual Retry-After. Thirty admitted requests are assumed, so that a few refusals on a host with little traffic mean nothing; a level that is admitted less than half of the time does not yield, since the more urgent requests may lack something else than capacity.

Ruled out: a margin of 1 in 100 (less urgent requests refused at typical load without use); multiplicative throttling (it starves the less urgent).

--- a/carrier/admit.go
+++ b/carrier/admit.go
@@ -31,13 +31,32 @@
 	retryAfterDivisor = 3
 )
 
-// admit chooses the first server and waits for a lightly loaded one as long as the
-// response can still be in time. If other requests wait too, one that can't be in
-// time is refused at once, since it would take capacity from those that can.
+// admit chooses the first server, unless more urgent requests need it.
 func (c *call) admit(ctx context.Context) (balancer.Choice, error) {
 	if c.service == nil {
 		return balancer.Choice{}, c.noServer(nil)
 	}
+	level := c.route.PriorityLevel()
+	if c.service.MustYield(level) {
+		c.service.RecordAdmission(level, false)
+		refusal := verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonOverload, errYielded)
+		return balancer.Choice{}, refusal.WithRetryAfter(c.retryAfter(c.service.Expected(c.route)))
+	}
+	choice, err := c.chooseFirst(ctx)
+	if ctx.Err() == nil {
+		c.service.RecordAdmission(level, err == nil)
+	}
+	return choice, err
+}
+
+// errYielded means that a request was refused because more urgent ones are refused
+// more often.
+var errYielded = errors.New("carrier: more urgent requests to the service are refused")
+
+// chooseFirst chooses the first server and waits for a lightly loaded one as long as the
+// response can still be in time. If other requests wait too, one that can't be in
+// time is refused at once, since it would take capacity from those that can.
+func (c *call) chooseFirst(ctx context.Context) (balancer.Choice, error) {
 	query := balancer.Query{Route: c.route}
 	margin := time.Duration(targetMargin * float64(c.route.Target()))
 	if c.largeBody() {
--- a/carrier/harness_test.go
+++ b/carrier/harness_test.go
@@ -78,6 +78,17 @@
 	balancer    *balancer.Balancer
 	events      []Event
 	hostCount   int
+	table       *verbenastand.RouteTable
+}
+
+// addRoute adds a second route to the same service.
+func (h *harness) addRoute(c verbenastand.RouteConfig) {
+	c.HostName, c.Split = "a.example", []verbenastand.WeightedService{verbenastand.NewWeightedService("svc", 1)}
+	h.table = verbenastand.NewRouteTable(verbenastand.RouteTableConfig{
+		Version: h.table.Version() + 1, Routes: append(h.table.Routes(), verbenastand.NewRoute(c)),
+		Services: h.table.Services(), Limits: h.table.Limits(),
+	})
+	h.carrier.config.Router.Update(h.table)
 }
 
 func (h *harness) AttemptSent(Event)    {}
@@ -140,6 +151,7 @@
 		Services: map[verbenastand.ServiceName]verbenastand.ServiceSettings{"svc": {HealthPath: "/health"}},
 		Limits:   verbenastand.CallerLimits{HeaderBytes: 1 << 14, BodyBytes: 1 << 20, HeaderTimeout: time.Second, IdleTimeout: 15 * time.Second},
 	})
+	h.table = table
 	routes := router.NewRouter()
 	routes.Update(table)
 	s := sender.NewSender(sender.Config{HeaderFormat: testHeaderFormat{}, Dial: h.dial})
--- a/carrier/load_test.go
+++ b/carrier/load_test.go
@@ -44,8 +44,14 @@
 	// load is the request rate as a multiple of the servers' capacity.
 	load   float64
 	length time.Duration
+	// bulkShare is the fraction of the requests that are less urgent and take bulkWork.
+	bulkShare float64
+	bulkWork  time.Duration
 }
 
+// bulkPrefix is the path prefix of less urgent requests.
+const bulkPrefix = "/bulk/"
+
 // typicalServers returns 12 servers with 6 slots, noise and a saturation point.
 func typicalServers(change func(*modelConfig)) modelConfig {
 	c := modelConfig{
@@ -103,7 +109,7 @@
 
 // admit starts a request and returns how long it will run; ok is false if the
 // request is neither run nor queued.
-func (m *modelServer) admit() (work time.Duration, ok bool) {
+func (m *modelServer) admit(mean time.Duration) (work time.Duration, ok bool) {
 	m.mu.Lock()
 	if m.running >= m.config.slots {
 		if len(m.waiting) >= m.config.queue {
@@ -124,7 +130,7 @@
 		factor *= m.config.saturationFactor
 	}
 	spread := 0.7 + 0.6*m.random.Float64()
-	return time.Duration(float64(m.config.work) * factor * spread), true
+	return time.Duration(float64(mean) * factor * spread), true
 }
 
 func (m *modelServer) finish() {
@@ -152,7 +158,11 @@
 		_, _ = io.WriteString(conn, "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nX-Load: "+m.report()+"\r\nContent-Length: 0\r\n\r\n")
 		return
 	}
-	work, ok := m.admit()
+	mean := m.config.work
+	if strings.HasPrefix(r.URL.Path, bulkPrefix) {
+		mean = m.config.bulkWork
+	}
+	work, ok := m.admit(mean)
 	if !ok {
 		m.dropped.Add(1)
 		_, _ = conn.Read(make([]byte, 1))
