Tell the end of a body from a truncation

Change: bounder.Fill reports the end of a reader and its errors apart; both buffers use it.

Ruled out: unframed responses alone; the trace shows any chunked one.

--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -281,6 +281,32 @@
 	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a.example\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
 }
 
+// TestATruncatedBodyIsNotHandled: a request whose caller disconnects in the middle of
+// its body must not reach a server as if it were complete.
+func TestATruncatedBodyIsNotHandled(t *testing.T) {
+	cases := []struct{ name, sent string }{
+		{"with a length", "POST /p HTTP/1.1\r\nHost: a\r\nContent-Length: 30\r\n\r\nabc"},
+		{"in a chunk", "POST /p HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nabc"},
+		{"between chunks", "POST /p HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				handled := false
+				a, c := connect(t, func(_ context.Context, w *Response, _ *Request) {
+					handled = true
+					_ = w.Write(http.StatusOK, http.Header{}, nil)
+				})
+				c.send(t, tc.sent)
+				require.NoError(t, c.Close())
+				synctest.Wait()
+				require.False(t, handled)
+				require.EqualValues(t, DefaultRequestMemory, a.requestMemory.Left())
+			})
+		})
+	}
+}
+
 // TestAnEarlyResponseEndsTheConnection: a request is refused before its body was read.
 // What follows must never be taken for the next request, and the caller must learn
 // that the connection is closed.
--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -273,18 +273,21 @@
 		return nil
 	}
 	body := make([]byte, size)
-	n, err := io.ReadFull(r.Body, body)
+	n, ended, err := bounder.Fill(r.Body, body)
 	body = body[:n]
-	chunkedEnd := r.ContentLength < 0 && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF))
+	chunked := r.ContentLength < 0
+	if ended && !chunked && int64(n) < size {
+		err = io.ErrUnexpectedEOF
+	}
 	switch {
-	case chunkedEnd:
-		c.acceptor.requestMemory.Return(size - int64(n))
-		r.body, r.bodyMemory = bytes.Clone(body), int64(n)
-		return nil
 	case err != nil:
 		c.acceptor.requestMemory.Return(size)
 		return err
-	case r.ContentLength < 0:
+	case chunked && ended:
+		c.acceptor.requestMemory.Return(size - int64(n))
+		r.body, r.bodyMemory = bytes.Clone(body), int64(n)
+		return nil
+	case chunked:
 		r.bodyMemory = size
 		r.stream = newBodyStream(io.MultiReader(bytes.NewReader(body), r.Body), limit)
 		return nil
--- a/carrier/buffer.go
+++ b/carrier/buffer.go
@@ -64,15 +64,16 @@
 		if !b.grow(size, budget) {
 			return b, nil
 		}
-		n, err := io.ReadFull(r, b.data[len(b.data):size])
+		n, ended, err := bounder.Fill(r, b.data[len(b.data):size])
 		b.data = b.data[:len(b.data)+n]
-		unknown := length < 0
 		switch {
-		case unknown && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)):
-			b.complete = true
-			return b, nil
 		case err != nil:
 			return b, err
+		case ended && length >= 0 && int64(len(b.data)) < length:
+			return b, io.ErrUnexpectedEOF
+		case ended && length < 0:
+			b.complete = true
+			return b, nil
 		case length == size:
 			b.complete, err = true, expectEnd(r)
 			return b, err
