Buffer request and response bodies by one function that grows with them

Change: bounder.ReadBuffer reads a body into memory out of a budget, from 8 KB on, doubling; both use it. No other change in what is buffered.

--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -83,7 +83,7 @@
 		}
 		next := make(chan struct{})
 		if !c.addPending() {
-			c.acceptor.requestMemory.Return(r.bodyMemory)
+			r.buffer.Release()
 			break
 		}
 		w := &Response{connection: c, request: r, turn: turn, next: next}
@@ -134,7 +134,7 @@
 		c.pending--
 		c.idleSince = time.Now()
 		c.mu.Unlock()
-		c.acceptor.requestMemory.Return(r.bodyMemory)
+		r.buffer.Release()
 		close(w.next)
 	}()
 	c.acceptor.config.Handler.Serve(c.ctx, w, r)
@@ -264,35 +264,20 @@
 			return err
 		}
 	}
-	size := r.ContentLength
-	if size < 0 {
-		size = c.acceptor.config.BufferedBody
-	}
-	if size > c.acceptor.config.BufferedBody || !c.acceptor.requestMemory.Take(size) {
-		r.stream = newBodyStream(r.Body, limit)
+	if r.ContentLength > c.acceptor.config.BufferedBody {
+		r.stream = newBodyStream(r.Request.Body, limit)
 		return nil
 	}
-	body := make([]byte, size)
-	n, ended, err := bounder.Fill(r.Body, body)
-	body = body[:n]
-	chunked := r.ContentLength < 0
-	if ended && !chunked && int64(n) < size {
-		err = io.ErrUnexpectedEOF
-	}
-	switch {
-	case err != nil:
-		c.acceptor.requestMemory.Return(size)
+	buffer, err := bounder.ReadBuffer(bounder.BufferConfig{
+		Reader: r.Request.Body, Length: r.ContentLength, Limit: c.acceptor.config.BufferedBody, Budget: c.acceptor.requestMemory,
+	})
+	if err != nil {
 		return err
-	case chunked && ended:
-		c.acceptor.requestMemory.Return(size - int64(n))
-		r.body, r.bodyMemory = bytes.Clone(body), int64(n)
-		return nil
-	case chunked:
-		r.bodyMemory = size
-		r.stream = newBodyStream(io.MultiReader(bytes.NewReader(body), r.Body), limit)
-		return nil
 	}
-	r.body, r.bodyMemory = body, size
+	r.buffer = buffer
+	if !buffer.Complete() {
+		r.stream = newBodyStream(io.MultiReader(bytes.NewReader(buffer.Bytes()), r.Request.Body), limit)
+	}
 	return nil
 }
 
--- a/acceptor/message.go
+++ b/acceptor/message.go
@@ -12,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/verbenastand/verbenastand/internal/bounder"
 )
 
 // Request is one request of a caller.
@@ -19,11 +21,10 @@
 	*http.Request
 	arrived time.Time
 	remote  string
-	body    []byte
-	// bodyMemory is the memory that body takes out of the budget for request bodies.
-	bodyMemory int64
-	stream     *bodyStream
-	turn       <-chan struct{}
+	// buffer holds the body, or its beginning if it is streamed.
+	buffer bounder.Buffer
+	stream *bodyStream
+	turn   <-chan struct{}
 	// last is set if the caller sends no further request on the connection.
 	last bool
 }
@@ -37,8 +38,13 @@
 // Buffered reports whether the complete body is in memory.
 func (r *Request) Buffered() bool { return r.stream == nil }
 
-// Bytes returns a buffered body.
-func (r *Request) Bytes() []byte { return r.body }
+// Bytes returns a buffered body, nil if it is streamed.
+func (r *Request) Bytes() []byte {
+	if !r.Buffered() {
+		return nil
+	}
+	return r.buffer.Bytes()
+}
 
 // Stream returns a body that is not buffered. It can be read only once.
 func (r *Request) Stream() io.Reader { return r.stream }
--- a/carrier/attempt.go
+++ b/carrier/attempt.go
@@ -12,16 +12,32 @@
 
 	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/balancer"
+	"github.com/verbenastand/verbenastand/internal/bounder"
 	"github.com/verbenastand/verbenastand/sender"
 )
 
+const (
+	// maxBufferedBody bounds the part of a response that is buffered before the caller
+	// receives any of it, so that another attempt can replace a response that ends
+	// early.
+	maxBufferedBody = 1 << 20
+	// maxResponseMemory bounds the buffered responses of all requests together, since
+	// the hosts may be small and servers in trouble may send without end. Responses
+	// that find no memory left are delivered while they are read.
+	maxResponseMemory = 8 << 20
+)
+
+// errOversizedFailure means that a server sent a failure or a refusal with a body
+// that is too long to be buffered.
+var errOversizedFailure = errors.New("carrier: the body of a failure is too long")
+
 // outcome is the result of one attempt: a response, or an error whose verdict
 // indicates whether the request may have run.
 type outcome struct {
 	server   *balancer.Server
 	response *sender.Response
 	// body is the part of the response body that has been read.
-	body bufferedBody
+	body bounder.Buffer
 	err  error
 	// finish ends the attempt after the rest of the body has been read.
 	finish func(error)
@@ -88,7 +104,7 @@
 		}
 	}
 	switch {
-	case o.err != nil || o.body.complete:
+	case o.err != nil || o.body.Complete():
 		o.finish(o.err)
 	case !o.acceptable():
 		o.finish(errOversizedFailure)
@@ -105,11 +121,13 @@
 		length = 0
 	}
 	var err error
-	o.body, err = readBuffered(o.response.Body, length, c.carrier.responseMemory)
+	o.body, err = bounder.ReadBuffer(bounder.BufferConfig{
+		Reader: o.response.Body, Length: length, Limit: maxBufferedBody, Budget: c.carrier.responseMemory,
+	})
 	if o.response.NotRun {
 		return nil
 	}
-	if err == nil && !o.body.complete && !o.acceptable() {
+	if err == nil && !o.body.Complete() && !o.acceptable() {
 		err = errOversizedFailure
 	}
 	var re *verbenastand.RequestError
@@ -203,8 +221,8 @@
 // Read implements io.Reader.
 func (r *bodyReader) Read(p []byte) (int, error) {
 	o := r.outcome
-	if r.offset < len(o.body.data) {
-		n := copy(p, o.body.data[r.offset:])
+	if r.offset < len(o.body.Bytes()) {
+		n := copy(p, o.body.Bytes()[r.offset:])
 		r.offset += n
 		return n, nil
 	}
--- a/carrier/respond.go
+++ b/carrier/respond.go
@@ -26,8 +26,8 @@
 	h := endToEnd(o.response.Header)
 	h.Del(c.carrier.config.Names.Load)
 	var err error
-	if o.body.complete {
-		err = c.writer.Write(o.response.Status, h, o.body.data)
+	if o.body.Complete() {
+		err = c.writer.Write(o.response.Status, h, o.body.Bytes())
 	} else {
 		body := o.fullBody()
 		err = c.writer.Copy(o.response.Status, h, o.response.Length, body)
--- a/carrier/run.go
+++ b/carrier/run.go
@@ -113,10 +113,10 @@
 	go func() {
 		for range r.running {
 			o := <-r.results
-			if o.acceptable() && !o.body.complete {
+			if o.acceptable() && !o.body.Complete() {
 				o.finish(errNotNeeded)
 			}
-			o.body.release(r.carrier.responseMemory)
+			o.body.Release()
 		}
 	}()
 }
@@ -124,7 +124,7 @@
 // releaseMemory gives up the responses in memory.
 func (r *runner) releaseMemory() {
 	for _, o := range r.handled {
-		o.body.release(r.carrier.responseMemory)
+		o.body.Release()
 	}
 }
 
