--- a/balancer/queue.go
+++ b/balancer/queue.go
@@ -50,9 +50,9 @@
 }
 
 // Admit returns a lightly loaded or sufficient server for a first attempt and waits for
-// a lightly loaded one until startBy. It returns ErrNoCapacity as soon as none is expected in time. The choice
-// is then the best server found, or empty if the request has waited or other requests
-// are waiting.
+// a lightly loaded one until startBy. It returns ErrNoCapacity as soon as none is
+// expected in time. The choice is then the best server found, or empty if the request
+// has waited or other requests are waiting.
 func (s *Service) Admit(ctx context.Context, q Query, startBy time.Time) (Choice, error) {
 	var best Choice
 	if s.Waiting() == 0 {
--- a/carrier/carrier_test.go
+++ b/carrier/carrier_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	verbenastand "github.com/verbenastand/verbenastand"
+	"github.com/verbenastand/verbenastand/balancer"
 )
 
 const delay = 80 * time.Millisecond
@@ -531,6 +532,7 @@
 				require.Equal(t, tc.verdict, response.Header.Get(verbenastand.HeaderVerdict))
 				synctest.Wait()
 				require.EqualValues(t, 1, closed.Load())
+				require.Equal(t, balancer.Failed, h.events[0].Result, "the server is distrusted")
 				require.EqualValues(t, maxResponseMemory, h.carrier.responseMemory.Left())
 			})
 		})
--- a/carrier/load_test.go
+++ b/carrier/load_test.go
@@ -255,6 +255,13 @@
 		host := random.IntN(m.config.hosts)
 		m.callers.Go(func() { m.call(host, fmt.Sprintf("%d-%d", host, i)) })
 	}
+	m.finish(cancel)
+	possible := math.Min(1, 1/m.config.load)
+	return float64(m.inTime.Load()) / float64(m.offered.Load()) / possible
+}
+
+// finish waits for all callers, ends the noise and closes all connections.
+func (m *model) finish(cancel context.CancelFunc) {
 	m.callers.Wait()
 	cancel()
 	time.Sleep(20 * time.Second)
@@ -263,8 +270,6 @@
 		h.acceptor.Close()
 	}
 	synctest.Wait()
-	possible := math.Min(1, 1/m.config.load)
-	return float64(m.inTime.Load()) / float64(m.offered.Load()) / possible
 }
 
 func (m *model) String() string {
--- a/carrier/priority_test.go
+++ b/carrier/priority_test.go
@@ -121,14 +121,7 @@
 		h, bulk := m.harnesses[random.IntN(m.config.hosts)], random.Float64() < m.config.bulkShare
 		m.callers.Go(func() { send(h, bulk, fmt.Sprintf("%d", i)) })
 	}
-	m.callers.Wait()
-	cancel()
-	time.Sleep(20 * time.Second)
-	for _, h := range m.harnesses {
-		h.carrier.config.Sender.Close()
-		h.acceptor.Close()
-	}
-	synctest.Wait()
+	m.finish(cancel)
 }
 
 // loseServers makes the first servers refuse connections.
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -21,10 +21,30 @@
 // droppingServer responds to the first request of each connection and closes the
 // connection after reading the second. It counts the requests it reads.
 func droppingServer(t *testing.T) (address string, read *atomic.Int32) {
+	read = &atomic.Int32{}
+	address = listen(t, func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		for i := range 2 {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			read.Add(1)
+			if i == 0 {
+				_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+			}
+		}
+	})
+	return address, read
+}
+
+// listen calls serve for each connection to the returned address, and then closes the
+// connection.
+func listen(t *testing.T, serve func(net.Conn)) (address string) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	read = &atomic.Int32{}
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -33,22 +53,11 @@
 			}
 			go func() {
 				defer func() { _ = conn.Close() }()
-				reader := bufio.NewReader(conn)
-				for i := range 2 {
-					r, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, r.Body)
-					read.Add(1)
-					if i == 0 {
-						_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
-					}
-				}
+				serve(conn)
 			}()
 		}
 	}()
-	return listener.Addr().String(), read
+	return listener.Addr().String()
 }
 
 func keyedRequest(t *testing.T, address string) *http.Request {
@@ -105,42 +114,30 @@
 // connection that carries the next request already.
 func TestALateCopyOfAResponseIsDiscarded(t *testing.T) {
 	for _, body := range []string{"", "first"} {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		defer func() { _ = listener.Close() }()
 		respond := func(conn net.Conn, id, body string) {
 			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", verbenastand.HeaderRequest, id, len(body), body)
 		}
-		go func() {
+		address := listen(t, func(conn net.Conn) {
+			reader := bufio.NewReader(conn)
+			first := ""
 			for {
-				conn, err := listener.Accept()
+				r, err := http.ReadRequest(reader)
 				if err != nil {
 					return
 				}
-				go func() {
-					defer func() { _ = conn.Close() }()
-					reader := bufio.NewReader(conn)
-					first := ""
-					for {
-						r, err := http.ReadRequest(reader)
-						if err != nil {
-							return
-						}
-						id := r.Header.Get(verbenastand.HeaderRequest)
-						if first == "" {
-							first = id
-							respond(conn, id, body)
-							continue
-						}
-						respond(conn, first, body)
-						respond(conn, id, "own")
-					}
-				}()
+				id := r.Header.Get(verbenastand.HeaderRequest)
+				if first == "" {
+					first = id
+					respond(conn, id, body)
+					continue
+				}
+				respond(conn, first, body)
+				respond(conn, id, "own")
 			}
-		}()
+		})
 		c := NewConnector(Config{MaxConnections: 1})
 		defer c.Close()
-		server := verbenastand.NewServer(verbenastand.ServerConfig{Address: listener.Addr().String()})
+		server := verbenastand.NewServer(verbenastand.ServerConfig{Address: address})
 		wrong := 0
 		for range 20 {
 			r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+server.Address()+"/", nil)
@@ -176,29 +173,21 @@
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			defer func() { _ = listener.Close() }()
 			closed := make(chan struct{})
-			go func() {
-				conn, err := listener.Accept()
-				if err != nil {
-					return
-				}
+			address := listen(t, func(conn net.Conn) {
 				defer close(closed)
-				defer func() { _ = conn.Close() }()
 				_, _ = http.ReadRequest(bufio.NewReader(conn))
-				_, err = io.WriteString(conn, tc.prefix)
+				_, err := io.WriteString(conn, tc.prefix)
 				part := strings.Repeat(tc.filler, 1000)
 				for err == nil {
 					_, err = io.WriteString(conn, part)
 				}
-			}()
+			})
 			c := NewConnector(Config{})
 			defer c.Close()
 			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 			defer cancel()
-			server := verbenastand.NewServer(verbenastand.ServerConfig{Address: listener.Addr().String()})
+			server := verbenastand.NewServer(verbenastand.ServerConfig{Address: address})
 			r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+server.Address()+"/", nil)
 			require.NoError(t, err)
 			response, err := c.RoundTrip(server, r)
