--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -265,18 +265,18 @@
 		}
 	}
 	if r.ContentLength > c.acceptor.config.BufferedBody {
-		r.stream = newBodyStream(r.Request.Body, limit)
+		r.stream = newBodyStream(r.Body, limit)
 		return nil
 	}
 	buffer, err := bounder.ReadBuffer(bounder.BufferConfig{
-		Reader: r.Request.Body, Length: r.ContentLength, Limit: c.acceptor.config.BufferedBody, Budget: c.acceptor.requestMemory,
+		Reader: r.Body, Length: r.ContentLength, Limit: c.acceptor.config.BufferedBody, Budget: c.acceptor.requestMemory,
 	})
 	if err != nil {
 		return err
 	}
 	r.buffer = buffer
 	if !buffer.Complete() {
-		r.stream = newBodyStream(io.MultiReader(bytes.NewReader(buffer.Bytes()), r.Request.Body), limit)
+		r.stream = newBodyStream(io.MultiReader(bytes.NewReader(buffer.Bytes()), r.Body), limit)
 	}
 	return nil
 }
