Make the test of idle connections fail without the code it tests

With an idle timeout of an hour it fails on the old code after 10 s and passes on the new one. The bound is as before.

--- a/sender/endless_test.go
+++ b/sender/endless_test.go
@@ -150,7 +150,7 @@
 			}
 		}
 	})
-	s := NewSender(Config{HeaderFormat: testHeaderFormat{}})
+	s := NewSender(Config{HeaderFormat: testHeaderFormat{}, IdleTimeout: time.Hour})
 	_, err := exchange(s, server.target, request("r1"))
 	require.NoError(t, err)
 	require.Equal(t, 1, s.Idle())
