Log the fingerprint and its parts where a request is suspected of crashing servers

The line now has id, fingerprint, server, caller, method and target; refusals and attempts have the fingerprint; a line 'evidence' tells of each change (recorded, learned, cleared). Gateway and entry host alike. No decision changes.

--- a/carrier/attempt.go
+++ b/carrier/attempt.go
@@ -13,6 +13,7 @@
 	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/balancer"
 	"github.com/verbenastand/verbenastand/internal/bounder"
+	"github.com/verbenastand/verbenastand/quarantiner"
 	"github.com/verbenastand/verbenastand/sender"
 )
 
@@ -203,7 +204,10 @@
 			return
 		}
 		if c.carrier.config.Quarantiner.RecordCrash(c.fingerprint, target.Server) {
-			c.carrier.config.OnCrashSuspected()
+			c.carrier.config.OnCrashSuspected(quarantiner.Suspect{
+				RequestID: c.id, Fingerprint: c.fingerprint, Server: target.Server,
+				Caller: c.request.Remote(), Method: c.request.Method, Target: c.request.RequestURI,
+			})
 		}
 	}()
 }
--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -65,7 +65,7 @@
 	Tracer    trace.Tracer
 	// OnCrashSuspected is called when a request becomes suspected of crashing a
 	// server.
-	OnCrashSuspected func()
+	OnCrashSuspected func(quarantiner.Suspect)
 	// MaxConcurrent bounds the concurrent requests on this host.
 	MaxConcurrent int
 }
--- a/carrier/event.go
+++ b/carrier/event.go
@@ -10,10 +10,12 @@
 // Event describes a step of a request for logs and metrics.
 type Event struct {
 	// ID is the request ID sent by the caller.
-	ID      string
-	Route   verbenastand.RouteName
-	Version verbenastand.TableVersion
-	Service verbenastand.ServiceName
+	ID string
+	// Fingerprint identifies equal requests of a caller in crash evidence.
+	Fingerprint uint64
+	Route       verbenastand.RouteName
+	Version     verbenastand.TableVersion
+	Service     verbenastand.ServiceName
 	// Server, Attempt, Report, Age and Checks describe one attempt: the server, and
 	// the load report on which the choice was based.
 	Server        verbenastand.ServerID
@@ -49,7 +51,7 @@
 
 func (c *call) event(choice balancer.Choice, number int) Event {
 	return Event{
-		ID: c.id, Route: c.route.Name(), Version: c.version, Service: c.serviceName,
+		ID: c.id, Fingerprint: c.fingerprint, Route: c.route.Name(), Version: c.version, Service: c.serviceName,
 		Server: choice.Server.Registration().Server(), Attempt: number, Report: choice.Report,
 		Age: choice.Age, Checks: choice.Checks, Estimate: choice.Estimate, LightlyLoaded: choice.LightlyLoaded,
 		At: c.carrier.config.Clock.Now(),
@@ -60,7 +62,7 @@
 func (c *call) reportEnd(status int, change func(*Event)) {
 	now := c.carrier.config.Clock.Now()
 	e := Event{
-		ID: c.id, Route: c.route.Name(), Version: c.version, Service: c.serviceName, At: c.arrived,
+		ID: c.id, Fingerprint: c.fingerprint, Route: c.route.Name(), Version: c.version, Service: c.serviceName, At: c.arrived,
 		Took: now.Sub(c.arrived), Status: status, Verdict: verbenastand.Ran, Late: now.After(c.targetTime),
 	}
 	if !c.deadline.IsZero() {
--- a/carrier/harness_test.go
+++ b/carrier/harness_test.go
@@ -166,7 +166,7 @@
 	h.carrier = NewCarrier(Config{
 		Clock: wallClock{}, Names: testHeaderFormat{}.Names(), HeaderFormat: testHeaderFormat{}, Router: routes, Balancer: h.balancer, Sender: s,
 		Quarantiner: quarantiner.NewQuarantiner(quarantiner.Config{Clock: wallClock{}}), Observer: h,
-		Tracer: noop.NewTracerProvider().Tracer(""), OnCrashSuspected: func() {}, MaxConcurrent: 100,
+		Tracer: noop.NewTracerProvider().Tracer(""), OnCrashSuspected: func(quarantiner.Suspect) {}, MaxConcurrent: 100,
 		NewBudget: func(verbenastand.ServiceName) *retrier.WindowBudget {
 			return retrier.NewWindowBudget(retrier.WindowBudgetConfig{
 				Clock: wallClock{}, Duration: 10 * time.Second, Ratio: 0.2, Allowance: 50, Hosts: func() int { return h.hostCount },
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -45,7 +45,7 @@
 	OnDrainNotice func(verbenastand.ServiceName, scheduler.DrainNotice)
 	// OnCrashSuspected is called when a request is newly suspected of crashing a
 	// server, before its response is written. It notifies the other home hosts.
-	OnCrashSuspected func(homes []verbenastand.Host)
+	OnCrashSuspected func(homes []verbenastand.Host, s quarantiner.Suspect)
 }
 
 // Dispatcher serves requests of callers and requests forwarded by peers.
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -95,7 +95,7 @@
 		Peers:       p, Servers: p, Meter: meter.NewMeter(), Tracer: noop.NewTracerProvider().Tracer(""),
 		MaxBody: 1 << 20, MaxConcurrent: 1000, StallTimeout: time.Second,
 		OnDrainNotice:    func(verbenastand.ServiceName, scheduler.DrainNotice) {},
-		OnCrashSuspected: func([]verbenastand.Host) { p.notified.Add(1) },
+		OnCrashSuspected: func([]verbenastand.Host, quarantiner.Suspect) { p.notified.Add(1) },
 	})
 	p.applyTicket(1, serverCount, requireKey)
 	for range 100 {
--- a/dispatcher/execute.go
+++ b/dispatcher/execute.go
@@ -15,6 +15,7 @@
 	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/connector"
 	"github.com/verbenastand/verbenastand/estimator"
+	"github.com/verbenastand/verbenastand/quarantiner"
 	"github.com/verbenastand/verbenastand/reporter"
 	"github.com/verbenastand/verbenastand/retrier"
 	"github.com/verbenastand/verbenastand/scheduler"
@@ -219,12 +220,24 @@
 		resp.result = estimator.Abandoned
 	}
 	resp.close()
-	if errors.Is(re, connector.ErrConnectionLost) && d.config.Quarantiner.RecordCrash(resp.request.fingerprint, resp.grant.Server().ID()) {
-		d.config.OnCrashSuspected(resp.request.components.Homes())
+	if errors.Is(re, connector.ErrConnectionLost) {
+		resp.recordCrash()
 	}
 	return re
 }
 
+// recordCrash adds evidence that the request crashed the server.
+func (resp *serverResponse) recordCrash() {
+	req, server := resp.request, resp.grant.Server().ID()
+	if !resp.dispatcher.config.Quarantiner.RecordCrash(req.fingerprint, server) {
+		return
+	}
+	resp.dispatcher.config.OnCrashSuspected(req.components.Homes(), quarantiner.Suspect{
+		Fingerprint: req.fingerprint, Server: server,
+		Caller: req.request.RemoteAddr, Method: req.request.Method, Target: req.request.URL.RequestURI(),
+	})
+}
+
 func (resp *serverResponse) requestError(ctx context.Context, err error) *verbenastand.RequestError {
 	var re *verbenastand.RequestError
 	if !errors.As(err, &re) {
--- a/launcher/event.go
+++ b/launcher/event.go
@@ -8,6 +8,7 @@
 	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/api"
 	"github.com/verbenastand/verbenastand/gossiper"
+	"github.com/verbenastand/verbenastand/quarantiner"
 	"github.com/verbenastand/verbenastand/scheduler"
 	"github.com/verbenastand/verbenastand/verifier"
 )
@@ -119,7 +120,8 @@
 
 // onCrashSuspected sends new evidence to the other home hosts, and to hosts that may
 // consider themselves home hosts since a partition.
-func (h *Host) onCrashSuspected(homes []verbenastand.Host) {
+func (h *Host) onCrashSuspected(homes []verbenastand.Host, s quarantiner.Suspect) {
+	h.recorder.RequestSuspected(s)
 	h.gossiper.Push(context.Background(), slices.Concat(homes, h.gossiper.Unreachable()))
 }
 
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -134,7 +134,7 @@
 		}),
 	}
 	g.recorder = recorder.NewRecorder(recorder.Config{Log: c.Log, Meter: g.meter, Share: s.LogShare})
-	g.quarantiner = quarantiner.NewQuarantiner(quarantiner.Config{Clock: g.timer})
+	g.quarantiner = quarantiner.NewQuarantiner(quarantiner.Config{Clock: g.timer, OnChange: g.recorder.EvidenceChanged})
 	g.buildGossip(certificates)
 	g.requestTracer, g.stopTracer, err = tracer.NewTracer(ctx, tracer.Config{Endpoint: s.TraceEndpoint, SampleRatio: s.TraceShare, Instance: instance})
 	if err != nil {
@@ -253,8 +253,8 @@
 
 // onCrashSuspected sends new evidence about a request that crashes servers to the
 // neighbours, which pass it on.
-func (g *Gateway) onCrashSuspected() {
-	g.log.Warn("requestSuspected")
+func (g *Gateway) onCrashSuspected(s quarantiner.Suspect) {
+	g.recorder.RequestSuspected(s)
 	g.gossiper.PushNeighbours(context.Background())
 }
 
@@ -277,5 +277,6 @@
 	g.meter.Gauge("requests_in_flight", "Requests on this host.", func() float64 { return float64(g.carrier.InFlight()) })
 	g.meter.Gauge("view_age_seconds", "Age of the proof that routes and servers are current.", func() float64 { return g.follower.Staleness().Seconds() })
 	g.meter.Gauge("hosts", "Hosts believed alive.", func() float64 { return float64(len(g.gossiper.Hosts())) })
+	g.meter.Gauge("quarantined", "Request fingerprints that are refused.", func() float64 { return float64(g.quarantiner.Quarantined()) })
 	g.meter.Counter("store_calls_total", "Calls to the configuration store.", func() float64 { return float64(g.follower.StoreCalls()) })
 }
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -28,6 +28,7 @@
 	"github.com/verbenastand/verbenastand/prober"
 	"github.com/verbenastand/verbenastand/quarantiner"
 	"github.com/verbenastand/verbenastand/reader"
+	"github.com/verbenastand/verbenastand/recorder"
 	"github.com/verbenastand/verbenastand/registrar"
 	"github.com/verbenastand/verbenastand/responder"
 	"github.com/verbenastand/verbenastand/timer"
@@ -73,6 +74,7 @@
 	merger       *merger.Merger
 	reader       *reader.Reader
 	watcher      *watcher.Watcher
+	recorder     *recorder.Recorder
 	quarantiner  *quarantiner.Quarantiner
 	deduplicator *deduplicator.Deduplicator
 	forwarder    *forwarder.Forwarder
@@ -126,7 +128,8 @@
 	h.merger = merger.NewMerger(merger.Config{OnChange: h.onConfiguration})
 	h.reader = reader.NewReader(reader.Config{URL: h.settings.Platform})
 	h.watcher = watcher.NewWatcher(watcher.Config{Platform: h.reader, Merger: h.merger, OnError: h.onReadError})
-	h.quarantiner = quarantiner.NewQuarantiner(quarantiner.Config{Clock: h.timer})
+	h.recorder = recorder.NewRecorder(recorder.Config{Log: h.log, Meter: h.meter})
+	h.quarantiner = quarantiner.NewQuarantiner(quarantiner.Config{Clock: h.timer, OnChange: h.recorder.EvidenceChanged})
 	h.deduplicator = deduplicator.NewDeduplicator(deduplicator.Config{
 		Clock: h.timer, Instance: instance, Validity: h.settings.KeyValidity,
 	})
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -43,6 +43,8 @@
 type Config struct {
 	Clock    verbenastand.Clock
 	Lifetime time.Duration
+	// OnChange is called after evidence has changed; nil if nobody is interested.
+	OnChange func(Change)
 }
 
 // Quarantiner holds the fingerprints of suspected requests.
@@ -114,6 +116,8 @@
 	if q.suspectCount.Load() == 0 {
 		return
 	}
+	var cleared *Change
+	defer func() { q.notify(cleared) }()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	s := q.suspects[fingerprint]
@@ -126,6 +130,7 @@
 	}
 	if responded && len(s.servers) < CrashLimit {
 		q.removeLocked(fingerprint)
+		cleared = &Change{Kind: Cleared, Fingerprint: fingerprint, Crashes: len(s.servers)}
 	}
 }
 
@@ -140,23 +145,33 @@
 // RecordCrash records that a server crashed while it ran the request. It reports
 // whether this was not known before.
 func (q *Quarantiner) RecordCrash(fingerprint uint64, server verbenastand.ServerID) bool {
-	return q.Merge(Evidence{Fingerprint: fingerprint, Servers: []verbenastand.ServerID{server}})
+	return q.add(Evidence{Fingerprint: fingerprint, Servers: []verbenastand.ServerID{server}}, Recorded)
 }
 
-// Merge adds evidence and reports whether any of it was new.
-func (q *Quarantiner) Merge(e Evidence) bool {
+// Merge adds evidence of another host and reports whether any of it was new.
+func (q *Quarantiner) Merge(e Evidence) bool { return q.add(e, Learned) }
+
+func (q *Quarantiner) add(e Evidence, kind ChangeKind) bool {
+	crashes, changed := q.insert(e)
+	if changed {
+		q.notify(&Change{Kind: kind, Fingerprint: e.Fingerprint, Crashes: crashes})
+	}
+	return changed
+}
+
+// insert returns the number of known crashes and whether it has changed.
+func (q *Quarantiner) insert(e Evidence) (crashes int, changed bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	s := q.suspects[e.Fingerprint]
 	if s == nil {
 		if len(q.suspects) >= MaxSuspects {
-			return false
+			return 0, false
 		}
 		s = &suspect{}
 		q.suspects[e.Fingerprint] = s
 		q.suspectCount.Store(int64(len(q.suspects)))
 	}
-	changed := false
 	for _, id := range e.Servers {
 		if len(s.servers) < CrashLimit && !slices.Contains(s.servers, id) {
 			s.servers = append(s.servers, id)
@@ -166,7 +181,7 @@
 	if changed {
 		s.expiry = q.config.Clock.Now().Add(q.config.Lifetime)
 	}
-	return changed
+	return len(s.servers), changed
 }
 
 // Evidence returns up to limit entries, those with the most crashes first.
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -11,6 +11,7 @@
 	"github.com/verbenastand/verbenastand/carrier"
 	"github.com/verbenastand/verbenastand/follower"
 	"github.com/verbenastand/verbenastand/meter"
+	"github.com/verbenastand/verbenastand/quarantiner"
 )
 
 // Event names, written as the message of a log line.
@@ -20,8 +21,13 @@
 	eventAttempt     = "attempt"
 	eventServerState = "serverBelief"
 	eventStore       = "store"
+	eventEvidence    = "evidence"
+	eventSuspected   = "requestSuspected"
 )
 
+// maxLoggedTarget bounds the bytes of a request target in a log line.
+const maxLoggedTarget = 256
+
 // Config holds the dependencies and settings of a Recorder.
 type Config struct {
 	Log   log.Interface
@@ -89,7 +95,7 @@
 func (r *Recorder) entry(e carrier.Event) *log.Entry {
 	return r.config.Log.WithFields(log.Fields{
 		"id": e.ID, "route": string(e.Route), "version": uint64(e.Version), "service": string(e.Service),
-		"tookMs": milliseconds(e.Took),
+		"tookMs": milliseconds(e.Took), "fingerprint": quarantiner.FormatFingerprint(e.Fingerprint),
 	})
 }
 
@@ -107,6 +113,21 @@
 	}).Info(eventStore)
 }
 
+// EvidenceChanged logs a change of the evidence about a request.
+func (r *Recorder) EvidenceChanged(c quarantiner.Change) {
+	r.config.Log.WithFields(log.Fields{
+		"change": c.Kind.String(), "fingerprint": quarantiner.FormatFingerprint(c.Fingerprint), "crashes": c.Crashes,
+	}).Info(eventEvidence)
+}
+
+// RequestSuspected logs that a server crashed while it ran a request.
+func (r *Recorder) RequestSuspected(s quarantiner.Suspect) {
+	r.config.Log.WithFields(log.Fields{
+		"id": s.RequestID, "fingerprint": quarantiner.FormatFingerprint(s.Fingerprint), "server": string(s.Server),
+		"caller": s.Caller, "method": s.Method, "target": s.Target[:min(len(s.Target), maxLoggedTarget)],
+	}).Warn(eventSuspected)
+}
+
 func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 
 func errorText(err error) string {
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -18,6 +18,7 @@
 	"github.com/verbenastand/verbenastand/carrier"
 	"github.com/verbenastand/verbenastand/follower"
 	"github.com/verbenastand/verbenastand/meter"
+	"github.com/verbenastand/verbenastand/quarantiner"
 )
 
 // blockedHandler is a log handler that blocks until it is released.
@@ -97,6 +98,12 @@
 			r.AttemptEnded(carrier.Event{Attempt: 1, Result: balancer.ConnectionLost, Err: errors.New("reset")})
 		}, []string{eventAttempt}},
 		{"a server that joins", 0, func(r *Recorder) { r.ServerChanged(verbenastand.Registration{}, "joined") }, []string{eventServerState}},
+		{"evidence of another host", 0, func(r *Recorder) {
+			r.EvidenceChanged(quarantiner.Change{Kind: quarantiner.Learned, Fingerprint: 7, Crashes: 1})
+		}, []string{eventEvidence}},
+		{"a suspected request", 0, func(r *Recorder) {
+			r.RequestSuspected(quarantiner.Suspect{Fingerprint: 7, Server: "s", Target: strings.Repeat("/", 1<<16)})
+		}, []string{eventSuspected}},
 		{"an event of the store", 0, func(r *Recorder) { r.Store(follower.Event{Name: "storeReturned"}) }, []string{eventStore}},
 	}
 	for _, tc := range cases {
