--- a/carrier/event.go
+++ b/carrier/event.go
@@ -11,11 +11,13 @@
 type Event struct {
 	// ID is the request ID sent by the caller.
 	ID string
-	// Fingerprint identifies equal requests of a caller in crash evidence.
-	Fingerprint uint64
-	Route       verbenastand.RouteName
-	Version     verbenastand.TableVersion
-	Service     verbenastand.ServiceName
+	// Fingerprint identifies equal requests of a caller in crash evidence. Caller,
+	// Method and URI are what it is made from, besides the body.
+	Fingerprint         uint64
+	Caller, Method, URI string
+	Route               verbenastand.RouteName
+	Version             verbenastand.TableVersion
+	Service             verbenastand.ServiceName
 	// Server, Attempt, Report, Age and Checks describe one attempt: the server, and
 	// the load report on which the choice was based.
 	Server        verbenastand.ServerID
@@ -64,6 +66,7 @@
 	e := Event{
 		ID: c.id, Fingerprint: c.fingerprint, Route: c.route.Name(), Version: c.version, Service: c.serviceName, At: c.arrived,
 		Took: now.Sub(c.arrived), Status: status, Verdict: verbenastand.Ran, Late: now.After(c.targetTime),
+		Caller: c.request.Remote(), Method: c.request.Method, URI: c.request.RequestURI,
 	}
 	if !c.deadline.IsZero() {
 		e.Target, e.Deadline = c.targetTime.Sub(c.arrived), c.deadline.Sub(c.arrived)
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -71,7 +71,11 @@
 func (r *Recorder) RequestEnded(e carrier.Event) {
 	if e.Refused {
 		r.config.Meter.Refused(e.Service, e.Verdict, e.Reason)
-		r.entry(e).WithFields(log.Fields{
+		entry := r.entry(e)
+		if e.Reason == verbenastand.ReasonQuarantined {
+			entry = entry.WithFields(log.Fields{"caller": e.Caller, "method": e.Method, "target": loggedTarget(e.URI)})
+		}
+		entry.WithFields(log.Fields{
 			"status": e.Status, "verdict": e.Verdict.String(), "reason": e.Reason.String(),
 			"retryAfterMs": milliseconds(e.RetryAfter), "repeatDenied": e.RetryDenied, "waiting": e.Waiting,
 			"server": string(e.Server), "estimateMs": milliseconds(e.Estimate), "slowdown": e.Report.Slowdown,
@@ -124,10 +128,12 @@
 func (r *Recorder) RequestSuspected(s quarantiner.Suspect) {
 	r.config.Log.WithFields(log.Fields{
 		"id": s.RequestID, "fingerprint": quarantiner.FormatFingerprint(s.Fingerprint), "server": string(s.Server),
-		"caller": s.Caller, "method": s.Method, "target": s.Target[:min(len(s.Target), maxLoggedTarget)],
+		"caller": s.Caller, "method": s.Method, "target": loggedTarget(s.Target),
 	}).Warn(eventSuspected)
 }
 
+func loggedTarget(target string) string { return target[:min(len(target), maxLoggedTarget)] }
+
 func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 
 func errorText(err error) string {
