--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -40,14 +40,16 @@
 // proxy is a dispatcher whose servers and peers are stub functions.
 type proxy struct {
 	*dispatcher.Dispatcher
-	clock    *fake.Clock
-	merger   *merger.Merger
-	keys     *deduplicator.Deduplicator
-	hosts    []verbenastand.Host
-	server   func(verbenastand.Server, *http.Request) (*http.Response, error)
-	peer     func(verbenastand.Host, *http.Request) (*http.Response, error)
-	sent     atomic.Int32
-	notified atomic.Int32
+	clock       *fake.Clock
+	merger      *merger.Merger
+	registrar   *registrar.Registrar
+	quarantiner *quarantiner.Quarantiner
+	keys        *deduplicator.Deduplicator
+	hosts       []verbenastand.Host
+	server      func(verbenastand.Server, *http.Request) (*http.Response, error)
+	peer        func(verbenastand.Host, *http.Request) (*http.Response, error)
+	sent        atomic.Int32
+	notified    atomic.Int32
 }
 
 func (p *proxy) Self() verbenastand.Host    { return host }
@@ -88,10 +90,12 @@
 	var serviceRegistrar *registrar.Registrar
 	p.merger = merger.NewMerger(merger.Config{OnChange: func(*verbenastand.Configuration) { serviceRegistrar.Update() }})
 	serviceRegistrar = registrar.NewRegistrar(registrar.Config{Clock: p.clock, Self: host, Configuration: p.merger, Hosts: p.Hosts})
+	p.registrar = serviceRegistrar
+	p.quarantiner = quarantiner.NewQuarantiner(quarantiner.Config{Clock: p.clock})
 	p.keys = deduplicator.NewDeduplicator(deduplicator.Config{Clock: p.clock, Instance: host.Instance()})
 	p.Dispatcher = dispatcher.NewDispatcher(dispatcher.Config{
 		Timer: p.clock, Self: host, Membership: p, Registrar: serviceRegistrar, Deduplicator: p.keys,
-		Quarantiner: quarantiner.NewQuarantiner(quarantiner.Config{Clock: p.clock}),
+		Quarantiner: p.quarantiner,
 		Peers:       p, Servers: p, Meter: meter.NewMeter(), Tracer: noop.NewTracerProvider().Tracer(""),
 		MaxBody: 1 << 20, MaxConcurrent: 1000, StallTimeout: time.Second,
 		OnDrainNotice:    func(verbenastand.ServiceName, scheduler.DrainNotice) {},
@@ -385,6 +389,60 @@
 	requireVerdict(t, p.do(newRequest(http.MethodGet, "/crash", "", "")), http.StatusServiceUnavailable, verbenastand.NotRun, "quarantined")
 }
 
+// Guards against copies of a crashing request that crash two more servers each
+// because their query differs (issue 23, BUDGET).
+func TestCopiesOfACrashingRequestShareEvidence(t *testing.T) {
+	p := newProxy(12, false)
+	p.server = func(verbenastand.Server, *http.Request) (*http.Response, error) { return nil, connectionLost() }
+	for i := range 6 {
+		p.do(newRequest(http.MethodGet, fmt.Sprintf("/crash?page=%d", i), "", ""))
+		p.clock.Advance(100 * time.Millisecond)
+	}
+	require.EqualValues(t, quarantiner.CrashLimit, p.sent.Load())
+}
+
+// Guards against a crashing request that waits for a slot while another host sends
+// evidence, and is sent to the next server that has one (issue 23, BUDGET).
+func TestAWaitingRequestIsRefusedWhenEvidenceArrives(t *testing.T) {
+	other := newProxy(3, false)
+	other.server = func(verbenastand.Server, *http.Request) (*http.Response, error) { return nil, connectionLost() }
+	other.do(newRequest(http.MethodGet, "/crash", "", ""))
+	evidence := other.quarantiner.Evidence(1)
+	require.Len(t, evidence, 1)
+
+	p := newProxy(1, false)
+	release := make(chan struct{})
+	var crashed atomic.Int64
+	p.server = func(_ verbenastand.Server, r *http.Request) (*http.Response, error) {
+		if r.URL.Path == "/crash" {
+			crashed.Add(1)
+		}
+		<-release
+		return okResponse(""), nil
+	}
+	var wait sync.WaitGroup
+	queued := func(n int) func() bool {
+		return func() bool { return p.registrar.Find("tins").Scheduler().Status().Queued == n }
+	}
+	const others = 20
+	for range others {
+		wait.Go(func() { p.do(newRequest(http.MethodGet, "/other", "", "")) })
+	}
+	require.Eventually(t, func() bool {
+		return p.sent.Load() > 0 && queued(others-int(p.sent.Load()))()
+	}, 5*time.Second, time.Millisecond)
+	waiting := others - int(p.sent.Load())
+	require.Positive(t, waiting)
+	var w *httptest.ResponseRecorder
+	wait.Go(func() { w = p.do(newRequest(http.MethodGet, "/crash", "", "")) })
+	require.Eventually(t, queued(waiting+1), 5*time.Second, time.Millisecond)
+	p.quarantiner.Merge(evidence[0])
+	close(release)
+	wait.Wait()
+	requireVerdict(t, w, http.StatusServiceUnavailable, verbenastand.NotRun, "quarantined")
+	require.Zero(t, crashed.Load())
+}
+
 func TestInvalidRequestIsRefusedAsNotRun(t *testing.T) {
 	p := newProxy(1, true)
 	p.server = func(verbenastand.Server, *http.Request) (*http.Response, error) { return okResponse(""), nil }
