Identify copies of a crashing request by path and caller, without query and route

Cause: the fingerprint covered the request target as sent and the route's name. A copy with another query or encoding, or after a change of routes, had a fingerprint of its own and began without evidence. Class of fault: an identity made from more than what identifies.

Change: one function for both kinds of host: caller, host name or service, method, decoded path, body. The entry host had no caller in it and has now, since a path without its query is shared by many callers; of a request that a peer forwards it is the address that the peer added. Keys still compare the whole URI.

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -14,7 +14,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
@@ -287,20 +286,15 @@
 	return h
 }
 
-// computeFingerprint includes the caller: a request that crashes servers is retried
-// by the same caller, and other callers should not be affected.
 func (c *call) computeFingerprint() uint64 {
 	caller, _, err := net.SplitHostPort(c.request.Remote())
 	if err != nil {
 		caller = c.request.Remote()
 	}
-	h := xxhash.New()
-	for _, text := range []string{caller, string(c.route.Name()), c.request.Method, c.request.RequestURI} {
-		_, _ = h.WriteString(text)
-		_, _ = h.Write([]byte{0})
-	}
-	_, _ = h.Write(c.request.Bytes())
-	return h.Sum64()
+	return quarantiner.NewFingerprint(quarantiner.FingerprintConfig{
+		Caller: caller, Service: verbenastand.NormalizeHostName(c.request.Host),
+		Method: c.request.Method, Path: c.request.URL.Path, Body: c.request.Bytes(),
+	})
 }
 
 // newRequest returns the request for one attempt, with the remaining time as its
--- a/carrier/crash_test.go
+++ b/carrier/crash_test.go
@@ -42,13 +42,15 @@
 // because they differ in what does not identify the request (issue 23, BUDGET).
 func TestCopiesOfACrashingRequestShareEvidence(t *testing.T) {
 	cases := []struct {
-		name string
-		path func(copy int) string
+		name    string
+		path    func(copy int) string
+		between func(h *harness, copy int)
 	}{
-		{"the same target", func(int) string { return "/x/crash" }},
-		{"another query", func(i int) string { return fmt.Sprintf("/x/crash?page=%d&sort=new", i) }},
-		{"a query or none", func(i int) string { return "/x/crash" + strings.Repeat("?", i%2) + strings.Repeat("a=1", i%2) }},
-		{"another encoding of the path", func(i int) string { return []string{"/x/crash", "/x/cr%61sh", "/x/%63rash"}[i%3] }},
+		{"the same target", func(int) string { return "/x/crash" }, nil},
+		{"another query", func(i int) string { return fmt.Sprintf("/x/crash?page=%d&sort=new", i) }, nil},
+		{"a query or none", func(i int) string { return "/x/crash" + strings.Repeat("?", i%2) + strings.Repeat("a=1", i%2) }, nil},
+		{"another encoding of the path", func(i int) string { return []string{"/x/crash", "/x/cr%61sh", "/x/%63rash"}[i%3] }, nil},
+		{"another route", func(int) string { return "/x/crash" }, (*harness).renameRoute},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -57,6 +59,9 @@
 				*assign = h
 				for i := range 6 {
 					_, _ = h.call("GET", tc.path(i), "")
+					if tc.between != nil {
+						tc.between(h, i)
+					}
 					time.Sleep(3 * time.Second)
 				}
 				require.Len(t, h.requests(), quarantiner.CrashLimit)
--- a/carrier/harness_test.go
+++ b/carrier/harness_test.go
@@ -94,6 +94,19 @@
 	h.carrier.config.Router.Update(h.table)
 }
 
+// renameRoute replaces the first route by one that differs in its name only.
+func (h *harness) renameRoute(number int) {
+	old := h.table.Routes()[0]
+	h.table = verbenastand.NewRouteTable(verbenastand.RouteTableConfig{
+		Version: h.table.Version() + 1, Services: h.table.Services(), Limits: h.table.Limits(),
+		Routes: []verbenastand.Route{verbenastand.NewRoute(verbenastand.RouteConfig{
+			Name: verbenastand.RouteName(fmt.Sprint("renamed-", number)), HostName: old.HostName(), PathPrefix: old.PathPrefix(),
+			RetrySafety: verbenastand.Idempotent, Timeout: old.Timeout(), Target: old.Target(), MaxAttempts: old.MaxAttempts(), Split: old.Split(),
+		})},
+	})
+	h.carrier.config.Router.Update(h.table)
+}
+
 func (h *harness) AttemptSent(Event)    {}
 func (h *harness) AttemptEnded(e Event) { h.recordEvent(e) }
 func (h *harness) RequestEnded(e Event) {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -110,7 +110,7 @@
 		return
 	}
 	joinCtx, cancel := context.WithTimeout(ctx, d.timeoutOf(req))
-	attempt, outcome := d.config.Deduplicator.Begin(joinCtx, req.key, req.fingerprint)
+	attempt, outcome := d.config.Deduplicator.Begin(joinCtx, req.key, req.keyFingerprint)
 	cancel()
 	if attempt == nil {
 		d.config.Meter.RetryJoined()
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -399,6 +399,19 @@
 		p.clock.Advance(100 * time.Millisecond)
 	}
 	require.EqualValues(t, quarantiner.CrashLimit, p.sent.Load())
+
+	forwarded := newRequest(http.MethodGet, "/crash", "", "")
+	forwarded.Header.Set("X-Forwarded-For", "203.0.113.9, 192.0.2.1")
+	forwarded.RemoteAddr = "10.0.0.7:4433"
+	w := httptest.NewRecorder()
+	p.ForwardHandler().ServeHTTP(w, forwarded)
+	requireVerdict(t, w, http.StatusServiceUnavailable, verbenastand.NotRun, "quarantined")
+	require.EqualValues(t, quarantiner.CrashLimit, p.sent.Load(), "the same caller through another host")
+
+	p.server = func(verbenastand.Server, *http.Request) (*http.Response, error) { return okResponse("ok"), nil }
+	other := newRequest(http.MethodGet, "/crash", "", "")
+	other.RemoteAddr = "203.0.113.9:40000"
+	require.Equal(t, http.StatusOK, p.do(other).Code, "another caller is served")
 }
 
 // Guards against a crashing request that waits for a slot while another host sends
--- a/dispatcher/execute.go
+++ b/dispatcher/execute.go
@@ -66,11 +66,11 @@
 
 // sendAttempt sends the request to one server, or to two if it is hedged.
 func (d *Dispatcher) sendAttempt(ctx context.Context, req *proxiedRequest, attempt int, tried []scheduler.Grant) (*serverResponse, scheduler.Grant, error) {
-	if err := d.config.Quarantiner.Acquire(ctx, req.fingerprint); err != nil {
+	if err := d.config.Quarantiner.Acquire(ctx, req.crashFingerprint); err != nil {
 		return nil, scheduler.Grant{}, err
 	}
 	responded := false
-	defer func() { d.config.Quarantiner.Release(req.fingerprint, responded) }()
+	defer func() { d.config.Quarantiner.Release(req.crashFingerprint, responded) }()
 	grant, err := d.acquire(ctx, req, tried)
 	if err != nil {
 		return nil, grant, err
@@ -229,12 +229,12 @@
 // recordCrash adds evidence that the request crashed the server.
 func (resp *serverResponse) recordCrash() {
 	req, server := resp.request, resp.grant.Server().ID()
-	if !resp.dispatcher.config.Quarantiner.RecordCrash(req.fingerprint, server) {
+	if !resp.dispatcher.config.Quarantiner.RecordCrash(req.crashFingerprint, server) {
 		return
 	}
 	resp.dispatcher.config.OnCrashSuspected(req.components.Homes(), quarantiner.Suspect{
-		Fingerprint: req.fingerprint, Server: server,
-		Caller: req.request.RemoteAddr, Method: req.request.Method, Target: req.request.URL.RequestURI(),
+		Fingerprint: req.crashFingerprint, Server: server,
+		Caller: req.caller(), Method: req.request.Method, Target: req.request.URL.RequestURI(),
 	})
 }
 
--- a/dispatcher/request.go
+++ b/dispatcher/request.go
@@ -17,6 +17,7 @@
 	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/classifier"
 	"github.com/verbenastand/verbenastand/deduplicator"
+	"github.com/verbenastand/verbenastand/quarantiner"
 	"github.com/verbenastand/verbenastand/registrar"
 )
 
@@ -30,20 +31,23 @@
 
 // proxiedRequest is a request of a caller and the state of processing it.
 type proxiedRequest struct {
-	request     *http.Request
-	service     verbenastand.ServiceName
-	key         deduplicator.Key
-	keyed       bool
-	idempotent  bool
-	forwarded   bool
-	attempt     int
-	depth       int
-	timeout     time.Duration
-	arrived     time.Time
-	deadline    time.Time
-	body        []byte
-	buffered    bool
-	fingerprint uint64
+	request    *http.Request
+	service    verbenastand.ServiceName
+	key        deduplicator.Key
+	keyed      bool
+	idempotent bool
+	forwarded  bool
+	attempt    int
+	depth      int
+	timeout    time.Duration
+	arrived    time.Time
+	deadline   time.Time
+	body       []byte
+	buffered   bool
+	// keyFingerprint detects an idempotency key that is reused for another request.
+	keyFingerprint uint64
+	// crashFingerprint identifies equal requests of a caller in crash evidence.
+	crashFingerprint uint64
 
 	components *registrar.ServiceComponents
 	class      classifier.Class
@@ -162,7 +166,7 @@
 	return false
 }
 
-// readBody buffers a small body in memory and computes the fingerprint. The body
+// readBody buffers a small body in memory and computes the fingerprints. The body
 // of a request with an idempotency key is always buffered, because the request
 // runs even if its caller disconnects.
 func (req *proxiedRequest) readBody() error {
@@ -182,14 +186,15 @@
 		req.body = body
 	}
 	req.buffered = !hasBody || req.body != nil
-	req.fingerprint = req.computeFingerprint()
+	req.keyFingerprint = req.computeKeyFingerprint()
+	req.crashFingerprint = req.computeCrashFingerprint()
 	return nil
 }
 
-// computeFingerprint returns a hash of the service, method, URI and body. It does
+// computeKeyFingerprint returns a hash of the service, method, URI and body. It does
 // not depend on the host name or the idempotency key, so that requests for the same
 // operation have the same fingerprint.
-func (req *proxiedRequest) computeFingerprint() uint64 {
+func (req *proxiedRequest) computeKeyFingerprint() uint64 {
 	h := xxhash.New()
 	for _, text := range []string{string(req.service), req.request.Method, req.request.URL.RequestURI()} {
 		_, _ = h.WriteString(text)
@@ -199,6 +204,26 @@
 	return h.Sum64()
 }
 
+func (req *proxiedRequest) computeCrashFingerprint() uint64 {
+	return quarantiner.NewFingerprint(quarantiner.FingerprintConfig{
+		Caller: req.caller(), Service: string(req.service),
+		Method: req.request.Method, Path: req.request.URL.Path, Body: req.body,
+	})
+}
+
+// caller returns the network address of the caller. A peer that forwards a request
+// has appended it to the header field.
+func (req *proxiedRequest) caller() string {
+	if list := req.request.Header.Get(forwardedFor); req.forwarded && list != "" {
+		return strings.TrimSpace(list[strings.LastIndexByte(list, ',')+1:])
+	}
+	caller, _, err := net.SplitHostPort(req.request.RemoteAddr)
+	if err != nil {
+		return req.request.RemoteAddr
+	}
+	return caller
+}
+
 // newBody returns the body and content length of one attempt.
 func (req *proxiedRequest) newBody() (io.ReadCloser, int64) {
 	if len(req.body) > 0 {
--- a/quarantiner/change.go
+++ b/quarantiner/change.go
@@ -1,10 +1,6 @@
 package quarantiner
 
-import (
-	"fmt"
-
-	verbenastand "github.com/verbenastand/verbenastand"
-)
+import verbenastand "github.com/verbenastand/verbenastand"
 
 //go:generate go tool stringer -type=ChangeKind -linecomment -output=changekind_string.go
 
@@ -42,15 +38,6 @@
 	Caller, Method, Target string
 }
 
-// FormatFingerprint returns the form in which log lines contain a fingerprint, empty
-// for a request without one.
-func FormatFingerprint(fingerprint uint64) string {
-	if fingerprint == 0 {
-		return ""
-	}
-	return fmt.Sprintf("%016x", fingerprint)
-}
-
 func (q *Quarantiner) notify(c *Change) {
 	if c != nil && q.config.OnChange != nil {
 		q.config.OnChange(*c)
