Look up crash evidence before each attempt, not on arrival only

Cause: evidence was looked up once, when a request arrived. One that waited for a server while evidence came in was sent all the same; a route with more attempts than two lost a server by each; a hedge doubled the attempts of a suspected request. On the entry host a request that waited for a slot was not looked at again either. Class: a check whose result is used after what it depends on may have changed.

Evidence: the failing tests (six servers lost on a route with six attempts; a waiting request answered 200 instead of 503, on both kinds of host); the hedge's test, added here, failed on the code before: two attempts of a suspected request.

Change: the lookup is repeated when a server has been chosen, for first attempts, retries and hedges. From its second lost connection on, an attempt ends only when it is known whether that server crashed (at most the time limit of a dial, 0.4 s), since evidence would come after the next attempt otherwise.

--- a/carrier/attempt.go
+++ b/carrier/attempt.go
@@ -42,6 +42,9 @@
 	err  error
 	// finish ends the attempt after the rest of the body has been read.
 	finish func(error)
+	// crashChecked is closed when it is known whether the server crashed; nil if the
+	// connection was not lost.
+	crashChecked <-chan struct{}
 }
 
 // notRun reports whether the server did not run the request and never will.
@@ -101,12 +104,13 @@
 		event.Took = c.carrier.config.Clock.Now().Sub(event.At)
 		c.carrier.config.Observer.AttemptEnded(event)
 		if result == balancer.ConnectionLost {
-			c.confirmCrash(choice.Server)
+			o.crashChecked = c.confirmCrash(choice.Server)
 		}
 	}
 	switch {
 	case o.err != nil || o.body.Complete():
 		o.finish(o.err)
+		c.awaitEvidence(o)
 	case !o.acceptable():
 		o.finish(errOversizedFailure)
 	}
@@ -195,9 +199,12 @@
 
 // confirmCrash reports the request as a suspect in the crash of a server only if the
 // server refuses new connections: a connection can fail while its server is running.
-func (c *call) confirmCrash(server *balancer.Server) {
+// It returns a channel that is closed when this is known.
+func (c *call) confirmCrash(server *balancer.Server) <-chan struct{} {
 	target := targetOf(server.Registration())
+	checked := make(chan struct{})
 	go func() {
+		defer close(checked)
 		conn, err := c.carrier.config.Sender.ConnectNew(context.Background(), target)
 		if err == nil {
 			c.carrier.config.Sender.PutIdle(conn)
@@ -210,6 +217,19 @@
 			})
 		}
 	}()
+	return checked
+}
+
+// awaitEvidence delays the end of an attempt that lost its connection until it is
+// known whether the server crashed, unless this is the first such attempt: a retry
+// could crash a server beyond the limit.
+func (c *call) awaitEvidence(o *outcome) {
+	if o.crashChecked == nil {
+		return
+	}
+	if c.connectionsLost.Add(1) > 1 || c.carrier.config.Quarantiner.Suspected(c.fingerprint) {
+		<-o.crashChecked
+	}
 }
 
 // fullBody returns the response body from its beginning. It must be closed.
--- a/carrier/crash_test.go
+++ b/carrier/crash_test.go
@@ -100,7 +100,7 @@
 	withHarness(t, change, servers, func(h *harness) {
 		response, _ := h.call("GET", "/x/1", "")
 		require.Equal(t, http.StatusOK, response.StatusCode)
-		fingerprint := h.events[len(h.events)-1].Fingerprint
+		fingerprint := h.lastFingerprint()
 		time.Sleep(5 * time.Second)
 		busy.Store(true)
 		var waited *http.Response
@@ -122,3 +122,33 @@
 		require.Len(t, h.requests(), 1)
 	})
 }
+
+// Guards against a hedge of a suspected request: attempts of such a request run one
+// at a time.
+func TestASuspectedRequestIsNotHedged(t *testing.T) {
+	for _, crashes := range []int{0, 1} {
+		slow := func(conn net.Conn, r *http.Request) {
+			if r.URL.Path == "/x/slow" {
+				time.Sleep(700 * time.Millisecond)
+			}
+			reply(delay)(conn, r)
+		}
+		withHarness(t, nil, []*backend{{serve: slow}, {serve: slow}, {serve: slow}}, func(h *harness) {
+			for range 20 {
+				_, _ = h.call("GET", "/x/quick", "")
+			}
+			sent := len(h.requests())
+			response, _ := h.call("GET", "/x/slow", "")
+			require.Equal(t, http.StatusOK, response.StatusCode)
+			require.Len(t, h.requests(), sent+2, "hedged without evidence")
+			time.Sleep(5 * time.Second)
+			sent = len(h.requests())
+			if crashes > 0 {
+				h.carrier.config.Quarantiner.RecordCrash(h.lastFingerprint(), "gone")
+			}
+			response, _ = h.call("GET", "/x/slow", "")
+			require.Equal(t, http.StatusOK, response.StatusCode)
+			require.Len(t, h.requests(), sent+2-crashes)
+		})
+	}
+}
--- a/carrier/harness_test.go
+++ b/carrier/harness_test.go
@@ -119,6 +119,13 @@
 	h.events = append(h.events, e)
 }
 
+// lastFingerprint returns the fingerprint of the request of the last event.
+func (h *harness) lastFingerprint() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.events[len(h.events)-1].Fingerprint
+}
+
 // reply responds successfully after the given time.
 func reply(took time.Duration) func(net.Conn, *http.Request) {
 	return func(conn net.Conn, r *http.Request) {
--- a/carrier/run.go
+++ b/carrier/run.go
@@ -71,6 +71,9 @@
 	defer r.cancelAttempts()
 	defer r.releaseMemory()
 	choice, err := c.admit(ctx)
+	if err == nil {
+		err = c.checkEvidence(choice)
+	}
 	if err != nil {
 		if ctx.Err() != nil {
 			c.interrupt(ctx, verbenastand.NotRun)
@@ -98,6 +101,16 @@
 	}
 }
 
+// checkEvidence releases the choice and returns an error if evidence against the
+// request has arrived while it waited for a server.
+func (c *call) checkEvidence(choice balancer.Choice) error {
+	err := c.carrier.config.Quarantiner.Check(c.fingerprint)
+	if err != nil {
+		choice.Release()
+	}
+	return err
+}
+
 // cancelAttempts ends the attempts whose response is no longer needed. A request
 // that must not run twice is left to complete, since its caller may learn the result
 // in another way.
@@ -209,6 +222,10 @@
 		r.retryDenied = "noServer"
 		return false
 	}
+	if r.checkEvidence(choice) != nil {
+		r.retryDenied = retryQuarantined
+		return false
+	}
 	pastDeadline := r.carrier.config.Clock.Now().Add(choice.Estimate).After(r.deadline)
 	switch {
 	case pastDeadline || choice.Full:
@@ -224,6 +241,9 @@
 	return true
 }
 
+// retryQuarantined is the reason why a request that crashes servers is not retried.
+const retryQuarantined = "quarantined"
+
 // retryDenial returns the reason why the request must not be retried, empty if it
 // may.
 func (r *runner) retryDenial(o *outcome) string {
@@ -234,6 +254,8 @@
 		return "bodyNotHeld"
 	case !o.notRun() && !r.route.Retryable():
 		return "mayHaveRun"
+	case r.carrier.config.Quarantiner.Check(r.fingerprint) != nil:
+		return retryQuarantined
 	case r.sent >= r.route.MaxAttempts():
 		return "maxAttempts"
 	case r.unreachable > maxUnreachable:
@@ -258,7 +280,8 @@
 }
 
 func (r *runner) chooseHedge() (balancer.Choice, bool) {
-	if r.budget.Available() < hedgeReserve || r.service.Waiting() > 0 {
+	suspected := r.carrier.config.Quarantiner.Suspected(r.fingerprint)
+	if suspected || r.budget.Available() < hedgeReserve || r.service.Waiting() > 0 {
 		return balancer.Choice{}, false
 	}
 	choice, err := r.service.Choose(r.ctx, balancer.Query{Route: r.route, Tried: r.tried, CheckLimit: hedgeChecks})
@@ -285,6 +308,10 @@
 		r.refuse(verbenastand.NewRequestError(verbenastand.MayHaveRun, verbenastand.ReasonServerFailed, r.lastErr))
 		return false
 	}
+	if err := r.carrier.config.Quarantiner.Check(r.fingerprint); err != nil {
+		r.refuse(err)
+		return false
+	}
 	// The servers refused the request; it was not this host that refused it for lack
 	// of capacity. A retry may be served at once.
 	refusal := verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonRefused, r.lastErr)
--- a/dispatcher/execute.go
+++ b/dispatcher/execute.go
@@ -75,6 +75,10 @@
 	if err != nil {
 		return nil, grant, err
 	}
+	if err := d.config.Quarantiner.Check(req.crashFingerprint); err != nil {
+		req.components.Scheduler().Release(grant, estimator.Abandoned, scheduler.NoReport)
+		return nil, grant, err
+	}
 	d.config.Meter.AttemptSent(req.service, attempt > 1)
 	resp, err := d.roundTripHedged(ctx, req, grant, attempt)
 	responded = err == nil
--- a/dispatcher/hedge.go
+++ b/dispatcher/hedge.go
@@ -73,6 +73,9 @@
 	if h.ctx.Err() != nil || h.won.Load() {
 		return
 	}
+	if h.dispatcher.config.Quarantiner.Suspected(h.request.crashFingerprint) {
+		return
+	}
 	components := h.request.components
 	if !components.Scheduler().Stalled(h.first) {
 		h.timer.Reset(checkInterval)
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -99,9 +99,8 @@
 		q.removeLocked(fingerprint)
 		return nil, nil
 	}
-	if len(s.servers) >= CrashLimit {
-		refusal := verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonQuarantined, nil)
-		return nil, refusal.WithRetryAfter(s.expiry.Sub(now))
+	if err := s.refusal(now); err != nil {
+		return nil, err
 	}
 	if s.attemptDone != nil {
 		return s.attemptDone, nil
@@ -110,6 +109,41 @@
 	return nil, nil
 }
 
+// refusal returns the error of a request that has reached the limit of crashes.
+func (s *suspect) refusal(now time.Time) error {
+	if len(s.servers) < CrashLimit {
+		return nil
+	}
+	refusal := verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonQuarantined, nil)
+	return refusal.WithRetryAfter(s.expiry.Sub(now))
+}
+
+// Check returns the error of Acquire if the request has reached the limit of crashes
+// since then, because evidence has arrived while it waited or was tried.
+func (q *Quarantiner) Check(fingerprint uint64) error {
+	if q.suspectCount.Load() == 0 {
+		return nil
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	s, now := q.suspects[fingerprint], q.config.Clock.Now()
+	if s == nil || now.After(s.expiry) {
+		return nil
+	}
+	return s.refusal(now)
+}
+
+// Suspected reports whether a server crashed while it ran the request.
+func (q *Quarantiner) Suspected(fingerprint uint64) bool {
+	if q.suspectCount.Load() == 0 {
+		return false
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	s := q.suspects[fingerprint]
+	return s != nil && !q.config.Clock.Now().After(s.expiry)
+}
+
 // Release ends an attempt that Acquire allowed. A request that got a response is no
 // longer suspected: another request crashed the server on which it was in flight.
 func (q *Quarantiner) Release(fingerprint uint64, responded bool) {
