Let evidence of crashes expire and stay cleared on all hosts

And a host on which evidence had just expired took it from one that still had it, with a new lifetime: a request once refused was refused for as long as the fleet ran.

Cause: hosts merged sets that could only grow, and expiry was not part of what they sent. Class: a removal that is local, in a set that is shared.

Change: evidence carries a generation, which a response advances, and the remaining lifetime. Evidence of hosts of earlier versions, without these fields, has generation zero and the whole lifetime, as before.

TestEvidenceExpiresOnAllHosts and TestClearedEvidenceDoesNotReturn failed before.

--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -1,7 +1,8 @@
 // Package quarantiner detects requests that crash backend servers and refuses to
 // send them to further servers. Evidence is the set of crashed servers per request
-// fingerprint. Hosts exchange evidence and merge the sets by union, so the order in
-// which it arrives does not matter.
+// fingerprint. A response to the request clears it and begins a new generation. Hosts
+// exchange evidence: the higher generation wins, and sets of one generation are merged
+// by union, so the order in which evidence arrives does not matter.
 package quarantiner
 
 import (
@@ -30,11 +31,18 @@
 	Fingerprint uint64 `cbor:"f"`
 	// Servers are the IDs of the crashed servers.
 	Servers []verbenastand.ServerID `cbor:"s"`
+	// Generation counts the responses that have cleared earlier evidence.
+	Generation uint32 `cbor:"g,omitempty"`
+	// Remaining is the time after which the evidence expires. Zero means the whole
+	// lifetime: hosts of earlier versions do not send it.
+	Remaining time.Duration `cbor:"r,omitempty"`
 }
 
 type suspect struct {
-	servers []verbenastand.ServerID
-	expiry  time.Time
+	// servers is empty after evidence has been cleared.
+	servers    []verbenastand.ServerID
+	generation uint32
+	expiry     time.Time
 	// attemptDone is closed when the current attempt ends; nil if there is none.
 	attemptDone chan struct{}
 }
@@ -99,7 +107,7 @@
 		q.removeLocked(fingerprint)
 		return nil, nil
 	}
-	if err := s.refusal(now); err != nil {
+	if err := s.refusal(now); err != nil || len(s.servers) == 0 {
 		return nil, err
 	}
 	if s.attemptDone != nil {
@@ -141,7 +149,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	s := q.suspects[fingerprint]
-	return s != nil && !q.config.Clock.Now().After(s.expiry)
+	return s != nil && len(s.servers) > 0 && !q.config.Clock.Now().After(s.expiry)
 }
 
 // Release ends an attempt that Acquire allowed. A request that got a response is no
@@ -162,9 +170,11 @@
 		close(s.attemptDone)
 		s.attemptDone = nil
 	}
-	if responded && len(s.servers) < CrashLimit {
-		q.removeLocked(fingerprint)
-		cleared = &Change{Kind: Cleared, Fingerprint: fingerprint, Crashes: len(s.servers)}
+	if crashes := len(s.servers); responded && crashes > 0 && crashes < CrashLimit {
+		s.servers = nil
+		s.generation++
+		s.expiry = q.config.Clock.Now().Add(q.config.Lifetime)
+		cleared = &Change{Kind: Cleared, Fingerprint: fingerprint, Crashes: crashes}
 	}
 }
 
@@ -179,7 +189,13 @@
 // RecordCrash records that a server crashed while it ran the request. It reports
 // whether this was not known before.
 func (q *Quarantiner) RecordCrash(fingerprint uint64, server verbenastand.ServerID) bool {
-	return q.add(Evidence{Fingerprint: fingerprint, Servers: []verbenastand.ServerID{server}}, Recorded)
+	q.mu.Lock()
+	e := Evidence{Fingerprint: fingerprint, Servers: []verbenastand.ServerID{server}}
+	if s := q.suspects[fingerprint]; s != nil {
+		e.Generation = s.generation
+	}
+	q.mu.Unlock()
+	return q.add(e, Recorded)
 }
 
 // Merge adds evidence of another host and reports whether any of it was new.
@@ -193,18 +209,35 @@
 	return changed
 }
 
-// insert returns the number of known crashes and whether it has changed.
+// insert returns the number of known crashes and whether the evidence has changed.
 func (q *Quarantiner) insert(e Evidence) (crashes int, changed bool) {
+	remaining := q.config.Lifetime
+	if e.Remaining > 0 {
+		remaining = min(e.Remaining, q.config.Lifetime)
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	now := q.config.Clock.Now()
 	s := q.suspects[e.Fingerprint]
+	if s != nil && now.After(s.expiry) {
+		q.removeLocked(e.Fingerprint)
+		s = nil
+	}
 	if s == nil {
 		if len(q.suspects) >= MaxSuspects {
 			return 0, false
 		}
-		s = &suspect{}
+		s = &suspect{generation: e.Generation}
 		q.suspects[e.Fingerprint] = s
 		q.suspectCount.Store(int64(len(q.suspects)))
+		changed = true
+	}
+	if e.Generation < s.generation {
+		return len(s.servers), changed
+	}
+	if e.Generation > s.generation {
+		s.generation, s.servers = e.Generation, nil
+		changed = true
 	}
 	for _, id := range e.Servers {
 		if len(s.servers) < CrashLimit && !slices.Contains(s.servers, id) {
@@ -212,8 +245,8 @@
 			changed = true
 		}
 	}
-	if changed {
-		s.expiry = q.config.Clock.Now().Add(q.config.Lifetime)
+	if expiry := now.Add(remaining); expiry.After(s.expiry) {
+		s.expiry = expiry
 	}
 	return len(s.servers), changed
 }
@@ -222,9 +255,12 @@
 func (q *Quarantiner) Evidence(limit int) []Evidence {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	now := q.config.Clock.Now()
 	var all []Evidence
 	for f, s := range q.suspects {
-		all = append(all, Evidence{Fingerprint: f, Servers: slices.Clone(s.servers)})
+		if remaining := s.expiry.Sub(now); remaining > 0 {
+			all = append(all, Evidence{Fingerprint: f, Servers: slices.Clone(s.servers), Generation: s.generation, Remaining: remaining})
+		}
 	}
 	slices.SortFunc(all, func(a, b Evidence) int { return len(b.Servers) - len(a.Servers) })
 	return all[:min(limit, len(all))]
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -36,6 +36,89 @@
 	})
 }
 
+// exchange sends all evidence of one host to another.
+func exchange(from, to *Quarantiner) {
+	for _, e := range from.Evidence(MaxSuspects) {
+		to.Merge(e)
+	}
+}
+
+// Guards against evidence that never expires, because hosts that still have it send
+// it to those on which it has just expired.
+func TestEvidenceExpiresOnAllHosts(t *testing.T) {
+	clock := fake.NewClock()
+	first, second := NewQuarantiner(Config{Clock: clock}), NewQuarantiner(Config{Clock: clock})
+	first.RecordCrash(1, "server-a")
+	first.RecordCrash(1, "server-b")
+	clock.Advance(time.Second)
+	exchange(first, second)
+	require.Error(t, second.Acquire(context.Background(), 1))
+	const step = 100 * time.Millisecond
+	for elapsed := time.Second; elapsed < DefaultLifetime+2*time.Second; elapsed += step {
+		exchange(first, second)
+		exchange(second, first)
+		clock.Advance(step)
+		first.Sweep(clock.Now())
+		exchange(second, first)
+		second.Sweep(clock.Now())
+	}
+	require.NoError(t, first.Check(1))
+	require.NoError(t, second.Check(1))
+}
+
+// Guards against evidence that a response has cleared and that another host sends
+// again: a request that was merely in flight would stay suspected.
+func TestClearedEvidenceDoesNotReturn(t *testing.T) {
+	clock := fake.NewClock()
+	first, second := NewQuarantiner(Config{Clock: clock}), NewQuarantiner(Config{Clock: clock})
+	first.RecordCrash(1, "server-a")
+	exchange(first, second)
+	require.NoError(t, first.Acquire(context.Background(), 1))
+	first.Release(1, true)
+	exchange(second, first)
+	require.False(t, first.Suspected(1), "the other host had not learned of the response")
+	exchange(first, second)
+	require.False(t, second.Suspected(1))
+	second.RecordCrash(1, "server-b")
+	exchange(second, first)
+	require.NoError(t, first.Check(1), "one crash since the response")
+	first.RecordCrash(1, "server-c")
+	require.Error(t, first.Check(1))
+}
+
+// Checks that hosts agree on the evidence once each has received all messages of the
+// other, whatever crashes and responses came between.
+func TestEvidenceConverges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := fake.NewClock()
+		hosts := []*Quarantiner{NewQuarantiner(Config{Clock: clock}), NewQuarantiner(Config{Clock: clock}), NewQuarantiner(Config{Clock: clock})}
+		for range rapid.IntRange(0, 30).Draw(t, "steps") {
+			host := rapid.SampledFrom(hosts).Draw(t, "host")
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				host.RecordCrash(1, verbenastand.ServerID(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "server")))
+			case 1:
+				if host.Check(1) == nil && host.Acquire(context.Background(), 1) == nil {
+					host.Release(1, rapid.Bool().Draw(t, "responded"))
+				}
+			default:
+				exchange(rapid.SampledFrom(hosts).Draw(t, "from"), host)
+			}
+		}
+		for range hosts {
+			for _, from := range hosts {
+				for _, to := range hosts {
+					exchange(from, to)
+				}
+			}
+		}
+		for _, h := range hosts[1:] {
+			require.Equal(t, hosts[0].Suspected(1), h.Suspected(1))
+			require.Equal(t, hosts[0].Quarantined(), h.Quarantined())
+		}
+	})
+}
+
 func TestRequestThatCrashesServersIsRefusedAtTheLimit(t *testing.T) {
 	q := NewQuarantiner(Config{Clock: fake.NewClock()})
 	crashed := 0
