Send the latest evidence of crashes first

A message holds eight entries, those with most crashes first: once eight requests are refused, the first crash of another one is in no message, and its second in one of N/8.

Change: half of the entries are those that changed last, the rest is chosen at random among the others, so that a host that has just started gets all.

TestRecentEvidenceIsSentFirst failed before (0 of 500 messages have the new entry) and passes.

--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -43,6 +44,7 @@
 	servers    []verbenastand.ServerID
 	generation uint32
 	expiry     time.Time
+	changedAt  time.Time
 	// attemptDone is closed when the current attempt ends; nil if there is none.
 	attemptDone chan struct{}
 }
@@ -173,6 +175,7 @@
 	if crashes := len(s.servers); responded && crashes > 0 && crashes < CrashLimit {
 		s.servers = nil
 		s.generation++
+		s.changedAt = q.config.Clock.Now()
 		s.expiry = q.config.Clock.Now().Add(q.config.Lifetime)
 		cleared = &Change{Kind: Cleared, Fingerprint: fingerprint, Crashes: crashes}
 	}
@@ -245,25 +248,39 @@
 			changed = true
 		}
 	}
+	if changed {
+		s.changedAt = now
+	}
 	if expiry := now.Add(remaining); expiry.After(s.expiry) {
 		s.expiry = expiry
 	}
 	return len(s.servers), changed
 }
 
-// Evidence returns up to limit entries, those with the most crashes first.
+// Evidence returns up to limit entries: half of them are those that changed last, so
+// that changes spread at once, and the others are chosen at random, so that a host
+// that has just started receives all of them in time.
 func (q *Quarantiner) Evidence(limit int) []Evidence {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.config.Clock.Now()
-	var all []Evidence
+	fingerprints := make([]uint64, 0, len(q.suspects))
 	for f, s := range q.suspects {
-		if remaining := s.expiry.Sub(now); remaining > 0 {
-			all = append(all, Evidence{Fingerprint: f, Servers: slices.Clone(s.servers), Generation: s.generation, Remaining: remaining})
+		if now.Before(s.expiry) {
+			fingerprints = append(fingerprints, f)
 		}
 	}
-	slices.SortFunc(all, func(a, b Evidence) int { return len(b.Servers) - len(a.Servers) })
-	return all[:min(limit, len(all))]
+	slices.SortFunc(fingerprints, func(a, b uint64) int { return q.suspects[b].changedAt.Compare(q.suspects[a].changedAt) })
+	older := fingerprints[min(limit/2, len(fingerprints)):]
+	rand.Shuffle(len(older), func(i, j int) { older[i], older[j] = older[j], older[i] })
+	var evidence []Evidence
+	for _, f := range fingerprints[:min(limit, len(fingerprints))] {
+		s := q.suspects[f]
+		evidence = append(evidence, Evidence{
+			Fingerprint: f, Servers: slices.Clone(s.servers), Generation: s.generation, Remaining: s.expiry.Sub(now),
+		})
+	}
+	return evidence
 }
 
 // Sweep removes expired evidence.
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -119,6 +119,36 @@
 	})
 }
 
+// Guards against new evidence that older evidence displaces from the messages: a host
+// learned of a crashing request only after it had crashed further servers.
+func TestRecentEvidenceIsSentFirst(t *testing.T) {
+	const known, recent, limit = 100, 4, 8
+	clock := fake.NewClock()
+	q := NewQuarantiner(Config{Clock: clock})
+	for f := range uint64(known) {
+		q.RecordCrash(f, "server-a")
+		q.RecordCrash(f, "server-b")
+		clock.Advance(10 * time.Millisecond)
+	}
+	for f := range uint64(recent) {
+		q.RecordCrash(known+f, "server-a")
+		clock.Advance(10 * time.Millisecond)
+	}
+	sent := make(map[uint64]int)
+	const messages = 500
+	for range messages {
+		evidence := q.Evidence(limit)
+		require.Len(t, evidence, limit)
+		for _, e := range evidence {
+			sent[e.Fingerprint]++
+		}
+	}
+	for f := range uint64(recent) {
+		require.Equal(t, messages, sent[known+f], "recent evidence is in each message")
+	}
+	require.Len(t, sent, known+recent, "older evidence is sent, too")
+}
+
 func TestRequestThatCrashesServersIsRefusedAtTheLimit(t *testing.T) {
 	q := NewQuarantiner(Config{Clock: fake.NewClock()})
 	crashed := 0
