--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -146,7 +146,7 @@
 	targetTime  time.Time
 	span        trace.Span
 	// fingerprint is a hash of the caller and the request, used for quarantine.
-	fingerprint uint64
+	fingerprint quarantiner.Fingerprint
 
 	// bodyTaken is set once an attempt may have read a part of a body that is not in
 	// memory. The request can't be sent to another server afterwards.
@@ -195,8 +195,8 @@
 		incoming.refuse(err)
 		return
 	}
-	responded := incoming.run(ctx)
-	c.config.Quarantiner.Release(incoming.fingerprint, responded)
+	succeeded := incoming.run(ctx)
+	c.config.Quarantiner.Release(incoming.fingerprint, succeeded)
 }
 
 func (c *call) extractTrace(ctx context.Context) context.Context {
@@ -288,7 +288,7 @@
 	return h
 }
 
-func (c *call) computeFingerprint() uint64 {
+func (c *call) computeFingerprint() quarantiner.Fingerprint {
 	caller, _, err := net.SplitHostPort(c.request.Remote())
 	if err != nil {
 		caller = c.request.Remote()
--- a/carrier/crash_test.go
+++ b/carrier/crash_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -45,12 +47,15 @@
 		name    string
 		path    func(copy int) string
 		between func(h *harness, copy int)
+		limit   int
 	}{
-		{"the same target", func(int) string { return "/x/crash" }, nil},
-		{"another query", func(i int) string { return fmt.Sprintf("/x/crash?page=%d&sort=new", i) }, nil},
-		{"a query or none", func(i int) string { return "/x/crash" + strings.Repeat("?", i%2) + strings.Repeat("a=1", i%2) }, nil},
-		{"another encoding of the path", func(i int) string { return []string{"/x/crash", "/x/cr%61sh", "/x/%63rash"}[i%3] }, nil},
-		{"another route", func(int) string { return "/x/crash" }, (*harness).renameRoute},
+		{"the same target", func(int) string { return "/x/crash" }, nil, quarantiner.CrashLimit},
+		{"another query", func(i int) string { return fmt.Sprintf("/x/crash?page=%d&sort=new", i) }, nil, quarantiner.CrashLimit},
+		{"a query or none", func(i int) string { return "/x/crash" + strings.Repeat("?", i%2) + strings.Repeat("a=1", i%2) }, nil, quarantiner.CrashLimit},
+		{"another encoding of the path", func(i int) string { return []string{"/x/crash", "/x/cr%61sh", "/x/%63rash"}[i%3] }, nil, quarantiner.CrashLimit},
+		{"another route", func(int) string { return "/x/crash" }, (*harness).renameRoute, quarantiner.CrashLimit},
+		{"another caller", func(int) string { return "/x/crash" }, (*harness).changeCaller, quarantiner.SharedCrashLimit},
+		{"another caller and query", func(i int) string { return fmt.Sprint("/x/crash?page=", i) }, (*harness).changeCaller, quarantiner.SharedCrashLimit},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -64,7 +69,7 @@
 					}
 					time.Sleep(3 * time.Second)
 				}
-				require.Len(t, h.requests(), quarantiner.CrashLimit)
+				require.Len(t, h.requests(), tc.limit)
 				response, _ := h.call("GET", "/x/other?page=1", "")
 				require.Equal(t, http.StatusOK, response.StatusCode)
 			})
@@ -112,9 +117,12 @@
 		time.Sleep(100 * time.Millisecond)
 		synctest.Wait()
 		require.Equal(t, 1, h.balancer.Service("svc").Waiting())
-		h.carrier.config.Quarantiner.Merge(quarantiner.Evidence{
-			Fingerprint: fingerprint, Servers: []verbenastand.ServerID{"a", "b"},
-		})
+		other := quarantiner.NewQuarantiner(quarantiner.Config{Clock: wallClock{}})
+		other.RecordCrash(fingerprint, "a")
+		other.RecordCrash(fingerprint, "b")
+		for _, e := range other.Evidence(quarantiner.MaxSuspects) {
+			h.carrier.config.Quarantiner.Merge(e)
+		}
 		busy.Store(false)
 		<-done
 		require.Equal(t, http.StatusServiceUnavailable, waited.StatusCode)
@@ -152,3 +160,108 @@
 		})
 	}
 }
+
+// Guards against a path that is refused to all callers because several servers ended
+// at once while they ran requests for it: it did not end them, and responses of the
+// other servers show that.
+func TestAPopularPathIsServedAfterCrashes(t *testing.T) {
+	for _, crashes := range []int{2, 4} {
+		var servers []*backend
+		for range 12 {
+			servers = append(servers, &backend{})
+		}
+		var assign *harness
+		for _, s := range servers {
+			s.serve = func(conn net.Conn, r *http.Request) {
+				time.Sleep(delay)
+				assign.mu.Lock()
+				down := s.down
+				assign.mu.Unlock()
+				if down {
+					_ = conn.Close()
+					return
+				}
+				_, _ = io.WriteString(conn, okResponse(r, "body"))
+			}
+		}
+		withHarness(t, nil, servers, func(h *harness) {
+			assign = h
+			const interval = 3 * time.Millisecond
+			type result struct {
+				after  time.Duration
+				reason string
+			}
+			var mu sync.Mutex
+			var results []result
+			var wait sync.WaitGroup
+			start := time.Now()
+			var crashed time.Duration
+			for i := range 1000 {
+				if i == 300 {
+					crashed = time.Since(start)
+					h.mu.Lock()
+					for _, s := range servers[:crashes] {
+						s.down = true
+					}
+					h.mu.Unlock()
+				}
+				h.changeCaller(i)
+				conn := h.connect()
+				wait.Go(func() {
+					response, _ := h.callOn(conn, "GET", fmt.Sprint("/x/list?page=", i), "")
+					r := result{after: time.Since(start), reason: "closed"}
+					if response != nil {
+						r.reason = response.Header.Get(verbenastand.HeaderReason)
+					}
+					mu.Lock()
+					defer mu.Unlock()
+					results = append(results, r)
+				})
+				time.Sleep(interval)
+			}
+			wait.Wait()
+			for _, r := range results {
+				if r.after > crashed+2*delay {
+					require.NotEqual(t, "quarantined", r.reason, "%d servers ended at %s, refused at %s", crashes, crashed, r.after)
+				}
+			}
+		})
+	}
+}
+
+// Guards against evidence that a failure of a server clears: it does not show that
+// the request does no harm.
+func TestOnlyASuccessClearsEvidence(t *testing.T) {
+	cases := []struct {
+		name      string
+		serve     func(net.Conn, *http.Request)
+		suspected bool
+	}{
+		{"a success", reply(delay), false},
+		{"a failure", replyRaw("HTTP/1.1 504 Gateway Timeout\r\nX-Id: ID\r\nContent-Length: 0\r\n\r\n"), true},
+		{"a body that breaks off", func(conn net.Conn, r *http.Request) {
+			body := strings.Repeat("x", 2*maxBufferedBody)
+			_, _ = io.WriteString(conn, okResponse(r, body)[:len(body)-1])
+			_ = conn.Close()
+		}, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			withHarness(t, func(c *verbenastand.RouteConfig) { c.MaxAttempts = 1 }, []*backend{{serve: tc.serve}}, func(h *harness) {
+				conn := h.connect()
+				_, _ = io.WriteString(conn, "GET /x/1 HTTP/1.1\r\nHost: a.example\r\nX-Id: id1\r\n\r\n")
+				_, _ = io.Copy(io.Discard, io.LimitReader(conn, 1))
+				time.Sleep(10 * time.Millisecond)
+				go func() { _, _ = io.Copy(io.Discard, conn) }()
+				time.Sleep(5 * time.Second)
+				f := h.lastFingerprint()
+				h.carrier.config.Quarantiner.RecordCrash(f, "gone")
+				conn = h.connect()
+				go func() { _, _ = io.Copy(io.Discard, conn) }()
+				_, _ = io.WriteString(conn, "GET /x/1 HTTP/1.1\r\nHost: a.example\r\nX-Id: id1\r\n\r\n")
+				time.Sleep(5 * time.Second)
+				require.Equal(t, tc.suspected, h.carrier.config.Quarantiner.Suspected(f))
+			})
+		})
+	}
+}
--- a/carrier/event.go
+++ b/carrier/event.go
@@ -5,6 +5,7 @@
 
 	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/balancer"
+	"github.com/verbenastand/verbenastand/quarantiner"
 )
 
 // Event describes a step of a request for logs and metrics.
@@ -13,7 +14,7 @@
 	ID string
 	// Fingerprint identifies equal requests of a caller in crash evidence. Caller,
 	// Method and URI are what it is made from, besides the body.
-	Fingerprint         uint64
+	Fingerprint         quarantiner.Fingerprint
 	Caller, Method, URI string
 	Route               verbenastand.RouteName
 	Version             verbenastand.TableVersion
--- a/carrier/harness_test.go
+++ b/carrier/harness_test.go
@@ -81,7 +81,9 @@
 	balancer    *balancer.Balancer
 	events      []Event
 	hostCount   int
-	table       *verbenastand.RouteTable
+	// callerAddress is the network address of the connections that connect opens.
+	callerAddress net.Addr
+	table         *verbenastand.RouteTable
 }
 
 // addRoute adds a second route to the same service.
@@ -120,7 +122,7 @@
 }
 
 // lastFingerprint returns the fingerprint of the request of the last event.
-func (h *harness) lastFingerprint() uint64 {
+func (h *harness) lastFingerprint() quarantiner.Fingerprint {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.events[len(h.events)-1].Fingerprint
@@ -152,7 +154,7 @@
 const target = 250 * time.Millisecond
 
 func newHarness(t *testing.T, change func(*verbenastand.RouteConfig), servers ...*backend) *harness {
-	h := &harness{t: t, servers: make(map[string]*backend), hostCount: 1}
+	h := &harness{t: t, servers: make(map[string]*backend), hostCount: 1, callerAddress: &net.TCPAddr{IP: net.IPv4(10, 0, 0, 1), Port: 40000}}
 	var registrations []verbenastand.Registration
 	for i, s := range servers {
 		s.name = fmt.Sprintf("s%d", i)
@@ -257,11 +259,24 @@
 func (l listener) Close() error   { return nil }
 func (l listener) Addr() net.Addr { return &net.TCPAddr{} }
 
+// callerConn is a connection from a caller with the given address.
+type callerConn struct {
+	net.Conn
+	address net.Addr
+}
+
+func (c callerConn) RemoteAddr() net.Addr { return c.address }
+
+// changeCaller gives later connections another network address.
+func (h *harness) changeCaller(number int) {
+	h.callerAddress = &net.TCPAddr{IP: net.IPv4(10, 1, byte(number>>8), byte(number)), Port: 40000}
+}
+
 // connect opens a connection as a caller.
 func (h *harness) connect() net.Conn {
 	near, far := net.Pipe()
 	l := listener{make(chan net.Conn, 1)}
-	l.conns <- far
+	l.conns <- callerConn{far, h.callerAddress}
 	close(l.conns)
 	_ = h.acceptor.Serve(l)
 	h.t.Cleanup(func() { _ = near.Close() })
@@ -270,7 +285,11 @@
 
 // call sends one request and returns its response, nil if the connection is closed.
 func (h *harness) call(method, path, body string, fields ...string) (*http.Response, string) {
-	conn := h.connect()
+	return h.callOn(h.connect(), method, path, body, fields...)
+}
+
+// callOn is call on an open connection.
+func (h *harness) callOn(conn net.Conn, method, path, body string, fields ...string) (*http.Response, string) {
 	text := method + " " + path + " HTTP/1.1\r\nHost: a.example\r\nX-Id: id1\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n"
 	for _, f := range fields {
 		text += f + "\r\n"
--- a/carrier/respond.go
+++ b/carrier/respond.go
@@ -21,8 +21,9 @@
 	return false
 }
 
-// deliver forwards a server's response to the caller.
-func (c *call) deliver(o *outcome) {
+// deliver forwards a server's response to the caller, and reports whether the whole
+// response was delivered and is no failure.
+func (c *call) deliver(o *outcome) bool {
 	h := endToEnd(o.response.Header)
 	h.Del(c.carrier.config.Names.Load)
 	var err error
@@ -37,6 +38,7 @@
 		e.Server = o.server.Registration().Server()
 		e.Err = err
 	})
+	return err == nil && o.response.Status < http.StatusInternalServerError
 }
 
 // refuse responds to a request without a server's response. Only a request that has
--- a/carrier/run.go
+++ b/carrier/run.go
@@ -61,7 +61,7 @@
 }
 
 // run sends the request to servers until one responds, and reports whether a
-// server's response was delivered.
+// server's response that is no failure was delivered.
 func (c *call) run(ctx context.Context) bool {
 	r := &runner{call: c, ctx: ctx, results: make(chan *outcome, 1+c.route.MaxAttempts()+maxUnreachable)}
 	limit := time.NewTimer(c.deadline.Add(responseGrace).Sub(c.carrier.config.Clock.Now()))
@@ -86,8 +86,8 @@
 	for {
 		select {
 		case o := <-r.results:
-			if done, responded := r.handleOutcome(o); done {
-				return responded
+			if done, succeeded := r.handleOutcome(o); done {
+				return succeeded
 			}
 		case <-r.hedgeTimer.C:
 			r.hedge()
@@ -172,13 +172,12 @@
 
 // handleOutcome delivers the response of an attempt that ended, or else retries the
 // request or waits for its other attempt. done reports whether the request has ended,
-// responded whether a server's response was delivered.
-func (r *runner) handleOutcome(o *outcome) (done, responded bool) {
+// succeeded whether a response that is no failure was delivered.
+func (r *runner) handleOutcome(o *outcome) (done, succeeded bool) {
 	r.running--
 	r.handled = append(r.handled, o)
 	if o.acceptable() {
-		r.deliver(o)
-		return true, true
+		return true, r.deliver(o)
 	}
 	r.recordOutcome(o)
 	if r.ctx.Err() != nil {
@@ -191,7 +190,8 @@
 	if r.running > 0 {
 		return false, false
 	}
-	return true, r.finishFailed()
+	r.finishFailed()
+	return true, false
 }
 
 func (r *runner) recordOutcome(o *outcome) {
@@ -297,26 +297,24 @@
 	return choice, true
 }
 
-// finishFailed responds to a request for which no attempt succeeded, and reports
-// whether a server's response was delivered.
-func (r *runner) finishFailed() bool {
+// finishFailed responds to a request for which no attempt succeeded.
+func (r *runner) finishFailed() {
 	if r.fallback != nil && !impliesNotRun(r.fallback.response.Status) {
 		r.deliver(r.fallback)
-		return true
+		return
 	}
 	if r.mayHaveRun {
 		r.refuse(verbenastand.NewRequestError(verbenastand.MayHaveRun, verbenastand.ReasonServerFailed, r.lastErr))
-		return false
+		return
 	}
 	if err := r.carrier.config.Quarantiner.Check(r.fingerprint); err != nil {
 		r.refuse(err)
-		return false
+		return
 	}
 	// The servers refused the request; it was not this host that refused it for lack
 	// of capacity. A retry may be served at once.
 	refusal := verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonRefused, r.lastErr)
 	r.refuse(refusal.WithRetryAfter(refusedRetryAfter))
-	return false
 }
 
 // timeOut responds to a request whose time limit has passed.
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -408,20 +408,66 @@
 	requireVerdict(t, w, http.StatusServiceUnavailable, verbenastand.NotRun, "quarantined")
 	require.EqualValues(t, quarantiner.CrashLimit, p.sent.Load(), "the same caller through another host")
 
-	p.server = func(verbenastand.Server, *http.Request) (*http.Response, error) { return okResponse("ok"), nil }
-	other := newRequest(http.MethodGet, "/crash", "", "")
-	other.RemoteAddr = "203.0.113.9:40000"
-	require.Equal(t, http.StatusOK, p.do(other).Code, "another caller is served")
+	for i := range 4 {
+		other := newRequest(http.MethodGet, "/crash", "", "")
+		other.RemoteAddr = fmt.Sprintf("203.0.113.%d:40000", i)
+		p.do(other)
+	}
+	require.EqualValues(t, quarantiner.SharedCrashLimit, p.sent.Load(), "other callers")
+}
+
+// Guards against evidence that is cleared although the response is a failure, or breaks
+// off because the server crashed after it had begun.
+func TestOnlyASuccessClearsEvidence(t *testing.T) {
+	cases := []struct {
+		name     string
+		response func() *http.Response
+		refused  bool
+	}{
+		{"a success", func() *http.Response { return okResponse("ok") }, false},
+		{"a failure", func() *http.Response { return newResponse(http.StatusNotImplemented, nil, strings.NewReader(""), 0) }, true},
+		{"a body that breaks off", func() *http.Response {
+			return newResponse(http.StatusOK, nil, io.MultiReader(strings.NewReader("begun"), brokenReader{}), 1<<20)
+		}, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			p := newProxy(8, false)
+			lost := func(verbenastand.Server, *http.Request) (*http.Response, error) { return nil, connectionLost() }
+			request := func() *http.Request { return newRequest(http.MethodPost, "/crash", "", "") }
+			p.server = lost
+			p.do(request())
+			require.EqualValues(t, 1, p.sent.Load())
+			p.server = func(verbenastand.Server, *http.Request) (*http.Response, error) { return tc.response(), nil }
+			func() {
+				defer func() { _ = recover() }()
+				p.do(request())
+			}()
+			p.server = lost
+			p.do(request())
+			p.server = func(verbenastand.Server, *http.Request) (*http.Response, error) { return okResponse("ok"), nil }
+			want := http.StatusOK
+			if tc.refused {
+				want = http.StatusServiceUnavailable
+			}
+			require.Equal(t, want, p.do(request()).Code)
+		})
+	}
 }
 
+// brokenReader fails like the body of a response whose connection is lost.
+type brokenReader struct{}
+
+func (brokenReader) Read([]byte) (int, error) { return 0, connectionLost() }
+
 // Guards against a crashing request that waits for a slot while another host sends
 // evidence, and is sent to the next server that has one (issue 23, BUDGET).
 func TestAWaitingRequestIsRefusedWhenEvidenceArrives(t *testing.T) {
 	other := newProxy(3, false)
 	other.server = func(verbenastand.Server, *http.Request) (*http.Response, error) { return nil, connectionLost() }
 	other.do(newRequest(http.MethodGet, "/crash", "", ""))
-	evidence := other.quarantiner.Evidence(1)
-	require.Len(t, evidence, 1)
+	evidence := other.quarantiner.Evidence(quarantiner.MaxSuspects)
+	require.NotEmpty(t, evidence)
 
 	p := newProxy(1, false)
 	release := make(chan struct{})
@@ -449,7 +495,9 @@
 	var w *httptest.ResponseRecorder
 	wait.Go(func() { w = p.do(newRequest(http.MethodGet, "/crash", "", "")) })
 	require.Eventually(t, queued(waiting+1), 5*time.Second, time.Millisecond)
-	p.quarantiner.Merge(evidence[0])
+	for _, e := range evidence {
+		p.quarantiner.Merge(e)
+	}
 	close(release)
 	wait.Wait()
 	requireVerdict(t, w, http.StatusServiceUnavailable, verbenastand.NotRun, "quarantined")
--- a/dispatcher/execute.go
+++ b/dispatcher/execute.go
@@ -69,8 +69,8 @@
 	if err := d.config.Quarantiner.Acquire(ctx, req.crashFingerprint); err != nil {
 		return nil, scheduler.Grant{}, err
 	}
-	responded := false
-	defer func() { d.config.Quarantiner.Release(req.crashFingerprint, responded) }()
+	succeeded := false
+	defer func() { d.config.Quarantiner.Release(req.crashFingerprint, succeeded) }()
 	grant, err := d.acquire(ctx, req, tried)
 	if err != nil {
 		return nil, grant, err
@@ -81,7 +81,7 @@
 	}
 	d.config.Meter.AttemptSent(req.service, attempt > 1)
 	resp, err := d.roundTripHedged(ctx, req, grant, attempt)
-	responded = err == nil
+	succeeded = err == nil && resp.complete && resp.response.StatusCode < http.StatusInternalServerError
 	return resp, grant, err
 }
 
--- a/dispatcher/request.go
+++ b/dispatcher/request.go
@@ -47,7 +47,7 @@
 	// keyFingerprint detects an idempotency key that is reused for another request.
 	keyFingerprint uint64
 	// crashFingerprint identifies equal requests of a caller in crash evidence.
-	crashFingerprint uint64
+	crashFingerprint quarantiner.Fingerprint
 
 	components *registrar.ServiceComponents
 	class      classifier.Class
@@ -204,7 +204,7 @@
 	return h.Sum64()
 }
 
-func (req *proxiedRequest) computeCrashFingerprint() uint64 {
+func (req *proxiedRequest) computeCrashFingerprint() quarantiner.Fingerprint {
 	return quarantiner.NewFingerprint(quarantiner.FingerprintConfig{
 		Caller: req.caller(), Service: string(req.service),
 		Method: req.request.Method, Path: req.request.URL.Path, Body: req.body,
--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -183,9 +183,7 @@
 	}
 	for _, e := range m.Evidence {
 		if g.config.Quarantine.Merge(e) {
-			g.mu.Lock()
-			g.urgentRounds = urgentRounds
-			g.mu.Unlock()
+			g.SpreadEvidence()
 		}
 	}
 	g.compareTickets(m.Hosts[0])
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -33,7 +33,7 @@
 	hostRecordBytes = 100
 	heartbeatBytes  = 9
 	noticeBytes     = 50
-	evidenceBytes   = 40
+	evidenceBytes   = 90
 	tagBytes        = 5
 	// recordsPerMessage bounds the full records of other hosts in a message.
 	recordsPerMessage = 4
@@ -179,6 +179,14 @@
 	}
 }
 
+// SpreadEvidence lets the next calls of PassOn send the evidence of crashes that has
+// changed on this host.
+func (g *Gossiper) SpreadEvidence() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.urgentRounds = urgentRounds
+}
+
 // takeUrgentTargets returns the neighbours to which urgent changes are to be sent,
 // none if there are no changes.
 func (g *Gossiper) takeUrgentTargets() []verbenastand.Host {
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -238,7 +238,7 @@
 			for _, n := range nodes[:tc.leaving] {
 				n.Leave(t.Context())
 			}
-			nodes[0].config.Quarantine.RecordCrash(9, "x")
+			nodes[0].config.Quarantine.RecordCrash(request("/9"), "x")
 			nodes[0].PushNeighbours(t.Context())
 			most := 0
 			// Heartbeats are sent twice, and urgent changes passed on nine times, within
@@ -308,20 +308,24 @@
 	}
 }
 
+func request(path string) quarantiner.Fingerprint {
+	return quarantiner.NewFingerprint(quarantiner.FingerprintConfig{Caller: "caller", Path: path})
+}
+
 func TestUrgentUpdatesReachEveryHostWithinSeconds(t *testing.T) {
 	net, nodes := newNetwork(60)
 	for range rounds(10 * time.Second) {
 		net.round(nodes)
 	}
 	nodes[0].notices["s"] = Notice{Service: "a", DrainNotice: scheduler.DrainNotice{Server: "s", Ticket: 3}}
-	nodes[0].config.Quarantine.RecordCrash(9, "x")
+	nodes[0].config.Quarantine.RecordCrash(request("/9"), "x")
 	nodes[0].merger.Merge(merger.Ticket{Number: 4, Services: []merger.ServiceObject{{Name: "a"}}})
 	for range rounds(5 * time.Second) {
 		net.round(nodes)
 	}
 	for _, n := range nodes[1:] {
 		require.Contains(t, n.notices, verbenastand.ServerID("s"))
-		require.Len(t, n.config.Quarantine.Evidence(10), 1)
+		require.Len(t, n.config.Quarantine.Evidence(10), 2, "of the caller, and of all callers")
 	}
 	newerTickets := 0
 	for _, n := range nodes[1:] {
@@ -338,7 +342,7 @@
 	for i := range 100 {
 		id := verbenastand.ServerID(fmt.Sprint("server-with-a-long-name-", i))
 		nodes[0].notices[id] = Notice{Service: "service", DrainNotice: scheduler.DrainNotice{Server: id, Ticket: 3}}
-		nodes[0].config.Quarantine.RecordCrash(uint64(i), id)
+		nodes[0].config.Quarantine.RecordCrash(request(fmt.Sprint("/", i)), id)
 	}
 	data, err := nodes[0].encode()
 	require.NoError(t, err)
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -134,7 +134,7 @@
 		}),
 	}
 	g.recorder = recorder.NewRecorder(recorder.Config{Log: c.Log, Meter: g.meter, Share: s.LogShare})
-	g.quarantiner = quarantiner.NewQuarantiner(quarantiner.Config{Clock: g.timer, OnChange: g.recorder.EvidenceChanged})
+	g.quarantiner = quarantiner.NewQuarantiner(quarantiner.Config{Clock: g.timer, OnChange: g.onEvidenceChange})
 	g.buildGossip(certificates)
 	g.requestTracer, g.stopTracer, err = tracer.NewTracer(ctx, tracer.Config{Endpoint: s.TraceEndpoint, SampleRatio: s.TraceShare, Instance: instance})
 	if err != nil {
@@ -251,6 +251,15 @@
 	g.balancer.Update(v)
 }
 
+// onEvidenceChange tells other hosts of cleared evidence, so that they stop refusing a
+// request that did not crash its servers.
+func (g *Gateway) onEvidenceChange(c quarantiner.Change) {
+	g.recorder.EvidenceChanged(c)
+	if c.Kind == quarantiner.Cleared {
+		g.gossiper.SpreadEvidence()
+	}
+}
+
 // onCrashSuspected sends new evidence about a request that crashes servers to the
 // neighbours, which pass it on.
 func (g *Gateway) onCrashSuspected(s quarantiner.Suspect) {
--- a/quarantiner/change.go
+++ b/quarantiner/change.go
@@ -20,8 +20,10 @@
 
 // Change describes a change of the evidence about a request.
 type Change struct {
-	Kind        ChangeKind
-	Fingerprint uint64
+	Kind ChangeKind
+	// Scope and Fingerprint tell which copies of the request are meant.
+	Scope       Scope
+	Fingerprint string
 	// Crashes is the number of crashed servers known after the change, or before
 	// the evidence was dropped.
 	Crashes int
@@ -31,15 +33,18 @@
 type Suspect struct {
 	// RequestID is the ID that the caller sent, if any.
 	RequestID   string
-	Fingerprint uint64
+	Fingerprint Fingerprint
 	Server      verbenastand.ServerID
 	// Caller is the caller's network address. Method and Target are those of the
 	// request line.
 	Caller, Method, Target string
 }
 
-func (q *Quarantiner) notify(c *Change) {
-	if c != nil && q.config.OnChange != nil {
-		q.config.OnChange(*c)
+func (q *Quarantiner) notify(changes ...Change) {
+	if q.config.OnChange == nil {
+		return
+	}
+	for _, c := range changes {
+		q.config.OnChange(c)
 	}
 }
--- a/quarantiner/fingerprint.go
+++ b/quarantiner/fingerprint.go
@@ -6,12 +6,11 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// FingerprintConfig holds what identifies a request that crashes servers when its
-// caller sends it again. The query is left out, since it may change from copy to copy,
-// and so is what the operator may change meanwhile, such as the name of a route.
+// FingerprintConfig holds what identifies a request that crashes servers when it is
+// sent again. The query is left out, since it may change from copy to copy, and so is
+// what the operator may change meanwhile, such as the name of a route.
 type FingerprintConfig struct {
-	// Caller is the caller's network address without the port. Other callers are not
-	// affected by evidence about this one's requests.
+	// Caller is the caller's network address without the port.
 	Caller string
 	// Service is the host name or the service to which the request is addressed.
 	Service string
@@ -21,22 +20,35 @@
 	Body []byte
 }
 
-// NewFingerprint returns a hash of the parts.
-func NewFingerprint(c FingerprintConfig) uint64 {
+// Fingerprint identifies the copies of a request, those of one caller and those of all
+// callers. A caller may change its network address, and may be many users behind one.
+type Fingerprint struct{ perCaller, allCallers uint64 }
+
+// NewFingerprint returns the fingerprint of a request.
+func NewFingerprint(c FingerprintConfig) Fingerprint {
 	h := xxhash.New()
-	for _, text := range []string{c.Caller, c.Service, c.Method, c.Path} {
+	for _, text := range []string{c.Service, c.Method, c.Path} {
 		_, _ = h.WriteString(text)
 		_, _ = h.Write([]byte{0})
 	}
 	_, _ = h.Write(c.Body)
-	return h.Sum64()
+	f := Fingerprint{allCallers: h.Sum64()}
+	_, _ = h.Write([]byte{0})
+	_, _ = h.WriteString(c.Caller)
+	f.perCaller = h.Sum64()
+	return f
 }
 
-// FormatFingerprint returns the form in which log lines contain a fingerprint, empty
-// for a request without one.
-func FormatFingerprint(fingerprint uint64) string {
-	if fingerprint == 0 {
+// IsZero reports whether there is no request.
+func (f Fingerprint) IsZero() bool { return f == Fingerprint{} }
+
+// String returns the form in which log lines contain the fingerprint: that of all
+// callers, a dash, that of the caller.
+func (f Fingerprint) String() string {
+	if f.IsZero() {
 		return ""
 	}
-	return fmt.Sprintf("%016x", fingerprint)
+	return formatHash(f.allCallers) + "-" + formatHash(f.perCaller)
 }
+
+func formatHash(hash uint64) string { return fmt.Sprintf("%016x", hash) }
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -17,9 +17,6 @@
 )
 
 const (
-	// CrashLimit is the number of crashed servers at which a fingerprint is
-	// refused.
-	CrashLimit = 2
 	// DefaultLifetime is how long evidence is kept.
 	DefaultLifetime = 2 * time.Minute
 	// MaxSuspects is the maximum number of suspected fingerprints.
@@ -28,8 +25,9 @@
 
 // Evidence lists the servers that crashed while they ran a request.
 type Evidence struct {
-	// Fingerprint identifies the request.
+	// Fingerprint is the part of the request's fingerprint for the scope.
 	Fingerprint uint64 `cbor:"f"`
+	Scope       Scope  `cbor:"c,omitempty"`
 	// Servers are the IDs of the crashed servers.
 	Servers []verbenastand.ServerID `cbor:"s"`
 	// Generation counts the responses that have cleared earlier evidence.
@@ -40,6 +38,7 @@
 }
 
 type suspect struct {
+	scope Scope
 	// servers is empty after evidence has been cleared.
 	servers    []verbenastand.ServerID
 	generation uint32
@@ -57,6 +56,9 @@
 	OnChange func(Change)
 }
 
+// key identifies evidence. The parts of a Fingerprint are hashes of different texts.
+type key = uint64
+
 // Quarantiner holds the fingerprints of suspected requests.
 type Quarantiner struct {
 	config Config
@@ -64,7 +66,7 @@
 	suspectCount atomic.Int64
 
 	mu       sync.Mutex
-	suspects map[uint64]*suspect
+	suspects map[key]*suspect
 }
 
 // NewQuarantiner returns a quarantiner without suspects.
@@ -72,15 +74,15 @@
 	if c.Lifetime == 0 {
 		c.Lifetime = DefaultLifetime
 	}
-	return &Quarantiner{config: c, suspects: make(map[uint64]*suspect)}
+	return &Quarantiner{config: c, suspects: make(map[key]*suspect)}
 }
 
 // Acquire returns nil if a request may be sent to a server; the caller must then
-// call Release. A host runs attempts of a suspected request one at a time and refuses
-// the request after CrashLimit crashes. The error has the verdict NotRun.
-func (q *Quarantiner) Acquire(ctx context.Context, fingerprint uint64) error {
+// call Release. A host runs attempts of a caller's suspected request one at a time and
+// refuses the request at the limit of crashes. The error has the verdict NotRun.
+func (q *Quarantiner) Acquire(ctx context.Context, f Fingerprint) error {
 	for {
-		attemptDone, err := q.tryAcquire(fingerprint)
+		attemptDone, err := q.tryAcquire(f)
 		if attemptDone == nil {
 			return err
 		}
@@ -94,24 +96,19 @@
 
 // tryAcquire is Acquire without waiting. It returns a channel to wait on if an
 // attempt of the suspected request is in progress.
-func (q *Quarantiner) tryAcquire(fingerprint uint64) (<-chan struct{}, error) {
+func (q *Quarantiner) tryAcquire(f Fingerprint) (<-chan struct{}, error) {
 	if q.suspectCount.Load() == 0 {
 		return nil, nil
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	s := q.suspects[fingerprint]
-	if s == nil {
-		return nil, nil
+	if err := q.refusalLocked(f); err != nil {
+		return nil, err
 	}
-	now := q.config.Clock.Now()
-	if now.After(s.expiry) {
-		q.removeLocked(fingerprint)
+	s := q.findLocked(f.perCaller)
+	if s == nil || len(s.servers) == 0 {
 		return nil, nil
 	}
-	if err := s.refusal(now); err != nil || len(s.servers) == 0 {
-		return nil, err
-	}
 	if s.attemptDone != nil {
 		return s.attemptDone, nil
 	}
@@ -119,82 +116,115 @@
 	return nil, nil
 }
 
-// refusal returns the error of a request that has reached the limit of crashes.
-func (s *suspect) refusal(now time.Time) error {
-	if len(s.servers) < CrashLimit {
-		return nil
+// findLocked returns the evidence that has not expired, nil if there is none.
+func (q *Quarantiner) findLocked(k key) *suspect {
+	s := q.suspects[k]
+	if s == nil || !q.config.Clock.Now().After(s.expiry) {
+		return s
 	}
-	refusal := verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonQuarantined, nil)
-	return refusal.WithRetryAfter(s.expiry.Sub(now))
+	q.removeLocked(k)
+	return nil
+}
+
+// refusalLocked returns the error of a request that has reached a limit of crashes.
+func (q *Quarantiner) refusalLocked(f Fingerprint) error {
+	for _, k := range []key{f.perCaller, f.allCallers} {
+		s := q.findLocked(k)
+		if s == nil || len(s.servers) < s.scope.crashLimit() {
+			continue
+		}
+		refusal := verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonQuarantined, nil)
+		return refusal.WithRetryAfter(s.expiry.Sub(q.config.Clock.Now()))
+	}
+	return nil
 }
 
 // Check returns the error of Acquire if the request has reached the limit of crashes
 // since then, because evidence has arrived while it waited or was tried.
-func (q *Quarantiner) Check(fingerprint uint64) error {
+func (q *Quarantiner) Check(f Fingerprint) error {
 	if q.suspectCount.Load() == 0 {
 		return nil
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	s, now := q.suspects[fingerprint], q.config.Clock.Now()
-	if s == nil || now.After(s.expiry) {
-		return nil
-	}
-	return s.refusal(now)
+	return q.refusalLocked(f)
 }
 
-// Suspected reports whether a server crashed while it ran the request.
-func (q *Quarantiner) Suspected(fingerprint uint64) bool {
+// Suspected reports whether a server crashed while it ran the request of the caller,
+// or of another one.
+func (q *Quarantiner) Suspected(f Fingerprint) bool {
 	if q.suspectCount.Load() == 0 {
 		return false
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	s := q.suspects[fingerprint]
-	return s != nil && len(s.servers) > 0 && !q.config.Clock.Now().After(s.expiry)
+	for _, k := range []key{f.perCaller, f.allCallers} {
+		if s := q.findLocked(k); s != nil && len(s.servers) > 0 {
+			return true
+		}
+	}
+	return false
 }
 
-// Release ends an attempt that Acquire allowed. A request that got a response is no
-// longer suspected: another request crashed the server on which it was in flight.
-func (q *Quarantiner) Release(fingerprint uint64, responded bool) {
+// Release ends an attempt that Acquire allowed. A request that succeeded is no longer
+// suspected: another request crashed the server on which it was in flight.
+func (q *Quarantiner) Release(f Fingerprint, succeeded bool) {
 	if q.suspectCount.Load() == 0 {
 		return
 	}
-	var cleared *Change
-	defer func() { q.notify(cleared) }()
+	var cleared []Change
+	defer func() { q.notify(cleared...) }()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	s := q.suspects[fingerprint]
-	if s == nil {
-		return
-	}
-	if s.attemptDone != nil {
+	if s := q.suspects[f.perCaller]; s != nil && s.attemptDone != nil {
 		close(s.attemptDone)
 		s.attemptDone = nil
 	}
-	if crashes := len(s.servers); responded && crashes > 0 && crashes < CrashLimit {
-		s.servers = nil
-		s.generation++
-		s.changedAt = q.config.Clock.Now()
-		s.expiry = q.config.Clock.Now().Add(q.config.Lifetime)
-		cleared = &Change{Kind: Cleared, Fingerprint: fingerprint, Crashes: crashes}
+	if !succeeded {
+		return
+	}
+	for _, k := range []key{f.perCaller, f.allCallers} {
+		if c, ok := q.clearLocked(k); ok {
+			cleared = append(cleared, c)
+		}
+	}
+}
+
+// clearLocked removes the crashes from evidence. A caller's request that has reached
+// the limit stays refused.
+func (q *Quarantiner) clearLocked(k key) (Change, bool) {
+	s := q.findLocked(k)
+	if s == nil || len(s.servers) == 0 || (s.scope == PerCaller && len(s.servers) >= CrashLimit) {
+		return Change{}, false
 	}
+	c := Change{Kind: Cleared, Scope: s.scope, Fingerprint: formatHash(k), Crashes: len(s.servers)}
+	s.servers = nil
+	s.generation++
+	s.changedAt = q.config.Clock.Now()
+	s.expiry = s.changedAt.Add(q.config.Lifetime)
+	return c, true
 }
 
-func (q *Quarantiner) removeLocked(fingerprint uint64) {
-	if s := q.suspects[fingerprint]; s.attemptDone != nil {
+func (q *Quarantiner) removeLocked(k key) {
+	if s := q.suspects[k]; s.attemptDone != nil {
 		close(s.attemptDone)
 	}
-	delete(q.suspects, fingerprint)
+	delete(q.suspects, k)
 	q.suspectCount.Store(int64(len(q.suspects)))
 }
 
 // RecordCrash records that a server crashed while it ran the request. It reports
 // whether this was not known before.
-func (q *Quarantiner) RecordCrash(fingerprint uint64, server verbenastand.ServerID) bool {
+func (q *Quarantiner) RecordCrash(f Fingerprint, server verbenastand.ServerID) bool {
+	ofCaller := q.record(f.perCaller, PerCaller, server)
+	ofAll := q.record(f.allCallers, AllCallers, server)
+	return ofCaller || ofAll
+}
+
+func (q *Quarantiner) record(k key, scope Scope, server verbenastand.ServerID) bool {
 	q.mu.Lock()
-	e := Evidence{Fingerprint: fingerprint, Servers: []verbenastand.ServerID{server}}
-	if s := q.suspects[fingerprint]; s != nil {
+	e := Evidence{Fingerprint: k, Scope: scope, Servers: []verbenastand.ServerID{server}}
+	if s := q.findLocked(k); s != nil {
 		e.Generation = s.generation
 	}
 	q.mu.Unlock()
@@ -207,7 +237,7 @@
 func (q *Quarantiner) add(e Evidence, kind ChangeKind) bool {
 	crashes, changed := q.insert(e)
 	if changed {
-		q.notify(&Change{Kind: kind, Fingerprint: e.Fingerprint, Crashes: crashes})
+		q.notify(Change{Kind: kind, Scope: e.Scope, Fingerprint: formatHash(e.Fingerprint), Crashes: crashes})
 	}
 	return changed
 }
@@ -221,16 +251,12 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.config.Clock.Now()
-	s := q.suspects[e.Fingerprint]
-	if s != nil && now.After(s.expiry) {
-		q.removeLocked(e.Fingerprint)
-		s = nil
-	}
+	s := q.findLocked(e.Fingerprint)
 	if s == nil {
 		if len(q.suspects) >= MaxSuspects {
 			return 0, false
 		}
-		s = &suspect{generation: e.Generation}
+		s = &suspect{scope: e.Scope, generation: e.Generation}
 		q.suspects[e.Fingerprint] = s
 		q.suspectCount.Store(int64(len(q.suspects)))
 		changed = true
@@ -243,7 +269,7 @@
 		changed = true
 	}
 	for _, id := range e.Servers {
-		if len(s.servers) < CrashLimit && !slices.Contains(s.servers, id) {
+		if len(s.servers) < s.scope.crashLimit() && !slices.Contains(s.servers, id) {
 			s.servers = append(s.servers, id)
 			changed = true
 		}
@@ -264,20 +290,20 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.config.Clock.Now()
-	fingerprints := make([]uint64, 0, len(q.suspects))
+	fingerprints := make([]key, 0, len(q.suspects))
 	for f, s := range q.suspects {
 		if now.Before(s.expiry) {
 			fingerprints = append(fingerprints, f)
 		}
 	}
-	slices.SortFunc(fingerprints, func(a, b uint64) int { return q.suspects[b].changedAt.Compare(q.suspects[a].changedAt) })
+	slices.SortFunc(fingerprints, func(a, b key) int { return q.suspects[b].changedAt.Compare(q.suspects[a].changedAt) })
 	older := fingerprints[min(limit/2, len(fingerprints)):]
 	rand.Shuffle(len(older), func(i, j int) { older[i], older[j] = older[j], older[i] })
 	var evidence []Evidence
 	for _, f := range fingerprints[:min(limit, len(fingerprints))] {
 		s := q.suspects[f]
 		evidence = append(evidence, Evidence{
-			Fingerprint: f, Servers: slices.Clone(s.servers), Generation: s.generation, Remaining: s.expiry.Sub(now),
+			Fingerprint: f, Scope: s.scope, Servers: slices.Clone(s.servers), Generation: s.generation, Remaining: s.expiry.Sub(now),
 		})
 	}
 	return evidence
@@ -300,7 +326,7 @@
 	defer q.mu.Unlock()
 	n := 0
 	for _, s := range q.suspects {
-		if len(s.servers) >= CrashLimit {
+		if len(s.servers) >= s.scope.crashLimit() {
 			n++
 		}
 	}
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -16,6 +16,13 @@
 
 func init() { _ = flag.Set("rapid.seed", "20261204") }
 
+// request returns the fingerprint of a request of one caller.
+func request(number int) Fingerprint { return requestOf("caller", number) }
+
+func requestOf(caller string, number int) Fingerprint {
+	return NewFingerprint(FingerprintConfig{Caller: caller, Path: fmt.Sprint("/", number)})
+}
+
 // Guards against hosts that refuse different requests because evidence of the same
 // crashes reached them in another order or more than once.
 func TestEvidenceMergesInAnyOrder(t *testing.T) {
@@ -24,18 +31,29 @@
 		first, second := NewQuarantiner(Config{Clock: clock}), NewQuarantiner(Config{Clock: clock})
 		crashes := rapid.SliceOfN(rapid.IntRange(0, 15), 0, 12).Draw(t, "crashes")
 		for _, c := range crashes {
-			first.RecordCrash(uint64(c%4), verbenastand.ServerID(fmt.Sprint(c/4)))
+			first.RecordCrash(request(c%4), verbenastand.ServerID(fmt.Sprint(c/4)))
 		}
 		for _, c := range rapid.Permutation(append(crashes, crashes...)).Draw(t, "order") {
-			second.Merge(Evidence{Fingerprint: uint64(c % 4), Servers: []verbenastand.ServerID{verbenastand.ServerID(fmt.Sprint(c / 4))}})
+			server := []verbenastand.ServerID{verbenastand.ServerID(fmt.Sprint(c / 4))}
+			second.Merge(Evidence{Fingerprint: request(c % 4).perCaller, Servers: server})
+			second.Merge(Evidence{Fingerprint: request(c % 4).allCallers, Scope: AllCallers, Servers: server})
 		}
 		require.Equal(t, first.Quarantined(), second.Quarantined())
-		for f := range uint64(4) {
-			require.Equal(t, first.Acquire(context.Background(), f) == nil, second.Acquire(context.Background(), f) == nil)
+		require.ElementsMatch(t, fingerprints(first), fingerprints(second))
+		for f := range 4 {
+			require.Equal(t, first.Acquire(context.Background(), request(f)) == nil, second.Acquire(context.Background(), request(f)) == nil)
 		}
 	})
 }
 
+func fingerprints(q *Quarantiner) []uint64 {
+	var list []uint64
+	for _, e := range q.Evidence(MaxSuspects) {
+		list = append(list, e.Fingerprint)
+	}
+	return list
+}
+
 // exchange sends all evidence of one host to another.
 func exchange(from, to *Quarantiner) {
 	for _, e := range from.Evidence(MaxSuspects) {
@@ -48,11 +66,11 @@
 func TestEvidenceExpiresOnAllHosts(t *testing.T) {
 	clock := fake.NewClock()
 	first, second := NewQuarantiner(Config{Clock: clock}), NewQuarantiner(Config{Clock: clock})
-	first.RecordCrash(1, "server-a")
-	first.RecordCrash(1, "server-b")
+	first.RecordCrash(request(1), "server-a")
+	first.RecordCrash(request(1), "server-b")
 	clock.Advance(time.Second)
 	exchange(first, second)
-	require.Error(t, second.Acquire(context.Background(), 1))
+	require.Error(t, second.Acquire(context.Background(), request(1)))
 	const step = 100 * time.Millisecond
 	for elapsed := time.Second; elapsed < DefaultLifetime+2*time.Second; elapsed += step {
 		exchange(first, second)
@@ -62,8 +80,8 @@
 		exchange(second, first)
 		second.Sweep(clock.Now())
 	}
-	require.NoError(t, first.Check(1))
-	require.NoError(t, second.Check(1))
+	require.NoError(t, first.Check(request(1)))
+	require.NoError(t, second.Check(request(1)))
 }
 
 // Guards against evidence that a response has cleared and that another host sends
@@ -71,19 +89,19 @@
 func TestClearedEvidenceDoesNotReturn(t *testing.T) {
 	clock := fake.NewClock()
 	first, second := NewQuarantiner(Config{Clock: clock}), NewQuarantiner(Config{Clock: clock})
-	first.RecordCrash(1, "server-a")
+	first.RecordCrash(request(1), "server-a")
 	exchange(first, second)
-	require.NoError(t, first.Acquire(context.Background(), 1))
-	first.Release(1, true)
+	require.NoError(t, first.Acquire(context.Background(), request(1)))
+	first.Release(request(1), true)
 	exchange(second, first)
-	require.False(t, first.Suspected(1), "the other host had not learned of the response")
+	require.False(t, first.Suspected(request(1)), "the other host had not learned of the response")
 	exchange(first, second)
-	require.False(t, second.Suspected(1))
-	second.RecordCrash(1, "server-b")
+	require.False(t, second.Suspected(request(1)))
+	second.RecordCrash(request(1), "server-b")
 	exchange(second, first)
-	require.NoError(t, first.Check(1), "one crash since the response")
-	first.RecordCrash(1, "server-c")
-	require.Error(t, first.Check(1))
+	require.NoError(t, first.Check(request(1)), "one crash since the response")
+	first.RecordCrash(request(1), "server-c")
+	require.Error(t, first.Check(request(1)))
 }
 
 // Checks that hosts agree on the evidence once each has received all messages of the
@@ -96,10 +114,10 @@
 			host := rapid.SampledFrom(hosts).Draw(t, "host")
 			switch rapid.IntRange(0, 2).Draw(t, "step") {
 			case 0:
-				host.RecordCrash(1, verbenastand.ServerID(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "server")))
+				host.RecordCrash(request(1), verbenastand.ServerID(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "server")))
 			case 1:
-				if host.Check(1) == nil && host.Acquire(context.Background(), 1) == nil {
-					host.Release(1, rapid.Bool().Draw(t, "responded"))
+				if host.Check(request(1)) == nil && host.Acquire(context.Background(), request(1)) == nil {
+					host.Release(request(1), rapid.Bool().Draw(t, "responded"))
 				}
 			default:
 				exchange(rapid.SampledFrom(hosts).Draw(t, "from"), host)
@@ -113,7 +131,7 @@
 			}
 		}
 		for _, h := range hosts[1:] {
-			require.Equal(t, hosts[0].Suspected(1), h.Suspected(1))
+			require.Equal(t, hosts[0].Suspected(request(1)), h.Suspected(request(1)))
 			require.Equal(t, hosts[0].Quarantined(), h.Quarantined())
 		}
 	})
@@ -122,20 +140,20 @@
 // Guards against new evidence that older evidence displaces from the messages: a host
 // learned of a crashing request only after it had crashed further servers.
 func TestRecentEvidenceIsSentFirst(t *testing.T) {
-	const known, recent, limit = 100, 4, 8
+	const known, recent, limit = 100, 2, 8
 	clock := fake.NewClock()
 	q := NewQuarantiner(Config{Clock: clock})
-	for f := range uint64(known) {
-		q.RecordCrash(f, "server-a")
-		q.RecordCrash(f, "server-b")
+	for f := range known {
+		q.RecordCrash(request(f), "server-a")
+		q.RecordCrash(request(f), "server-b")
 		clock.Advance(10 * time.Millisecond)
 	}
-	for f := range uint64(recent) {
-		q.RecordCrash(known+f, "server-a")
+	for f := range recent {
+		q.RecordCrash(request(known+f), "server-a")
 		clock.Advance(10 * time.Millisecond)
 	}
 	sent := make(map[uint64]int)
-	const messages = 500
+	const messages = 2000
 	for range messages {
 		evidence := q.Evidence(limit)
 		require.Len(t, evidence, limit)
@@ -143,22 +161,22 @@
 			sent[e.Fingerprint]++
 		}
 	}
-	for f := range uint64(recent) {
-		require.Equal(t, messages, sent[known+f], "recent evidence is in each message")
+	for f := range recent {
+		require.Equal(t, messages, sent[request(known+f).perCaller], "recent evidence is in each message")
 	}
-	require.Len(t, sent, known+recent, "older evidence is sent, too")
+	require.Len(t, sent, 2*(known+recent), "older evidence is sent, too")
 }
 
 func TestRequestThatCrashesServersIsRefusedAtTheLimit(t *testing.T) {
 	q := NewQuarantiner(Config{Clock: fake.NewClock()})
 	crashed := 0
 	for i := range 10 {
-		if q.Acquire(context.Background(), 1) != nil {
+		if q.Acquire(context.Background(), request(1)) != nil {
 			continue
 		}
 		crashed++
-		q.RecordCrash(1, verbenastand.ServerID(fmt.Sprint("server-", i)))
-		q.Release(1, false)
+		q.RecordCrash(request(1), verbenastand.ServerID(fmt.Sprint("server-", i)))
+		q.Release(request(1), false)
 	}
 	require.Equal(t, CrashLimit, crashed)
 }
@@ -166,30 +184,30 @@
 func TestRequestWithResponseIsNoLongerSuspected(t *testing.T) {
 	clock := fake.NewClock()
 	q := NewQuarantiner(Config{Clock: clock})
-	q.RecordCrash(1, "server-a")
-	require.NoError(t, q.Acquire(context.Background(), 1))
-	q.Release(1, true)
-	q.RecordCrash(1, "server-b")
-	require.NoError(t, q.Acquire(context.Background(), 1), "one crash since the response")
-	q.Release(1, false)
-	q.RecordCrash(1, "server-c")
-	err := q.Acquire(context.Background(), 1)
+	q.RecordCrash(request(1), "server-a")
+	require.NoError(t, q.Acquire(context.Background(), request(1)))
+	q.Release(request(1), true)
+	q.RecordCrash(request(1), "server-b")
+	require.NoError(t, q.Acquire(context.Background(), request(1)), "one crash since the response")
+	q.Release(request(1), false)
+	q.RecordCrash(request(1), "server-c")
+	err := q.Acquire(context.Background(), request(1))
 	require.Equal(t, verbenastand.NotRun, verbenastand.VerdictOf(err))
 	clock.Advance(DefaultLifetime + time.Second)
-	require.NoError(t, q.Acquire(context.Background(), 1), "evidence expires")
+	require.NoError(t, q.Acquire(context.Background(), request(1)), "evidence expires")
 }
 
 func TestAttemptsOfASuspectRunOneAtATime(t *testing.T) {
 	q := NewQuarantiner(Config{Clock: fake.NewClock()})
-	q.RecordCrash(1, "server-a")
-	require.NoError(t, q.Acquire(context.Background(), 1))
+	q.RecordCrash(request(1), "server-a")
+	require.NoError(t, q.Acquire(context.Background(), request(1)))
 	acquired := make(chan error)
-	go func() { acquired <- q.Acquire(context.Background(), 1) }()
+	go func() { acquired <- q.Acquire(context.Background(), request(1)) }()
 	select {
 	case err := <-acquired:
 		require.FailNow(t, "two attempts of a suspected request ran at once", err)
 	case <-time.After(20 * time.Millisecond):
 	}
-	q.Release(1, true)
+	q.Release(request(1), true)
 	require.NoError(t, <-acquired)
 }
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -99,7 +99,7 @@
 func (r *Recorder) entry(e carrier.Event) *log.Entry {
 	return r.config.Log.WithFields(log.Fields{
 		"id": e.ID, "route": string(e.Route), "version": uint64(e.Version), "service": string(e.Service),
-		"tookMs": milliseconds(e.Took), "fingerprint": quarantiner.FormatFingerprint(e.Fingerprint),
+		"tookMs": milliseconds(e.Took), "fingerprint": e.Fingerprint.String(),
 	})
 }
 
@@ -120,14 +120,14 @@
 // EvidenceChanged logs a change of the evidence about a request.
 func (r *Recorder) EvidenceChanged(c quarantiner.Change) {
 	r.config.Log.WithFields(log.Fields{
-		"change": c.Kind.String(), "fingerprint": quarantiner.FormatFingerprint(c.Fingerprint), "crashes": c.Crashes,
+		"change": c.Kind.String(), "scope": c.Scope.String(), "fingerprint": c.Fingerprint, "crashes": c.Crashes,
 	}).Info(eventEvidence)
 }
 
 // RequestSuspected logs that a server crashed while it ran a request.
 func (r *Recorder) RequestSuspected(s quarantiner.Suspect) {
 	r.config.Log.WithFields(log.Fields{
-		"id": s.RequestID, "fingerprint": quarantiner.FormatFingerprint(s.Fingerprint), "server": string(s.Server),
+		"id": s.RequestID, "fingerprint": s.Fingerprint.String(), "server": string(s.Server),
 		"caller": s.Caller, "method": s.Method, "target": loggedTarget(s.Target),
 	}).Warn(eventSuspected)
 }
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -99,10 +99,10 @@
 		}, []string{eventAttempt}},
 		{"a server that joins", 0, func(r *Recorder) { r.ServerChanged(verbenastand.Registration{}, "joined") }, []string{eventServerState}},
 		{"evidence of another host", 0, func(r *Recorder) {
-			r.EvidenceChanged(quarantiner.Change{Kind: quarantiner.Learned, Fingerprint: 7, Crashes: 1})
+			r.EvidenceChanged(quarantiner.Change{Kind: quarantiner.Learned, Fingerprint: "07", Crashes: 1})
 		}, []string{eventEvidence}},
 		{"a suspected request", 0, func(r *Recorder) {
-			r.RequestSuspected(quarantiner.Suspect{Fingerprint: 7, Server: "s", Target: strings.Repeat("/", 1<<16)})
+			r.RequestSuspected(quarantiner.Suspect{Server: "s", Target: strings.Repeat("/", 1<<16)})
 		}, []string{eventSuspected}},
 		{"an event of the store", 0, func(r *Recorder) { r.Store(follower.Event{Name: "storeReturned"}) }, []string{eventStore}},
 	}
