Read the limits that backend servers name, and log them

The header is decoded into a rate once; on the entry host it is Backend-Limit. A line serverLimit tells when a limit is named, altered or lifted, or can't be read (which changes nothing); metric limited_servers. A limit is lifted only by a success without it whose request was sent after the limit was last seen.

--- a/carrier/attempt.go
+++ b/carrier/attempt.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
+	"time"
 
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/propagation"
@@ -13,6 +15,7 @@
 	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/balancer"
 	"github.com/verbenastand/verbenastand/internal/bounder"
+	"github.com/verbenastand/verbenastand/limiter"
 	"github.com/verbenastand/verbenastand/quarantiner"
 	"github.com/verbenastand/verbenastand/sender"
 )
@@ -88,6 +91,9 @@
 	if err == nil {
 		o.err = c.validate(response)
 	}
+	if o.err == nil {
+		c.observeLimit(registration, response, event.At)
+	}
 	if o.err == nil {
 		o.err = c.readBody(o)
 	}
@@ -165,6 +171,19 @@
 	return verbenastand.NewRequestError(verbenastand.MayHaveRun, verbenastand.ReasonInvalidResponse, sender.ErrUnexpectedResponse)
 }
 
+// observeLimit passes on what the response tells about the server's limit, unless it is
+// that of another process at the server's address.
+func (c *call) observeLimit(server verbenastand.Registration, r *sender.Response, sentAt time.Time) {
+	if r.Status == http.StatusMisdirectedRequest {
+		return
+	}
+	named := r.Header.Values(c.carrier.config.Names.Limit)
+	c.carrier.config.Limiter.Observe(limiter.Response{
+		Process: server.Process(), Named: len(named) > 0, Text: strings.Join(named, ", "),
+		Succeeded: !r.NotRun && r.Status < http.StatusInternalServerError, SentAt: sentAt,
+	})
+}
+
 func (c *call) loadReport(r *sender.Response) *verbenastand.LoadReport {
 	if r == nil {
 		return nil
--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -22,6 +22,7 @@
 	"github.com/verbenastand/verbenastand/acceptor"
 	"github.com/verbenastand/verbenastand/balancer"
 	"github.com/verbenastand/verbenastand/internal/bounder"
+	"github.com/verbenastand/verbenastand/limiter"
 	"github.com/verbenastand/verbenastand/quarantiner"
 	"github.com/verbenastand/verbenastand/retrier"
 	"github.com/verbenastand/verbenastand/router"
@@ -58,6 +59,7 @@
 	Balancer     *balancer.Balancer
 	Sender       *sender.Sender
 	Quarantiner  *quarantiner.Quarantiner
+	Limiter      *limiter.Limiter
 	// NewBudget returns the retry budget of a service.
 	NewBudget func(verbenastand.ServiceName) *retrier.WindowBudget
 	Observer  Observer
--- a/carrier/harness_test.go
+++ b/carrier/harness_test.go
@@ -22,6 +22,7 @@
 	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/acceptor"
 	"github.com/verbenastand/verbenastand/balancer"
+	"github.com/verbenastand/verbenastand/limiter"
 	"github.com/verbenastand/verbenastand/quarantiner"
 	"github.com/verbenastand/verbenastand/retrier"
 	"github.com/verbenastand/verbenastand/router"
@@ -34,7 +35,7 @@
 func (testHeaderFormat) Names() verbenastand.HeaderNames {
 	return verbenastand.HeaderNames{
 		RequestID: "X-Id", Deadline: "X-Deadline", Signature: "X-Signature",
-		ExpectedInstance: "X-Expected", Instance: "X-Instance", NotRun: "X-Not-Run", Load: "X-Load",
+		ExpectedInstance: "X-Expected", Instance: "X-Instance", NotRun: "X-Not-Run", Load: "X-Load", Limit: "X-Limit",
 	}
 }
 
@@ -188,7 +189,8 @@
 	h.carrier = NewCarrier(Config{
 		Clock: wallClock{}, Names: testHeaderFormat{}.Names(), HeaderFormat: testHeaderFormat{}, Router: routes, Balancer: h.balancer, Sender: s,
 		Quarantiner: quarantiner.NewQuarantiner(quarantiner.Config{Clock: wallClock{}}), Observer: h,
-		Tracer: noop.NewTracerProvider().Tracer(""), OnCrashSuspected: func(quarantiner.Suspect) {}, MaxConcurrent: 100,
+		Limiter: limiter.NewLimiter(limiter.Config{Clock: wallClock{}}),
+		Tracer:  noop.NewTracerProvider().Tracer(""), OnCrashSuspected: func(quarantiner.Suspect) {}, MaxConcurrent: 100,
 		NewBudget: func(verbenastand.ServiceName) *retrier.WindowBudget {
 			return retrier.NewWindowBudget(retrier.WindowBudgetConfig{
 				Clock: wallClock{}, Duration: 10 * time.Second, Ratio: 0.2, Allowance: 50, Hosts: func() int { return h.hostCount },
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -15,6 +15,7 @@
 
 	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/deduplicator"
+	"github.com/verbenastand/verbenastand/limiter"
 	"github.com/verbenastand/verbenastand/meter"
 	"github.com/verbenastand/verbenastand/quarantiner"
 	"github.com/verbenastand/verbenastand/registrar"
@@ -29,6 +30,7 @@
 	Registrar    *registrar.Registrar
 	Deduplicator *deduplicator.Deduplicator
 	Quarantiner  *quarantiner.Quarantiner
+	Limiter      *limiter.Limiter
 	Peers        verbenastand.PeerTransport
 	Servers      verbenastand.ServerTransport
 	Meter        *meter.Meter
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -22,6 +22,7 @@
 	"github.com/verbenastand/verbenastand/deduplicator"
 	"github.com/verbenastand/verbenastand/dispatcher"
 	"github.com/verbenastand/verbenastand/internal/fake"
+	"github.com/verbenastand/verbenastand/limiter"
 	"github.com/verbenastand/verbenastand/merger"
 	"github.com/verbenastand/verbenastand/meter"
 	"github.com/verbenastand/verbenastand/quarantiner"
@@ -95,8 +96,8 @@
 	p.keys = deduplicator.NewDeduplicator(deduplicator.Config{Clock: p.clock, Instance: host.Instance()})
 	p.Dispatcher = dispatcher.NewDispatcher(dispatcher.Config{
 		Timer: p.clock, Self: host, Membership: p, Registrar: serviceRegistrar, Deduplicator: p.keys,
-		Quarantiner: p.quarantiner,
-		Peers:       p, Servers: p, Meter: meter.NewMeter(), Tracer: noop.NewTracerProvider().Tracer(""),
+		Quarantiner: p.quarantiner, Limiter: limiter.NewLimiter(limiter.Config{Clock: p.clock}),
+		Peers: p, Servers: p, Meter: meter.NewMeter(), Tracer: noop.NewTracerProvider().Tracer(""),
 		MaxBody: 1 << 20, MaxConcurrent: 1000, StallTimeout: time.Second,
 		OnDrainNotice:    func(verbenastand.ServiceName, scheduler.DrainNotice) {},
 		OnCrashSuspected: func([]verbenastand.Host, quarantiner.Suspect) { p.notified.Add(1) },
--- a/dispatcher/execute.go
+++ b/dispatcher/execute.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"go.opentelemetry.io/otel"
@@ -15,6 +16,7 @@
 	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/connector"
 	"github.com/verbenastand/verbenastand/estimator"
+	"github.com/verbenastand/verbenastand/limiter"
 	"github.com/verbenastand/verbenastand/quarantiner"
 	"github.com/verbenastand/verbenastand/reporter"
 	"github.com/verbenastand/verbenastand/retrier"
@@ -122,7 +124,9 @@
 		return nil, resp.closeWithError(ctx, err)
 	}
 	resp.report = reporter.Read(response.Header, grant.Server().Slots())
-	if response.Header.Get(verbenastand.HeaderVerdict) == verbenastand.NotRun.String() {
+	refused := response.Header.Get(verbenastand.HeaderVerdict) == verbenastand.NotRun.String()
+	d.observeLimit(grant, response, !refused && response.StatusCode < http.StatusInternalServerError)
+	if refused {
 		resp.result = estimator.Shed
 		resp.close()
 		refusal := verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonServerFailed, errShed)
@@ -139,6 +143,15 @@
 	return resp, nil
 }
 
+// observeLimit passes on what the response tells about the server's limit.
+func (d *Dispatcher) observeLimit(g scheduler.Grant, r *http.Response, succeeded bool) {
+	named := r.Header.Values(verbenastand.HeaderServerLimit)
+	d.config.Limiter.Observe(limiter.Response{
+		Process: g.Server().Process(), Named: len(named) > 0, Text: strings.Join(named, ", "),
+		Succeeded: succeeded, SentAt: g.GrantedAt(),
+	})
+}
+
 var errShed = errors.New("dispatcher: the server refused the request")
 
 // newRequest returns the outgoing request to a server or another host.
--- a/headers.go
+++ b/headers.go
@@ -27,6 +27,9 @@
 	// HeaderServerInstance identifies the process of a backend server; it changes
 	// when the server restarts.
 	HeaderServerInstance = "Backend-Instance"
+	// HeaderServerLimit is the number of requests per second, a decimal number, that a
+	// backend server takes from all hosts together, as long as its responses name it.
+	HeaderServerLimit = "Backend-Limit"
 	// HeaderServerDraining is "true" while a backend server is draining and accepts
 	// no new requests.
 	HeaderServerDraining = "Backend-Draining"
--- a/launcher/event.go
+++ b/launcher/event.go
@@ -27,6 +27,7 @@
 		h.gossiper.SetImportedFrom(h.deduplicator.ImportedFrom())
 	})
 	h.timer.Every(sweepPeriod, h.quarantiner.Sweep)
+	h.timer.Every(sweepPeriod, h.limiter.Sweep)
 	h.timer.Every(certificatePeriod, func(time.Time) { h.reloadCertificates() })
 	h.timer.Every(hostListPeriod, func(time.Time) { h.background.Go(h.readHostList) })
 	h.timer.OnPause(func(gap time.Duration) {
@@ -53,6 +54,7 @@
 	h.meter.Gauge("hosts", "Hosts believed alive.", func() float64 { return float64(len(h.gossiper.Hosts())) })
 	h.meter.Gauge("keys", "Idempotency keys remembered.", func() float64 { return float64(h.deduplicator.Len()) })
 	h.meter.Gauge("quarantined", "Request fingerprints that are refused.", func() float64 { return float64(h.quarantiner.Quarantined()) })
+	h.meter.Gauge("limited_servers", "Servers that name a limit of requests per second.", func() float64 { return float64(h.limiter.Limited()) })
 	h.meter.Gauge("requests_in_flight", "Requests on this host.", func() float64 { return float64(h.dispatcher.InFlight()) })
 }
 
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/verbenastand/verbenastand/follower"
 	"github.com/verbenastand/verbenastand/forwarder"
 	"github.com/verbenastand/verbenastand/gossiper"
+	"github.com/verbenastand/verbenastand/limiter"
 	"github.com/verbenastand/verbenastand/meter"
 	"github.com/verbenastand/verbenastand/quarantiner"
 	"github.com/verbenastand/verbenastand/recorder"
@@ -94,6 +95,7 @@
 	peerServer    *forwarder.Server
 	gossiper      *gossiper.Gossiper
 	quarantiner   *quarantiner.Quarantiner
+	limiter       *limiter.Limiter
 	follower      *follower.Follower
 	router        *router.Router
 	balancer      *balancer.Balancer
@@ -135,6 +137,7 @@
 	}
 	g.recorder = recorder.NewRecorder(recorder.Config{Log: c.Log, Meter: g.meter, Share: s.LogShare})
 	g.quarantiner = quarantiner.NewQuarantiner(quarantiner.Config{Clock: g.timer, OnChange: g.onEvidenceChange})
+	g.limiter = limiter.NewLimiter(limiter.Config{Clock: g.timer, OnChange: g.recorder.LimitChanged})
 	g.buildGossip(certificates)
 	g.requestTracer, g.stopTracer, err = tracer.NewTracer(ctx, tracer.Config{Endpoint: s.TraceEndpoint, SampleRatio: s.TraceShare, Instance: instance})
 	if err != nil {
@@ -185,7 +188,7 @@
 	})
 	g.carrier = carrier.NewCarrier(carrier.Config{
 		Clock: g.timer, Names: g.config.HeaderFormat.Names(), HeaderFormat: g.config.HeaderFormat, Router: g.router,
-		Balancer: g.balancer, Sender: g.sender, Quarantiner: g.quarantiner, Observer: g.recorder,
+		Balancer: g.balancer, Sender: g.sender, Quarantiner: g.quarantiner, Limiter: g.limiter, Observer: g.recorder,
 		Tracer: g.requestTracer, OnCrashSuspected: g.onCrashSuspected, MaxConcurrent: s.MaxConcurrent,
 		NewBudget: func(verbenastand.ServiceName) *retrier.WindowBudget {
 			return retrier.NewWindowBudget(retrier.WindowBudgetConfig{
@@ -287,5 +290,6 @@
 	g.meter.Gauge("view_age_seconds", "Age of the proof that routes and servers are current.", func() float64 { return g.follower.Staleness().Seconds() })
 	g.meter.Gauge("hosts", "Hosts believed alive.", func() float64 { return float64(len(g.gossiper.Hosts())) })
 	g.meter.Gauge("quarantined", "Request fingerprints that are refused.", func() float64 { return float64(g.quarantiner.Quarantined()) })
+	g.meter.Gauge("limited_servers", "Servers that name a limit of requests per second.", func() float64 { return float64(g.limiter.Limited()) })
 	g.meter.Counter("store_calls_total", "Calls to the configuration store.", func() float64 { return float64(g.follower.StoreCalls()) })
 }
--- a/launcher/gateway_run.go
+++ b/launcher/gateway_run.go
@@ -101,6 +101,7 @@
 	g.timer.Every(urgentPeriod, g.gossiper.PassOn)
 	g.timer.Every(followerPeriod, g.follower.ExpireRegistrations)
 	g.timer.Every(sweepPeriod, g.quarantiner.Sweep)
+	g.timer.Every(sweepPeriod, g.limiter.Sweep)
 	g.timer.Every(sweepPeriod, func(time.Time) { g.sender.Sweep(g.knownTargets()) })
 	g.timer.OnPause(func(gap time.Duration) {
 		g.meter.Paused()
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -23,6 +23,7 @@
 	"github.com/verbenastand/verbenastand/dispatcher"
 	"github.com/verbenastand/verbenastand/forwarder"
 	"github.com/verbenastand/verbenastand/gossiper"
+	"github.com/verbenastand/verbenastand/limiter"
 	"github.com/verbenastand/verbenastand/merger"
 	"github.com/verbenastand/verbenastand/meter"
 	"github.com/verbenastand/verbenastand/prober"
@@ -76,6 +77,7 @@
 	watcher      *watcher.Watcher
 	recorder     *recorder.Recorder
 	quarantiner  *quarantiner.Quarantiner
+	limiter      *limiter.Limiter
 	deduplicator *deduplicator.Deduplicator
 	forwarder    *forwarder.Forwarder
 	peerServer   *forwarder.Server
@@ -130,6 +132,7 @@
 	h.watcher = watcher.NewWatcher(watcher.Config{Platform: h.reader, Merger: h.merger, OnError: h.onReadError})
 	h.recorder = recorder.NewRecorder(recorder.Config{Log: h.log, Meter: h.meter})
 	h.quarantiner = quarantiner.NewQuarantiner(quarantiner.Config{Clock: h.timer, OnChange: h.recorder.EvidenceChanged})
+	h.limiter = limiter.NewLimiter(limiter.Config{Clock: h.timer, OnChange: h.recorder.LimitChanged})
 	h.deduplicator = deduplicator.NewDeduplicator(deduplicator.Config{
 		Clock: h.timer, Instance: instance, Validity: h.settings.KeyValidity,
 	})
@@ -165,7 +168,7 @@
 	h.connector = connector.NewConnector(connector.Config{MaxConnections: connections})
 	h.dispatcher = dispatcher.NewDispatcher(dispatcher.Config{
 		Timer: h.timer, Self: h.self, Membership: h.gossiper, Registrar: h.registrar,
-		Deduplicator: h.deduplicator, Quarantiner: h.quarantiner, Peers: h.forwarder,
+		Deduplicator: h.deduplicator, Quarantiner: h.quarantiner, Limiter: h.limiter, Peers: h.forwarder,
 		Servers: h.connector, Meter: h.meter, Tracer: requestTracer, MaxBody: h.settings.MaxBody,
 		MaxConcurrent: h.settings.MaxConcurrent, StallTimeout: h.settings.StallTimeout,
 		OnDrainNotice: h.onDrainNotice, OnCrashSuspected: h.onCrashSuspected,
--- /dev/null
+++ b/limiter/limiter.go
@@ -0,0 +1,181 @@
+// Package limiter keeps the limits that backend servers name: the requests per second
+// that a server takes from all hosts together. Each response of a server tells whether
+// it names a limit, so a host knows the limits of the servers that it uses.
+package limiter
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	verbenastand "github.com/verbenastand/verbenastand"
+)
+
+const (
+	// MaxLimits is the maximum number of limits.
+	MaxLimits = 4096
+	// limitLifetime is how long a limit is kept that no response renews.
+	limitLifetime = 2 * time.Minute
+	// liftedLifetime is how long a limit that was lifted is remembered.
+	liftedLifetime = 30 * time.Second
+)
+
+// key identifies a process of a server.
+type key struct {
+	server    verbenastand.ServerID
+	startTime int64
+}
+
+func keyOf(p verbenastand.ServerProcess) key { return key{p.Server, p.StartTime} }
+
+// limit is what the latest response of a server tells about its limit.
+type limit struct {
+	rate verbenastand.RequestRate
+	// lifted is set if the response named no limit.
+	lifted bool
+	// observedAt is when the response was received, on this host or another.
+	observedAt time.Time
+}
+
+// Response is what a response tells about the limit of the server that sent it.
+type Response struct {
+	Process verbenastand.ServerProcess
+	// Named is set if the server named a limit, and Text is what it named.
+	Named bool
+	Text  string
+	// Succeeded is set if the response is the server's answer to a request, neither a
+	// failure nor a refusal. Only such a response without a limit lifts it.
+	Succeeded bool
+	// SentAt is when the request was sent.
+	SentAt time.Time
+}
+
+// Config configures a Limiter.
+type Config struct {
+	Clock verbenastand.Clock
+	// OnChange is called after a limit has changed, or could not be read.
+	OnChange func(Change)
+}
+
+// Limiter holds the limits of all servers.
+type Limiter struct {
+	config Config
+	// count lets requests skip the lock while there are no limits.
+	count atomic.Int64
+
+	mu     sync.Mutex
+	limits map[key]*limit
+	// malformed holds the last text of each server that could not be read.
+	malformed map[key]string
+}
+
+// NewLimiter returns a limiter without limits.
+func NewLimiter(c Config) *Limiter {
+	return &Limiter{config: c, limits: make(map[key]*limit), malformed: make(map[key]string)}
+}
+
+// Observe applies what a response tells. A text that can't be read changes nothing.
+func (l *Limiter) Observe(r Response) {
+	if !r.Named && l.count.Load() == 0 {
+		return
+	}
+	if !r.Named {
+		l.observePlain(r)
+		return
+	}
+	rate, err := verbenastand.ParseRequestRate(r.Text)
+	if err != nil {
+		l.observeMalformed(r, err)
+		return
+	}
+	now := l.config.Clock.Now()
+	l.mu.Lock()
+	kind, changed := l.setLocked(keyOf(r.Process), rate, now)
+	l.mu.Unlock()
+	if changed {
+		l.notify(Change{Kind: kind, Process: r.Process, Rate: rate})
+	}
+}
+
+func (l *Limiter) observePlain(r Response) {
+	now := l.config.Clock.Now()
+	l.mu.Lock()
+	known := l.limits[keyOf(r.Process)]
+	lift := known != nil && !known.lifted && r.Succeeded && r.SentAt.After(known.observedAt)
+	if lift {
+		known.lifted, known.observedAt = true, now
+	}
+	l.mu.Unlock()
+	if lift {
+		l.notify(Change{Kind: Lifted, Process: r.Process, Rate: known.rate})
+	}
+}
+
+func (l *Limiter) observeMalformed(r Response, err error) {
+	l.mu.Lock()
+	k := keyOf(r.Process)
+	last, known := l.malformed[k]
+	isNew := (!known || last != r.Text) && len(l.malformed) < MaxLimits
+	if isNew {
+		l.malformed[k] = r.Text
+	}
+	l.mu.Unlock()
+	if isNew {
+		l.notify(Change{Kind: Malformed, Process: r.Process, Err: err})
+	}
+}
+
+// setLocked stores a limit and reports whether it differs from what was known.
+func (l *Limiter) setLocked(k key, rate verbenastand.RequestRate, observedAt time.Time) (ChangeKind, bool) {
+	known := l.limits[k]
+	if known == nil {
+		if len(l.limits) >= MaxLimits {
+			return Named, false
+		}
+		l.limits[k] = &limit{rate: rate, observedAt: observedAt}
+		l.count.Store(int64(len(l.limits)))
+		return Named, true
+	}
+	kind, changed := Altered, known.rate != rate
+	if known.lifted {
+		kind, changed = Named, true
+	}
+	known.rate, known.lifted, known.observedAt = rate, false, observedAt
+	return kind, changed
+}
+
+func (l *Limiter) notify(c Change) {
+	if l.config.OnChange != nil {
+		l.config.OnChange(c)
+	}
+}
+
+// Sweep removes limits that no response has renewed for long.
+func (l *Limiter) Sweep(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for k, known := range l.limits {
+		lifetime := limitLifetime
+		if known.lifted {
+			lifetime = liftedLifetime
+		}
+		if now.Sub(known.observedAt) > lifetime {
+			delete(l.limits, k)
+		}
+	}
+	l.count.Store(int64(len(l.limits)))
+	clear(l.malformed)
+}
+
+// Limited returns the number of servers that name a limit.
+func (l *Limiter) Limited() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, known := range l.limits {
+		if !known.lifted {
+			n++
+		}
+	}
+	return n
+}
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -10,6 +10,7 @@
 	"github.com/verbenastand/verbenastand/balancer"
 	"github.com/verbenastand/verbenastand/carrier"
 	"github.com/verbenastand/verbenastand/follower"
+	"github.com/verbenastand/verbenastand/limiter"
 	"github.com/verbenastand/verbenastand/meter"
 	"github.com/verbenastand/verbenastand/quarantiner"
 )
@@ -23,6 +24,7 @@
 	eventStore       = "store"
 	eventEvidence    = "evidence"
 	eventSuspected   = "requestSuspected"
+	eventLimit       = "serverLimit"
 )
 
 // maxLoggedTarget bounds the bytes of a request target in a log line.
@@ -124,6 +126,14 @@
 	}).Info(eventEvidence)
 }
 
+// LimitChanged logs a change of the limit that a server names.
+func (r *Recorder) LimitChanged(c limiter.Change) {
+	r.config.Log.WithFields(log.Fields{
+		"change": c.Kind.String(), "server": string(c.Process.Server), "service": string(c.Process.Service),
+		"perSecond": float64(c.Rate), "error": errorText(c.Err),
+	}).Info(eventLimit)
+}
+
 // RequestSuspected logs that a server crashed while it ran a request.
 func (r *Recorder) RequestSuspected(s quarantiner.Suspect) {
 	r.config.Log.WithFields(log.Fields{
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -17,6 +17,7 @@
 	"github.com/verbenastand/verbenastand/balancer"
 	"github.com/verbenastand/verbenastand/carrier"
 	"github.com/verbenastand/verbenastand/follower"
+	"github.com/verbenastand/verbenastand/limiter"
 	"github.com/verbenastand/verbenastand/meter"
 	"github.com/verbenastand/verbenastand/quarantiner"
 )
@@ -101,6 +102,10 @@
 		{"evidence of another host", 0, func(r *Recorder) {
 			r.EvidenceChanged(quarantiner.Change{Kind: quarantiner.Learned, Fingerprint: "07", Crashes: 1})
 		}, []string{eventEvidence}},
+		{"a limit that a server names", 0, func(r *Recorder) { r.LimitChanged(limiter.Change{Rate: 3}) }, []string{eventLimit}},
+		{"a limit that can't be read", 0, func(r *Recorder) {
+			r.LimitChanged(limiter.Change{Kind: limiter.Malformed, Err: errors.New("malformed")})
+		}, []string{eventLimit}},
 		{"a suspected request", 0, func(r *Recorder) {
 			r.RequestSuspected(quarantiner.Suspect{Server: "s", Target: strings.Repeat("/", 1<<16)})
 		}, []string{eventSuspected}},
--- a/registration.go
+++ b/registration.go
@@ -62,6 +62,11 @@
 // Warmup returns the time that remains until the server reaches full speed.
 func (r Registration) Warmup() time.Duration { return r.c.Warmup }
 
+// Process returns the server's process.
+func (r Registration) Process() ServerProcess {
+	return ServerProcess{Server: r.c.Server, StartTime: r.c.StartTime, Service: r.c.Service, Zone: r.c.Zone}
+}
+
 // OlderThan reports whether r was sent before other, by an earlier process of the
 // server or earlier by the same process. If a process start time is missing, the
 // order of two processes is unknown and r counts as newer.
--- a/service.go
+++ b/service.go
@@ -161,6 +161,11 @@
 	Ticket TicketNumber
 }
 
+// Process returns the server's process, without a start time: a ticket does not tell it.
+func (s Server) Process() ServerProcess {
+	return ServerProcess{Server: s.id, Service: s.service, Zone: s.zone}
+}
+
 // NewServer returns a backend server.
 func NewServer(c ServerConfig) Server {
 	return Server{
--- a/store.go
+++ b/store.go
@@ -78,6 +78,9 @@
 	NotRun string
 	// Load is the load report of a server.
 	Load string
+	// Limit is the number of requests per second that a server takes from all hosts
+	// together; absent if there is no limit.
+	Limit string
 }
 
 // LoadReport is the load that a backend server reports.
