--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -505,6 +505,45 @@
 	require.Zero(t, crashed.Load())
 }
 
+// Guards against a server that gets more requests than the limit that it names (issue
+// 23, LIMIT), and against a service that is closed by a limit that can't be read.
+func TestAHostKeepsTheLimitOfAServer(t *testing.T) {
+	cases := []struct {
+		text string
+		most int
+	}{{"2", 2*20 + 5}, {"0.5", 20/2 + 5}, {"0", 5}, {"many", 1000}}
+	for _, tc := range cases {
+		t.Run(tc.text, func(t *testing.T) {
+			p := newProxy(4, false)
+			counts := make(map[verbenastand.ServerID]int)
+			limited := true
+			p.server = func(s verbenastand.Server, _ *http.Request) (*http.Response, error) {
+				counts[s.ID()]++
+				response := okResponse("ok")
+				if s.ID() == "server-0" && limited {
+					response.Header.Set(verbenastand.HeaderServerLimit, tc.text)
+				}
+				return response, nil
+			}
+			send := func(seconds int) {
+				for range seconds * 50 {
+					p.clock.Advance(20 * time.Millisecond)
+					p.registrar.Tick(p.clock.Now())
+					require.Equal(t, http.StatusOK, p.do(newRequest(http.MethodGet, "/x", "", "")).Code)
+				}
+			}
+			send(20)
+			require.LessOrEqual(t, counts["server-0"], tc.most)
+			require.Positive(t, counts["server-0"])
+			limited = false
+			send(40)
+			clear(counts)
+			send(10)
+			require.Greater(t, counts["server-0"], 50, "a limit that is no longer named does not hold")
+		})
+	}
+}
+
 func TestInvalidRequestIsRefusedAsNotRun(t *testing.T) {
 	p := newProxy(1, true)
 	p.server = func(verbenastand.Server, *http.Request) (*http.Response, error) { return okResponse(""), nil }
