--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -45,6 +45,8 @@
 	// Zone is the availability zone of this host.
 	Zone          verbenastand.Zone
 	HealthChecker HealthChecker
+	// Limiter keeps the limits that servers name; nil for none.
+	Limiter verbenastand.RateLimiter
 	// OnServerChange is called when a server is added or removed; change is
 	// "joined" or "left". A server that starts draining is removed.
 	OnServerChange func(server verbenastand.Registration, change string)
@@ -61,6 +63,9 @@
 	if c.OnServerChange == nil {
 		c.OnServerChange = func(verbenastand.Registration, string) {}
 	}
+	if c.Limiter == nil {
+		c.Limiter = verbenastand.Unlimited{}
+	}
 	b := &Balancer{config: c}
 	b.services.Store(&map[verbenastand.ServiceName]*Service{})
 	return b
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -228,7 +228,8 @@
 	const rounds = 60
 	for round := range rounds {
 		h.clock.Advance(checkInterval)
-		server := stalestCandidate(s.candidates(Query{Route: testRoute}), false, round%exploreEvery != 0)
+		candidates, _ := s.candidates(Query{Route: testRoute})
+		server := stalestCandidate(candidates, false, round%exploreEvery != 0)
 		s.checkAndGrant(Query{Route: testRoute}, server)
 		if server.Registration().Server() != "a" {
 			opened++
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -43,6 +43,10 @@
 // server.
 var ErrServerReplaced = errors.New("balancer: another process is listening at the address of the server")
 
+// ErrLimited means that all servers that could take the request have reached the limits
+// that they name.
+var ErrLimited = errors.New("balancer: the servers have reached the limits that they name")
+
 // ErrNoServer means that no server is available for the request.
 var ErrNoServer = errors.New("balancer: no server available for the request")
 
@@ -81,8 +85,9 @@
 	Checks int
 	Report verbenastand.LoadReport
 	Age    time.Duration
-	// reserved is set if the request is already counted in Server.reserved.
-	reserved bool
+	// reserved is set if the request is already counted in Server.reserved, counted if
+	// it is counted against the limit that the server names.
+	reserved, counted bool
 }
 
 // candidate is the state of a server when a choice begins.
@@ -109,12 +114,15 @@
 // availability zone, or else the checked server that is expected to respond soonest.
 // The caller must use or release the connection of the choice.
 func (s *Service) Choose(ctx context.Context, q Query) (Choice, error) {
-	candidates := s.candidates(q)
+	candidates, limited := s.candidates(q)
+	if len(candidates) == 0 && limited {
+		return Choice{}, ErrLimited
+	}
 	if len(candidates) == 0 {
 		return Choice{}, ErrNoServer
 	}
 	if s.missingReports.Load() >= maxMissingReports {
-		return s.chooseWithoutReports(q, candidates), nil
+		return s.chooseWithoutReports(q, candidates)
 	}
 	limit := cmp.Or(q.CheckLimit, MaxChecks)
 	var best Choice
@@ -134,7 +142,7 @@
 		if checked {
 			checks++
 		}
-		if !ok {
+		if !ok || !choice.count() {
 			continue
 		}
 		if choice.LightlyLoaded {
@@ -164,25 +172,52 @@
 	return c.Estimate < other.Estimate
 }
 
-// candidates returns the servers in the order in which they are checked.
-func (s *Service) candidates(q Query) []candidate {
+// count counts the request against the limit that the server names, and releases the
+// choice if there is no room.
+func (c *Choice) count() bool {
+	c.counted = c.Server.limiter().Take(c.Server.Registration().Process())
+	if !c.counted {
+		c.Release()
+	}
+	return c.counted
+}
+
+// candidates returns the servers in the order in which they are checked, and whether
+// there are others that have reached the limits that they name.
+func (s *Service) candidates(q Query) (list []candidate, limited bool) {
 	now := s.clock.Now()
-	list := make([]candidate, 0, len(s.Servers()))
+	list = make([]candidate, 0, len(s.Servers()))
 	for _, server := range s.Servers() {
 		if slices.Contains(q.Tried, server) {
 			continue
 		}
 		c, ok := server.candidate(now)
-		if ok {
-			c.connected = s.balancer.config.HealthChecker.Connected(server)
-			list = append(list, c)
+		if !ok {
+			continue
 		}
+		if !server.limiter().Available(server.Registration().Process()) {
+			limited = true
+			continue
+		}
+		c.connected = s.balancer.config.HealthChecker.Connected(server)
+		list = append(list, c)
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.tier, b.tier), compareBool(a.crossZone, b.crossZone),
 			compareBool(b.connected, a.connected), cmp.Compare(a.tiebreak, b.tiebreak))
 	})
-	return list
+	return list, limited
+}
+
+// LimitWait returns the time until one of the servers may get a request again.
+func (s *Service) LimitWait() time.Duration {
+	var wait time.Duration
+	for i, server := range s.Servers() {
+		if w := server.limiter().Wait(server.Registration().Process()); i == 0 || w < wait {
+			wait = w
+		}
+	}
+	return wait
 }
 
 func compareBool(a, b bool) int {
@@ -300,7 +335,7 @@
 
 // chooseWithoutReports returns the less busy of the first two candidates, for
 // servers that report no load (power of two choices, Mitzenmacher 2001).
-func (s *Service) chooseWithoutReports(q Query, candidates []candidate) Choice {
+func (s *Service) chooseWithoutReports(q Query, candidates []candidate) (Choice, error) {
 	best := Choice{}
 	for _, c := range candidates[:min(2, len(candidates))] {
 		choice := c.server.estimateWithoutReport(s.Expected(q.Route))
@@ -308,7 +343,10 @@
 			best = choice
 		}
 	}
-	return best
+	if !best.count() {
+		return Choice{}, ErrLimited
+	}
+	return best, nil
 }
 
 func (s *Server) estimateWithoutReport(base time.Duration) Choice {
--- a/balancer/queue.go
+++ b/balancer/queue.go
@@ -57,7 +57,8 @@
 	var best Choice
 	if s.Waiting() == 0 {
 		choice, err := s.Choose(ctx, q)
-		if err != nil || choice.LightlyLoaded || choice.Sufficient {
+		allowedSoon := errors.Is(err, ErrLimited) && s.clock.Now().Add(s.LimitWait()).Before(startBy)
+		if !allowedSoon && (err != nil || choice.LightlyLoaded || choice.Sufficient) {
 			return choice, err
 		}
 		best = choice
@@ -172,7 +173,7 @@
 		}
 		query := s.queue.waiters[0].query
 		s.mu.Unlock()
-		candidates := s.candidates(query)
+		candidates, _ := s.candidates(query)
 		for _, crossZone := range []bool{false, true} {
 			if server := stalestCandidate(candidates, crossZone, round%exploreEvery != 0); server != nil {
 				s.checkAndGrant(query, server)
@@ -220,7 +221,7 @@
 // reserve counts a request as about to be sent, if the server is lightly loaded.
 func (s *Server) reserve(q Query) (Choice, bool) {
 	choice, ok := s.estimate(q, checkInterval)
-	if !ok || !choice.LightlyLoaded {
+	if !ok || !choice.LightlyLoaded || !choice.count() {
 		return Choice{}, false
 	}
 	s.mu.Lock()
@@ -235,6 +236,9 @@
 	if c.Conn != nil {
 		c.Conn.Release()
 	}
+	if c.counted {
+		c.Server.limiter().Refund(c.Server.Registration().Process())
+	}
 	if c.reserved {
 		c.Server.mu.Lock()
 		defer c.Server.mu.Unlock()
--- a/balancer/server.go
+++ b/balancer/server.go
@@ -96,6 +96,8 @@
 	return s.registration
 }
 
+func (s *Server) limiter() verbenastand.RateLimiter { return s.service.balancer.config.Limiter }
+
 // update stores a newer registration of the same process. A warmup time that differs
 // is the time that remains from now.
 func (s *Server) update(r verbenastand.Registration, now time.Time) {
--- a/carrier/admit.go
+++ b/carrier/admit.go
@@ -72,6 +72,10 @@
 	if errors.Is(err, balancer.ErrNoServer) {
 		return choice, c.noServer(err)
 	}
+	if errors.Is(err, balancer.ErrLimited) {
+		refusal := verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonOverload, err)
+		return choice, refusal.WithRetryAfter(c.retryAfter(c.service.LimitWait()))
+	}
 	if err != nil && !errors.Is(err, balancer.ErrNoCapacity) {
 		return choice, err
 	}
--- a/carrier/harness_test.go
+++ b/carrier/harness_test.go
@@ -80,6 +80,7 @@
 	carrier     *Carrier
 	acceptor    *acceptor.Acceptor
 	balancer    *balancer.Balancer
+	limiter     *limiter.Limiter
 	events      []Event
 	hostCount   int
 	// callerAddress is the network address of the connections that connect opens.
@@ -152,6 +153,9 @@
 	}
 }
 
+// self is the host under test.
+var self = verbenastand.NewHost(verbenastand.HostConfig{Instance: verbenastand.NewInstance("self", 1), Zone: "z"})
+
 const target = 250 * time.Millisecond
 
 func newHarness(t *testing.T, change func(*verbenastand.RouteConfig), servers ...*backend) *harness {
@@ -182,14 +186,17 @@
 	routes.Update(table)
 	s := sender.NewSender(sender.Config{HeaderFormat: testHeaderFormat{}, Dial: h.dial})
 	checker := &HealthChecker{Sender: s, OnCheck: func(verbenastand.ServiceName, bool) {}}
-	h.balancer = balancer.NewBalancer(balancer.Config{Clock: wallClock{}, Zone: "z", HealthChecker: checker})
+	h.limiter = limiter.NewLimiter(limiter.Config{Clock: wallClock{}, Self: self.ID(), Hosts: func(verbenastand.ServerProcess) []verbenastand.Host {
+		return []verbenastand.Host{self}
+	}})
+	h.balancer = balancer.NewBalancer(balancer.Config{Clock: wallClock{}, Zone: "z", HealthChecker: checker, Limiter: h.limiter})
 	h.balancer.Update(verbenastand.NewView(verbenastand.ViewConfig{
 		Table: table, Servers: map[verbenastand.ServiceName][]verbenastand.Registration{"svc": registrations},
 	}))
 	h.carrier = NewCarrier(Config{
 		Clock: wallClock{}, Names: testHeaderFormat{}.Names(), HeaderFormat: testHeaderFormat{}, Router: routes, Balancer: h.balancer, Sender: s,
 		Quarantiner: quarantiner.NewQuarantiner(quarantiner.Config{Clock: wallClock{}}), Observer: h,
-		Limiter: limiter.NewLimiter(limiter.Config{Clock: wallClock{}}),
+		Limiter: h.limiter,
 		Tracer:  noop.NewTracerProvider().Tracer(""), OnCrashSuspected: func(quarantiner.Suspect) {}, MaxConcurrent: 100,
 		NewBudget: func(verbenastand.ServiceName) *retrier.WindowBudget {
 			return retrier.NewWindowBudget(retrier.WindowBudgetConfig{
--- a/carrier/limit_test.go
+++ b/carrier/limit_test.go
@@ -56,10 +56,17 @@
 				}
 				_, _ = io.WriteString(conn, okResponse(r, "body", fields...))
 			}
-			servers := []*backend{{serve: name}, {serve: reply(delay)}, {serve: reply(delay)}}
+			report := func() string {
+				if limited.Load() {
+					return "1,0,6,1"
+				}
+				return "6,9,6,1"
+			}
+			servers := []*backend{{serve: name}, {serve: reply(delay), report: report}, {serve: reply(delay), report: report}}
 			withHarness(t, nil, servers, func(h *harness) {
 				start := time.Now()
-				served := h.load(25*time.Millisecond, 20*time.Second)
+				const demand = 40.0 // requests per second, at three servers
+				served := h.load(time.Duration(float64(time.Second)/demand), 20*time.Second)
 				require.Equal(t, 800, served, "the other servers serve what the limit leaves")
 				var times []time.Time
 				for _, r := range h.requests() {
@@ -69,11 +76,11 @@
 				}
 				require.LessOrEqual(t, mostInWindow(times), allowedInWindow(tc.rate))
 				if tc.rate >= 1 {
-					require.Greater(t, len(times), int(tc.rate*17/2), "the limit is used")
+					require.Greater(t, len(times), int(min(tc.rate, demand/3)*17/2), "the limit is used")
 				}
 
 				limited.Store(false)
-				time.Sleep(40 * time.Second)
+				h.load(25*time.Millisecond, 40*time.Second)
 				before := len(h.requests())
 				h.load(25*time.Millisecond, 10*time.Second)
 				after := 0
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -45,6 +45,7 @@
 	merger      *merger.Merger
 	registrar   *registrar.Registrar
 	quarantiner *quarantiner.Quarantiner
+	limiter     *limiter.Limiter
 	keys        *deduplicator.Deduplicator
 	hosts       []verbenastand.Host
 	server      func(verbenastand.Server, *http.Request) (*http.Response, error)
@@ -90,13 +91,16 @@
 	p := &proxy{clock: fake.NewClock(), hosts: []verbenastand.Host{host}}
 	var serviceRegistrar *registrar.Registrar
 	p.merger = merger.NewMerger(merger.Config{OnChange: func(*verbenastand.Configuration) { serviceRegistrar.Update() }})
-	serviceRegistrar = registrar.NewRegistrar(registrar.Config{Clock: p.clock, Self: host, Configuration: p.merger, Hosts: p.Hosts})
+	p.limiter = limiter.NewLimiter(limiter.Config{
+		Clock: p.clock, Self: host.ID(), Hosts: func(verbenastand.ServerProcess) []verbenastand.Host { return p.Hosts() },
+	})
+	serviceRegistrar = registrar.NewRegistrar(registrar.Config{Clock: p.clock, Self: host, Configuration: p.merger, Hosts: p.Hosts, Limiter: p.limiter})
 	p.registrar = serviceRegistrar
 	p.quarantiner = quarantiner.NewQuarantiner(quarantiner.Config{Clock: p.clock})
 	p.keys = deduplicator.NewDeduplicator(deduplicator.Config{Clock: p.clock, Instance: host.Instance()})
 	p.Dispatcher = dispatcher.NewDispatcher(dispatcher.Config{
 		Timer: p.clock, Self: host, Membership: p, Registrar: serviceRegistrar, Deduplicator: p.keys,
-		Quarantiner: p.quarantiner, Limiter: limiter.NewLimiter(limiter.Config{Clock: p.clock}),
+		Quarantiner: p.quarantiner, Limiter: p.limiter,
 		Peers: p, Servers: p, Meter: meter.NewMeter(), Tracer: noop.NewTracerProvider().Tracer(""),
 		MaxBody: 1 << 20, MaxConcurrent: 1000, StallTimeout: time.Second,
 		OnDrainNotice:    func(verbenastand.ServiceName, scheduler.DrainNotice) {},
@@ -523,6 +527,9 @@
 				if s.ID() == "server-0" && limited {
 					response.Header.Set(verbenastand.HeaderServerLimit, tc.text)
 				}
+				if s.ID() != "server-0" && !limited {
+					response.Header.Set(verbenastand.HeaderServerDraining, "true")
+				}
 				return response, nil
 			}
 			send := func(seconds int) {
@@ -536,10 +543,10 @@
 			require.LessOrEqual(t, counts["server-0"], tc.most)
 			require.Positive(t, counts["server-0"])
 			limited = false
-			send(40)
+			p.clock.Advance(40 * time.Second)
 			clear(counts)
-			send(10)
-			require.Greater(t, counts["server-0"], 50, "a limit that is no longer named does not hold")
+			send(2)
+			require.GreaterOrEqual(t, counts["server-0"], 97, "a limit that is no longer named does not hold, and the others drain")
 		})
 	}
 }
--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -69,7 +69,11 @@
 // space that records, notices and evidence leave in messageBudget is filled with
 // heartbeats of the remaining hosts.
 func (g *Gossiper) encodeWith(limit int) ([]byte, error) {
-	m := message{Version: messageVersion, Evidence: g.config.Quarantine.Evidence(maxUrgentItems)}
+	urgent := maxUrgentItems
+	if limit == initialRecords {
+		urgent = initialUrgentItems
+	}
+	m := message{Version: messageVersion, Evidence: g.config.Quarantine.Evidence(urgent), Limits: g.config.Limits.Records(urgent)}
 	notices := g.config.Notices()
 	g.mu.Lock()
 	g.config.Random.Shuffle(len(notices), func(i, j int) { notices[i], notices[j] = notices[j], notices[i] })
@@ -84,7 +88,7 @@
 	records := min(limit, len(alive))
 	m.Hosts = append([]hostRecord{self}, recordsOf(alive[:records])...)
 	m.Leaving = recentlyLeaving(alive, g.config.Timer.Now())
-	remaining := messageBudget - hostRecordBytes*len(m.Hosts) - noticeBytes*len(m.Notices) - evidenceBytes*len(m.Evidence) - tagBytes*len(m.Leaving)
+	remaining := messageBudget - hostRecordBytes*len(m.Hosts) - noticeBytes*len(m.Notices) - evidenceBytes*len(m.Evidence) - limitBytes*len(m.Limits) - tagBytes*len(m.Leaving)
 	m.Heartbeats = heartbeatsOf(alive[records:], max(0, remaining/heartbeatBytes))
 	m.WantsRecords = g.needsRecords
 	g.mu.Unlock()
@@ -183,7 +187,12 @@
 	}
 	for _, e := range m.Evidence {
 		if g.config.Quarantine.Merge(e) {
-			g.SpreadEvidence()
+			g.SpreadChanges()
+		}
+	}
+	for _, r := range m.Limits {
+		if g.config.Limits.Merge(r) {
+			g.SpreadChanges()
 		}
 	}
 	g.compareTickets(m.Hosts[0])
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	verbenastand "github.com/verbenastand/verbenastand"
+	"github.com/verbenastand/verbenastand/limiter"
 	"github.com/verbenastand/verbenastand/quarantiner"
 )
 
@@ -34,6 +35,7 @@
 	heartbeatBytes  = 9
 	noticeBytes     = 50
 	evidenceBytes   = 90
+	limitBytes      = 50
 	tagBytes        = 5
 	// recordsPerMessage bounds the full records of other hosts in a message.
 	recordsPerMessage = 4
@@ -50,8 +52,11 @@
 	urgentRounds = 3
 	// maxLeaving bounds the announced shutdowns in one message.
 	maxLeaving = 64
-	// maxUrgentItems bounds the drain notices, and the evidence, in one message.
-	maxUrgentItems = 8
+	// maxUrgentItems bounds the drain notices, the evidence and the limits in one
+	// message, initialUrgentItems the latter two in the response to a host that is
+	// unknown or asks for records.
+	maxUrgentItems     = 8
+	initialUrgentItems = 128
 	// contactLifetimes is the number of lifetimes after which an unreachable
 	// host is no longer contacted.
 	contactLifetimes = 30
@@ -80,6 +85,7 @@
 	// Configuration provides the ticket number and digest to advertise.
 	Configuration verbenastand.ConfigurationSource
 	Quarantine    *quarantiner.Quarantiner
+	Limits        *limiter.Limiter
 	// Notices returns the drain notices to send.
 	Notices func() []Notice
 	// OnNotice applies a received notice and reports whether it was new.
@@ -179,9 +185,9 @@
 	}
 }
 
-// SpreadEvidence lets the next calls of PassOn send the evidence of crashes that has
-// changed on this host.
-func (g *Gossiper) SpreadEvidence() {
+// SpreadChanges lets the next calls of PassOn send the evidence of crashes and the limits
+// that have changed on this host.
+func (g *Gossiper) SpreadChanges() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.urgentRounds = urgentRounds
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 
 	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/internal/fake"
+	"github.com/verbenastand/verbenastand/limiter"
 	"github.com/verbenastand/verbenastand/merger"
 	"github.com/verbenastand/verbenastand/quarantiner"
 	"github.com/verbenastand/verbenastand/scheduler"
@@ -52,7 +54,10 @@
 	merger       *merger.Merger
 	failed       bool
 	newerTickets int
-	notices      map[verbenastand.ServerID]Notice
+	limiter      *limiter.Limiter
+	// membershipUnknownUntil is the end of the discovery period of a host that restarts.
+	membershipUnknownUntil time.Time
+	notices                map[verbenastand.ServerID]Notice
 }
 
 var errLost = errors.New("message lost")
@@ -70,17 +75,35 @@
 func (n *node) Handover(context.Context, verbenastand.Host, []byte) error        { return errLost }
 func (n *node) TicketSource(verbenastand.Host) verbenastand.TicketSource         { return nil }
 
-func (net *network) add(i, seeds int) *node {
+func (n *node) limitedHosts(verbenastand.ServerProcess) []verbenastand.Host {
+	if n.network.clock.Now().Before(n.membershipUnknownUntil) {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Concat(n.Hosts(), n.Unreachable()), func(h verbenastand.Host) bool { return h.Leaving() })
+}
+
+func (net *network) add(i, seeds int) *node { return net.addInstance(i, seeds, 1) }
+
+func (net *network) addInstance(i, seeds int, boot uint64) *node {
 	n := &node{network: net, address: fmt.Sprintf("10.0.0.%d:1", i), merger: merger.NewMerger(merger.Config{}), notices: make(map[verbenastand.ServerID]Notice)}
 	var contacts []verbenastand.Host
 	for s := range seeds {
 		contacts = append(contacts, verbenastand.NewHost(verbenastand.HostConfig{PeerAddress: fmt.Sprintf("10.0.0.%d:1", s)}))
 	}
+	n.limiter = limiter.NewLimiter(limiter.Config{
+		Clock: net.clock, Self: verbenastand.HostID(fmt.Sprint("host-", i)), Hosts: n.limitedHosts,
+		OnChange: func(c limiter.Change) {
+			if !c.Learned {
+				n.SpreadChanges()
+			}
+		},
+	})
 	n.Gossiper = NewGossiper(Config{
-		Timer: net.clock, Transport: n, Seeds: contacts, Random: net.random, Configuration: n.merger,
+		Limits: n.limiter,
+		Timer:  net.clock, Transport: n, Seeds: contacts, Random: net.random, Configuration: n.merger,
 		Quarantine: quarantiner.NewQuarantiner(quarantiner.Config{Clock: net.clock}),
 		Self: verbenastand.NewHost(verbenastand.HostConfig{
-			Instance: verbenastand.NewInstance(verbenastand.HostID(fmt.Sprint("host-", i)), 1),
+			Instance: verbenastand.NewInstance(verbenastand.HostID(fmt.Sprint("host-", i)), boot),
 			Zone:     verbenastand.Zone(fmt.Sprint("zone-", i%4)), PeerAddress: n.address,
 			CallAddress: fmt.Sprintf("10.0.0.%d:8080", i), APIAddress: fmt.Sprintf("10.0.0.%d:8081", i),
 		}),
--- /dev/null
+++ b/gossiper/limit_test.go
@@ -0,0 +1,190 @@
+package gossiper
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	verbenastand "github.com/verbenastand/verbenastand"
+	"github.com/verbenastand/verbenastand/limiter"
+)
+
+const (
+	limitTick       = 100 * time.Millisecond
+	limitSettleTime = 3 * time.Second
+	limitWindow     = 4 * time.Second
+	toldDelay       = 500 * time.Millisecond
+)
+
+// limitedFleet is a fleet whose hosts want to send a server far more requests than the
+// limit that it names allows.
+type limitedFleet struct {
+	t     *testing.T
+	net   *network
+	nodes []*node
+	rate  float64
+	// frozen holds the hosts that stand still, told when each host first got a response
+	// that names the limit.
+	frozen map[*node]bool
+	told   map[*node]time.Time
+	named  bool
+	// arrivals are the times of requests from hosts that had been told before.
+	arrivals []time.Time
+	ticks    int
+	// heartbeatTicks is the number of ticks between two heartbeats of a host.
+	heartbeatTicks int
+}
+
+var limitedServer = verbenastand.ServerProcess{Server: "limited", StartTime: 1, Service: "service", Zone: "zone-0"}
+
+func newLimitedFleet(t *testing.T, size int, rate float64) *limitedFleet {
+	net, nodes := newNetwork(size)
+	f := &limitedFleet{t: t, net: net, nodes: nodes, rate: rate, frozen: make(map[*node]bool), told: make(map[*node]time.Time), named: true, heartbeatTicks: 5}
+	for _, n := range nodes {
+		n.config.Neighbours, n.config.LifetimePerHost = 8, 20*time.Millisecond
+	}
+	introduce(nodes)
+	return f
+}
+
+// run lets time pass: hosts exchange messages and try to send requests.
+func (f *limitedFleet) run(d time.Duration) {
+	for range int(d / limitTick) {
+		f.net.clock.Advance(limitTick)
+		f.ticks++
+		for _, n := range f.nodes {
+			if n.failed || f.frozen[n] {
+				continue
+			}
+			if f.ticks%2 == 0 {
+				f.net.passOn([]*node{n})
+			}
+			if f.ticks%f.heartbeatTicks == 0 {
+				for _, target := range n.advanceHeartbeat() {
+					n.exchange(context.Background(), target)
+				}
+			}
+			f.send(n)
+		}
+	}
+}
+
+// send tries one request per tick and host, 10 a second.
+func (f *limitedFleet) send(n *node) {
+	now := f.net.clock.Now()
+	if !n.limiter.Take(limitedServer) {
+		return
+	}
+	if told, ok := f.told[n]; ok && now.Sub(told) >= toldDelay {
+		f.arrivals = append(f.arrivals, now)
+	}
+	if _, ok := f.told[n]; !ok && f.named {
+		f.told[n] = now
+	}
+	n.limiter.Observe(limiter.Response{
+		Process: limitedServer, Named: f.named, Text: fmt.Sprint(f.rate), Succeeded: true, SentAt: now,
+	})
+}
+
+// requireLimit checks the users' bound, without an excuse for disturbed hosts.
+func (f *limitedFleet) requireLimit(start time.Time) {
+	f.t.Helper()
+	first, most := 0, 0
+	for i, at := range f.arrivals {
+		for at.Sub(f.arrivals[first]) > limitWindow || f.arrivals[first].Sub(start) < limitSettleTime {
+			if first == i {
+				break
+			}
+			first++
+		}
+		if at.Sub(start) >= limitSettleTime {
+			most = max(most, i-first+1)
+		}
+	}
+	require.LessOrEqual(f.t, float64(most), 1.5*f.rate*limitWindow.Seconds()+5)
+}
+
+// restart replaces a host by one with the same name that knows nothing.
+func (f *limitedFleet) restart(i int) {
+	fresh := f.net.addInstance(i, 3, 2)
+	fresh.config.Neighbours, fresh.config.LifetimePerHost = 8, 20*time.Millisecond
+	fresh.membershipUnknownUntil = f.net.clock.Now().Add(2 * time.Second)
+	f.nodes[i] = fresh
+	fresh.Sync(context.Background())
+}
+
+// Guards against hosts that together send a server more requests than the limit that it
+// names (issue 23, LIMIT): in fleets of several sizes, while hosts restart, stand still
+// and are cut off from each other, also for limits below one request a second.
+func TestALimitHoldsInAFleet(t *testing.T) {
+	cases := []struct {
+		size  int
+		rates []float64
+		// heartbeatTicks is larger, and the cut shorter, in the largest fleet, which would
+		// take minutes otherwise.
+		heartbeatTicks int
+		cut, lifted    time.Duration
+	}{
+		{14, []float64{0, 0.3, 2.6, 30}, 5, 10 * time.Second, longestTrial},
+		{56, []float64{0.3, 2.6, 30}, 5, 10 * time.Second, longestTrial},
+		{472, []float64{2.6}, 20, 6 * time.Second, 8 * time.Second},
+	}
+	for _, tc := range cases {
+		for _, rate := range tc.rates {
+			size := tc.size
+			t.Run(fmt.Sprintf("%d hosts, %g a second", size, rate), func(t *testing.T) {
+				f := newLimitedFleet(t, size, rate)
+				f.heartbeatTicks = tc.heartbeatTicks
+				start := f.net.clock.Now()
+				f.run(8 * time.Second)
+				f.requireLimit(start)
+				used := len(f.arrivals)
+				if rate >= 1 {
+					require.Greater(t, float64(used), rate*5/2, "the limit is used")
+				}
+
+				f.restart(0)
+				f.restart(size / 2)
+				f.run(2 * time.Second)
+				for _, n := range f.nodes[1 : 1+size/10] {
+					f.frozen[n] = true
+				}
+				f.run(3 * time.Second)
+				for n := range f.frozen {
+					n.limiter.Pause(3 * time.Second)
+					n.ResetTimeouts()
+				}
+				clear(f.frozen)
+				f.run(2 * time.Second)
+				side := make(map[string]bool)
+				for _, n := range f.nodes[:size/2] {
+					side[n.address] = true
+				}
+				f.net.drops = func(from, to string) bool { return side[from] != side[to] }
+				f.run(tc.cut)
+				f.net.drops = func(string, string) bool { return false }
+				f.run(3 * time.Second)
+				f.nodes[3].Leave(t.Context())
+				f.run(3 * time.Second)
+				f.requireLimit(start)
+
+				f.named = false
+				f.run(tc.lifted)
+				unlimited := 0
+				for _, n := range f.nodes {
+					if _, limited := n.limiter.Share(limitedServer); !limited {
+						unlimited++
+					}
+				}
+				require.Equal(t, size, unlimited, "a limit that is no longer named does not hold")
+			})
+		}
+	}
+}
+
+// longestTrial is the time in which a server gets a request however low its limit is,
+// and the news of the response reaches all hosts.
+const longestTrial = 35 * time.Second
--- a/gossiper/message.go
+++ b/gossiper/message.go
@@ -12,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	verbenastand "github.com/verbenastand/verbenastand"
+	"github.com/verbenastand/verbenastand/limiter"
 	"github.com/verbenastand/verbenastand/quarantiner"
 	"github.com/verbenastand/verbenastand/scheduler"
 )
@@ -61,6 +62,8 @@
 	// Leaving holds the tags of instances that have recently announced their
 	// shutdown.
 	Leaving []uint32 `cbor:"7,keyasint,omitempty"`
+	// Limits are those that backend servers name.
+	Limits []limiter.Record `cbor:"8,keyasint,omitempty"`
 }
 
 // Notice is a drain notice together with the service that the server belongs to.
@@ -89,7 +92,7 @@
 	if m.Version != messageVersion {
 		return m, fmt.Errorf("gossiper: message version %d is unknown", m.Version)
 	}
-	if len(m.Hosts) == 0 || len(m.Hosts) > maxEntries || len(m.Notices) > maxEntries || len(m.Evidence) > maxEntries || len(m.Heartbeats) > maxEntries || len(m.Leaving) > maxEntries {
+	if len(m.Hosts) == 0 || len(m.Hosts) > maxEntries || len(m.Notices) > maxEntries || len(m.Evidence) > maxEntries || len(m.Limits) > maxEntries || len(m.Heartbeats) > maxEntries || len(m.Leaving) > maxEntries {
 		return m, fmt.Errorf("gossiper: message with %d hosts is out of bounds", len(m.Hosts))
 	}
 	for _, h := range m.Hosts {
--- a/launcher/event.go
+++ b/launcher/event.go
@@ -8,6 +8,7 @@
 	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/api"
 	"github.com/verbenastand/verbenastand/gossiper"
+	"github.com/verbenastand/verbenastand/placer"
 	"github.com/verbenastand/verbenastand/quarantiner"
 	"github.com/verbenastand/verbenastand/scheduler"
 	"github.com/verbenastand/verbenastand/verifier"
@@ -34,6 +35,7 @@
 		h.meter.Paused()
 		h.registrar.Invalidate()
 		h.gossiper.ResetTimeouts()
+		h.limiter.Pause(gap)
 		h.background.Go(func() { h.gossiper.Push(context.Background(), h.gossiper.Hosts()) })
 		h.log.WithField("gap", gap.String()).Warn("process was paused")
 	})
@@ -127,6 +129,18 @@
 	h.gossiper.Push(context.Background(), slices.Concat(homes, h.gossiper.Unreachable()))
 }
 
+// limitedHosts returns the home hosts of the server's service, which share its limit.
+// Silent hosts are among those they are selected from: they may be on the other side of
+// a partition, and use their shares.
+func (h *Host) limitedHosts(p verbenastand.ServerProcess) []verbenastand.Host {
+	service, found := h.merger.Configuration().Services()[p.Service]
+	if !found || time.Since(h.started) < discoveryPeriod {
+		return nil
+	}
+	hosts := staying(slices.Concat(h.gossiper.Hosts(), h.gossiper.Unreachable()))
+	return placer.Homes(p.Service, service.Homes(), hosts)
+}
+
 func (h *Host) addStatus(s *api.Status) {
 	conflicts, invalid := h.merger.Conflicts()
 	s.Version = h.version
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -5,6 +5,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -137,7 +138,9 @@
 	}
 	g.recorder = recorder.NewRecorder(recorder.Config{Log: c.Log, Meter: g.meter, Share: s.LogShare})
 	g.quarantiner = quarantiner.NewQuarantiner(quarantiner.Config{Clock: g.timer, OnChange: g.onEvidenceChange})
-	g.limiter = limiter.NewLimiter(limiter.Config{Clock: g.timer, OnChange: g.recorder.LimitChanged})
+	g.limiter = limiter.NewLimiter(limiter.Config{
+		Clock: g.timer, Self: g.self.ID(), Hosts: g.limitedHosts, OnChange: g.onLimitChange,
+	})
 	g.buildGossip(certificates)
 	g.requestTracer, g.stopTracer, err = tracer.NewTracer(ctx, tracer.Config{Endpoint: s.TraceEndpoint, SampleRatio: s.TraceShare, Instance: instance})
 	if err != nil {
@@ -156,6 +159,7 @@
 		Random:             rand.New(rand.NewPCG(g.self.Instance().Boot(), 0)),
 		Configuration:      emptyConfiguration{verbenastand.NewConfiguration(verbenastand.ConfigurationConfig{})},
 		Quarantine:         g.quarantiner,
+		Limits:             g.limiter,
 		Notices:            func() []gossiper.Notice { return nil },
 		OnNotice:           func(gossiper.Notice) bool { return false },
 		OnMembershipChange: g.onMembershipChange,
@@ -183,7 +187,7 @@
 	g.router = router.NewRouter()
 	g.sender = sender.NewSender(sender.Config{HeaderFormat: g.config.HeaderFormat})
 	g.balancer = balancer.NewBalancer(balancer.Config{
-		Clock: g.timer, Zone: g.self.Zone(), OnServerChange: g.recorder.ServerChanged,
+		Clock: g.timer, Zone: g.self.Zone(), Limiter: g.limiter, OnServerChange: g.recorder.ServerChanged,
 		HealthChecker: &carrier.HealthChecker{Sender: g.sender, OnCheck: g.meter.Probed},
 	})
 	g.carrier = carrier.NewCarrier(carrier.Config{
@@ -254,12 +258,35 @@
 	g.balancer.Update(v)
 }
 
+// limitedHosts returns the hosts that share the limits of servers, none during the
+// discovery period. Silent hosts are among them: they may be on the other side of a
+// partition, and use their shares.
+func (g *Gateway) limitedHosts(verbenastand.ServerProcess) []verbenastand.Host {
+	if time.Since(g.started) < discoveryPeriod {
+		return nil
+	}
+	return staying(slices.Concat(g.gossiper.Hosts(), g.gossiper.Unreachable()))
+}
+
+// staying returns the hosts that have not announced their shutdown.
+func staying(hosts []verbenastand.Host) []verbenastand.Host {
+	return slices.DeleteFunc(hosts, func(h verbenastand.Host) bool { return h.Leaving() })
+}
+
+// onLimitChange tells other hosts of a limit that this one has seen.
+func (g *Gateway) onLimitChange(c limiter.Change) {
+	g.recorder.LimitChanged(c)
+	if !c.Learned && c.Kind != limiter.Malformed {
+		g.gossiper.SpreadChanges()
+	}
+}
+
 // onEvidenceChange tells other hosts of cleared evidence, so that they stop refusing a
 // request that did not crash its servers.
 func (g *Gateway) onEvidenceChange(c quarantiner.Change) {
 	g.recorder.EvidenceChanged(c)
 	if c.Kind == quarantiner.Cleared {
-		g.gossiper.SpreadEvidence()
+		g.gossiper.SpreadChanges()
 	}
 }
 
--- a/launcher/gateway_run.go
+++ b/launcher/gateway_run.go
@@ -107,6 +107,7 @@
 		g.meter.Paused()
 		g.gossiper.ResetTimeouts()
 		g.follower.Invalidate()
+		g.limiter.Pause(gap)
 		if gap > longPause {
 			g.sender.CloseIdle()
 		}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -78,6 +78,7 @@
 	recorder     *recorder.Recorder
 	quarantiner  *quarantiner.Quarantiner
 	limiter      *limiter.Limiter
+	started      time.Time
 	deduplicator *deduplicator.Deduplicator
 	forwarder    *forwarder.Forwarder
 	peerServer   *forwarder.Server
@@ -109,7 +110,7 @@
 			APIAddress: s.APIAddress, PeerAddress: cmp.Or(s.PeerAdvertise, s.PeerAddress),
 		}),
 		timer: timer.NewService(timer.Config{}), meter: meter.NewMeter(),
-		membershipChanged: make(chan struct{}, 1),
+		membershipChanged: make(chan struct{}, 1), started: time.Now(),
 	}
 	h.buildState(instance)
 	h.buildGossip()
@@ -132,12 +133,14 @@
 	h.watcher = watcher.NewWatcher(watcher.Config{Platform: h.reader, Merger: h.merger, OnError: h.onReadError})
 	h.recorder = recorder.NewRecorder(recorder.Config{Log: h.log, Meter: h.meter})
 	h.quarantiner = quarantiner.NewQuarantiner(quarantiner.Config{Clock: h.timer, OnChange: h.recorder.EvidenceChanged})
-	h.limiter = limiter.NewLimiter(limiter.Config{Clock: h.timer, OnChange: h.recorder.LimitChanged})
+	h.limiter = limiter.NewLimiter(limiter.Config{
+		Clock: h.timer, Self: h.self.ID(), Hosts: h.limitedHosts, OnChange: h.recorder.LimitChanged,
+	})
 	h.deduplicator = deduplicator.NewDeduplicator(deduplicator.Config{
 		Clock: h.timer, Instance: instance, Validity: h.settings.KeyValidity,
 	})
 	h.registrar = registrar.NewRegistrar(registrar.Config{
-		Clock: h.timer, Self: h.self, MaxQueue: h.settings.MaxQueue, ZoneRTT: h.settings.ZoneRTT, Configuration: h.merger,
+		Clock: h.timer, Self: h.self, MaxQueue: h.settings.MaxQueue, Limiter: h.limiter, ZoneRTT: h.settings.ZoneRTT, Configuration: h.merger,
 		Hosts: func() []verbenastand.Host { return h.gossiper.Hosts() },
 	})
 }
@@ -151,7 +154,7 @@
 	h.gossiper = gossiper.NewGossiper(gossiper.Config{
 		Timer: h.timer, Transport: h.forwarder, Self: h.self, Seeds: seeds,
 		Random:        rand.New(rand.NewPCG(h.self.Instance().Boot(), uint64(len(h.settings.Host)))),
-		Configuration: h.merger, Quarantine: h.quarantiner, Notices: h.registrar.Notices,
+		Configuration: h.merger, Quarantine: h.quarantiner, Limits: h.limiter, Notices: h.registrar.Notices,
 		OnNotice: h.registrar.ApplyNotice, OnMembershipChange: h.onMembershipChange, OnNewerTickets: h.fetchTickets,
 	})
 }
--- a/limiter/change.go
+++ b/limiter/change.go
@@ -1,6 +1,10 @@
 package limiter
 
-import verbenastand "github.com/verbenastand/verbenastand"
+import (
+	"time"
+
+	verbenastand "github.com/verbenastand/verbenastand"
+)
 
 //go:generate go tool stringer -type=ChangeKind -linecomment -output=changekind_string.go
 
@@ -26,6 +30,9 @@
 	// Rate is the limit of all hosts together, after the change or before it was
 	// lifted.
 	Rate verbenastand.RequestRate
+	// Learned is set if another host told of the change, Age ago.
+	Learned bool
+	Age     time.Duration
 	// Err tells why a text is malformed.
 	Err error
 }
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -1,6 +1,11 @@
 // Package limiter keeps the limits that backend servers name: the requests per second
 // that a server takes from all hosts together. Each response of a server tells whether
-// it names a limit, so a host knows the limits of the servers that it uses.
+// it names a limit. Hosts tell each other what they have seen; the latest response counts.
+//
+// A limit is divided among a few hosts, without messages: those that come first for the
+// server by rendezvous hashing, as many as get a request per second each. The others
+// send it nothing. A host that is silent keeps its share, so that no side of a partition
+// takes over the share of the other.
 package limiter
 
 import (
@@ -35,6 +40,14 @@
 	lifted bool
 	// observedAt is when the response was received, on this host or another.
 	observedAt time.Time
+	changedAt  time.Time
+
+	// share is this host's part of the rate, computed at sharedAt.
+	share    verbenastand.RequestRate
+	sharedAt time.Time
+	// tokens is the number of requests that this host may send now, as of settledAt.
+	tokens    float64
+	settledAt time.Time
 }
 
 // Response is what a response tells about the limit of the server that sent it.
@@ -53,6 +66,10 @@
 // Config configures a Limiter.
 type Config struct {
 	Clock verbenastand.Clock
+	Self  verbenastand.HostID
+	// Hosts returns the hosts that send requests to the server, including those that
+	// are silent, but none that is leaving. It is empty while it is unknown.
+	Hosts func(verbenastand.ServerProcess) []verbenastand.Host
 	// OnChange is called after a limit has changed, or could not be read.
 	OnChange func(Change)
 }
@@ -103,7 +120,7 @@
 	known := l.limits[keyOf(r.Process)]
 	lift := known != nil && !known.lifted && r.Succeeded && r.SentAt.After(known.observedAt)
 	if lift {
-		known.lifted, known.observedAt = true, now
+		known.lifted, known.observedAt, known.changedAt = true, now, now
 	}
 	l.mu.Unlock()
 	if lift {
@@ -128,17 +145,22 @@
 // setLocked stores a limit and reports whether it differs from what was known.
 func (l *Limiter) setLocked(k key, rate verbenastand.RequestRate, observedAt time.Time) (ChangeKind, bool) {
 	known := l.limits[k]
+	now := l.config.Clock.Now()
 	if known == nil {
 		if len(l.limits) >= MaxLimits {
 			return Named, false
 		}
-		l.limits[k] = &limit{rate: rate, observedAt: observedAt}
+		l.limits[k] = &limit{rate: rate, observedAt: observedAt, changedAt: now, settledAt: now}
 		l.count.Store(int64(len(l.limits)))
 		return Named, true
 	}
 	kind, changed := Altered, known.rate != rate
 	if known.lifted {
 		kind, changed = Named, true
+		known.tokens, known.settledAt = 0, now
+	}
+	if changed {
+		known.changedAt, known.sharedAt = now, time.Time{}
 	}
 	known.rate, known.lifted, known.observedAt = rate, false, observedAt
 	return kind, changed
--- /dev/null
+++ b/limiter/share.go
@@ -0,0 +1,150 @@
+package limiter
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	verbenastand "github.com/verbenastand/verbenastand"
+)
+
+const (
+	// longestInterval is the longest time between two requests to a server, however low
+	// its limit is: without a response, nobody would learn that it has been lifted.
+	longestInterval = 30 * time.Second
+	// burst is the time in which a host may catch up on the requests that it did not
+	// send. It can always send one.
+	burst = 500 * time.Millisecond
+	// shareLifetime is how long a computed share is used.
+	shareLifetime = 200 * time.Millisecond
+	// longestWait bounds the wait that is told to callers: another host may have a share.
+	longestWait = time.Second
+)
+
+// Available implements verbenastand.RateLimiter.
+func (l *Limiter) Available(p verbenastand.ServerProcess) bool { return l.use(p, 0) }
+
+// Take implements verbenastand.RateLimiter.
+func (l *Limiter) Take(p verbenastand.ServerProcess) bool { return l.use(p, 1) }
+
+// Refund implements verbenastand.RateLimiter.
+func (l *Limiter) Refund(p verbenastand.ServerProcess) { l.use(p, -1) }
+
+// use takes a number of tokens if there is one for a request.
+func (l *Limiter) use(p verbenastand.ServerProcess, count float64) bool {
+	if l.count.Load() == 0 {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.findLocked(p)
+	if known == nil {
+		return true
+	}
+	if count >= 0 && known.tokens < 1 {
+		return false
+	}
+	known.tokens -= count
+	return true
+}
+
+// Wait implements verbenastand.RateLimiter.
+func (l *Limiter) Wait(p verbenastand.ServerProcess) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.findLocked(p)
+	switch {
+	case known == nil || known.tokens >= 1:
+		return 0
+	case known.share == 0:
+		return known.rate.Interval(longestWait)
+	}
+	return time.Duration((1 - known.tokens) / float64(known.share) * float64(time.Second))
+}
+
+// Share implements verbenastand.RateLimiter.
+func (l *Limiter) Share(p verbenastand.ServerProcess) (verbenastand.RequestRate, bool) {
+	if l.count.Load() == 0 {
+		return 0, false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if known := l.findLocked(p); known != nil {
+		return known.share, true
+	}
+	return 0, false
+}
+
+// findLocked returns the limit of the server with its current tokens, nil if there is
+// none.
+func (l *Limiter) findLocked(p verbenastand.ServerProcess) *limit {
+	known := l.limits[keyOf(p)]
+	if known == nil || known.lifted {
+		return nil
+	}
+	now := l.config.Clock.Now()
+	earned := float64(known.share) * now.Sub(known.settledAt).Seconds()
+	known.tokens = min(known.tokens+earned, max(1, float64(known.share)*burst.Seconds()))
+	known.settledAt = now
+	if known.sharedAt.IsZero() || now.Sub(known.sharedAt) >= shareLifetime {
+		known.share, known.sharedAt = l.shareOf(p, known.rate), now
+	}
+	return known
+}
+
+// shareOf divides a rate among the hosts that come first for the server, those of its
+// availability zone if there are any. Each gets a request per second at least, so that
+// what they save up together stays small against the limit.
+func (l *Limiter) shareOf(p verbenastand.ServerProcess, rate verbenastand.RequestRate) verbenastand.RequestRate {
+	hosts := inZone(l.config.Hosts(p), p.Zone)
+	if len(hosts) == 0 {
+		return 0
+	}
+	rate = max(rate, verbenastand.RequestRate(1/longestInterval.Seconds()))
+	count := max(1, min(len(hosts), int(math.Min(float64(rate), MaxLimits))))
+	own, rank, found := weight(p, l.config.Self), 0, false
+	for _, h := range hosts {
+		switch {
+		case h.ID() == l.config.Self:
+			found = true
+		case weight(p, h.ID()) < own:
+			rank++
+		}
+	}
+	if !found || rank >= count {
+		return 0
+	}
+	return rate / verbenastand.RequestRate(count)
+}
+
+// inZone returns the hosts of the availability zone, or all if there are none.
+func inZone(hosts []verbenastand.Host, zone verbenastand.Zone) []verbenastand.Host {
+	var local []verbenastand.Host
+	for _, h := range hosts {
+		if h.Zone() == zone {
+			local = append(local, h)
+		}
+	}
+	if len(local) == 0 {
+		return hosts
+	}
+	return local
+}
+
+// weight orders the hosts for a server (rendezvous hashing, Thaler and Ravishankar 1998).
+func weight(p verbenastand.ServerProcess, host verbenastand.HostID) uint64 {
+	return xxhash.Sum64String(string(p.Server) + "\x00" + string(host))
+}
+
+// Pause drops what was saved up before a pause of the process, during which other hosts
+// may have learned of changes.
+func (l *Limiter) Pause(gap time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.config.Clock.Now()
+	for _, known := range l.limits {
+		known.observedAt = known.observedAt.Add(-gap)
+		known.tokens, known.settledAt, known.sharedAt = 0, now, time.Time{}
+	}
+}
--- a/ports.go
+++ b/ports.go
@@ -68,6 +68,39 @@
 	KeyOwner(i Instance) (Host, bool)
 }
 
+// RateLimiter keeps the limits that backend servers name for all hosts together.
+type RateLimiter interface {
+	// Available reports whether Take would succeed.
+	Available(p ServerProcess) bool
+	// Take reports whether a request may be sent to the server, and counts it.
+	Take(p ServerProcess) bool
+	// Refund gives back what Take counted for a request that was not sent.
+	Refund(p ServerProcess)
+	// Wait returns the time until a request may be sent to the server, by this host or
+	// another one.
+	Wait(p ServerProcess) time.Duration
+	// Share returns this host's share of the server's limit, and whether there is one.
+	Share(p ServerProcess) (RequestRate, bool)
+}
+
+// Unlimited is a RateLimiter without limits.
+type Unlimited struct{}
+
+// Available implements RateLimiter.
+func (Unlimited) Available(ServerProcess) bool { return true }
+
+// Take implements RateLimiter.
+func (Unlimited) Take(ServerProcess) bool { return true }
+
+// Refund implements RateLimiter.
+func (Unlimited) Refund(ServerProcess) {}
+
+// Wait implements RateLimiter.
+func (Unlimited) Wait(ServerProcess) time.Duration { return 0 }
+
+// Share implements RateLimiter.
+func (Unlimited) Share(ServerProcess) (RequestRate, bool) { return 0, false }
+
 // ConfigurationSource returns the configuration in effect.
 type ConfigurationSource interface {
 	Configuration() *Configuration
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -130,7 +130,7 @@
 func (r *Recorder) LimitChanged(c limiter.Change) {
 	r.config.Log.WithFields(log.Fields{
 		"change": c.Kind.String(), "server": string(c.Process.Server), "service": string(c.Process.Service),
-		"perSecond": float64(c.Rate), "error": errorText(c.Err),
+		"perSecond": float64(c.Rate), "learned": c.Learned, "ageMs": milliseconds(c.Age), "error": errorText(c.Err),
 	}).Info(eventLimit)
 }
 
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -53,6 +53,8 @@
 	Hosts         func() []verbenastand.Host
 	// ZoneRTT is the round-trip time to servers in other zones.
 	ZoneRTT time.Duration
+	// Limiter keeps the limits that servers name; nil for none.
+	Limiter verbenastand.RateLimiter
 	// MaxQueue is the maximum number of queued requests of each service.
 	MaxQueue int
 }
@@ -132,7 +134,7 @@
 	c.scheduler = scheduler.NewScheduler(scheduler.Config{
 		Clock: r.config.Clock, Self: r.config.Self, ZoneRTT: r.config.ZoneRTT,
 		MaxQueue: r.config.MaxQueue, Expected: c.classifier.MeanShort,
-		LongWork: c.classifier.LongWork,
+		LongWork: c.classifier.LongWork, Limiter: r.config.Limiter,
 	})
 	return c
 }
--- a/scheduler/grant.go
+++ b/scheduler/grant.go
@@ -37,8 +37,7 @@
 	w.refusal = nil
 	w.grant = Grant{}
 	if !s.queue.hasWaiterAhead(w.Priority, w.Size) {
-		if entry := s.pick(w); entry != nil {
-			s.assign(w, entry, now)
+		if entry := s.pick(w); entry != nil && s.assign(w, entry, now) {
 			return true
 		}
 	}
@@ -68,7 +67,9 @@
 	if entry == nil || entry == lastTriedServer(w) {
 		return Grant{}, false
 	}
-	s.assign(w, entry, s.config.Clock.Now())
+	if !s.assign(w, entry, s.config.Clock.Now()) {
+		return Grant{}, false
+	}
 	return w.grant, true
 }
 
@@ -145,7 +146,13 @@
 	return best
 }
 
-func (s *Scheduler) assign(w *Waiter, entry *server, now time.Time) {
+// assign grants the waiter a slot of the server, unless the server has reached the limit
+// that it names.
+func (s *Scheduler) assign(w *Waiter, entry *server, now time.Time) bool {
+	if !s.config.Limiter.Take(entry.Process()) {
+		s.updateScore(entry, now)
+		return false
+	}
 	if entry.inFlight[verbenastand.Short] == 0 && w.Size == verbenastand.Short {
 		entry.estimate.Started(now)
 	}
@@ -162,6 +169,7 @@
 	verifier.Assert(w.Size == verbenastand.Short || entry.inFlight[verbenastand.Long] <= max(1, entry.longSlots), "long requests stay within their slots")
 	w.grant = Grant{server: entry, config: entry.Server, size: w.Size, expected: w.Expected, grantedAt: now}
 	s.updateScore(entry, now)
+	return true
 }
 
 // Release frees a slot and records the outcome of the request and the server's
@@ -188,8 +196,10 @@
 		if w == nil {
 			return
 		}
+		if !s.assign(w, entry, now) {
+			continue
+		}
 		s.queue.list(w).remove(w)
-		s.assign(w, entry, now)
 		w.Notify()
 	}
 }
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -118,7 +118,7 @@
 	for _, entry := range s.servers {
 		entry.setTransit(expected)
 		entry.rescore(now, s.fallback, expected)
-		limit := entry.limit(now, s.fallback)
+		limit := entry.capacity(now, s.fallback, expected)
 		s.capacity[verbenastand.Short] += limit
 		s.capacity[verbenastand.Long] += min(limit, entry.longLimit(now))
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -49,6 +49,8 @@
 	MaxQueue int
 	// Expected returns the mean duration of short requests.
 	Expected func() time.Duration
+	// Limiter keeps the limits that servers name; nil for none.
+	Limiter verbenastand.RateLimiter
 	// LongWork returns the fraction of the servers' time that long requests take.
 	LongWork func() float64
 }
@@ -90,6 +92,9 @@
 	if c.LongWork == nil {
 		c.LongWork = func() float64 { return 0 }
 	}
+	if c.Limiter == nil {
+		c.Limiter = verbenastand.Unlimited{}
+	}
 	if c.MaxQueue == 0 {
 		c.MaxQueue = DefaultMaxQueue
 	}
@@ -127,7 +132,7 @@
 func (s *Scheduler) reuseOrCreate(old map[verbenastand.ServerID]*server, srv verbenastand.Server) *server {
 	entry := old[srv.ID()]
 	if entry == nil || entry.Address() != srv.Address() || entry.Slots() != srv.Slots() {
-		entry = &server{Server: srv, estimate: estimator.NewEstimate(srv.Slots(), len(old) > 0)}
+		entry = &server{Server: srv, limiter: s.config.Limiter, estimate: estimator.NewEstimate(srv.Slots(), len(old) > 0)}
 	}
 	if entry.notice != nil && srv.Ticket() > entry.notice.Ticket {
 		entry.notice = nil
--- a/scheduler/server.go
+++ b/scheduler/server.go
@@ -49,6 +49,7 @@
 // scheduler's mutex.
 type server struct {
 	verbenastand.Server
+	limiter  verbenastand.RateLimiter
 	sameZone bool
 	rtt      time.Duration
 	// transit is the number of requests per slot that are expected to be on the
@@ -153,6 +154,17 @@
 	return min(limit, s.estimate.Limit())
 }
 
+// capacity returns how many requests this host can have in flight at the server in the
+// long run: limit, unless its share of the limit that the server names allows fewer.
+func (s *server) capacity(now time.Time, fallback bool, expected time.Duration) int {
+	limit := s.limit(now, fallback)
+	share, limited := s.limiter.Share(s.Process())
+	if !limited {
+		return limit
+	}
+	return min(limit, int(math.Ceil(float64(share)*expected.Seconds())))
+}
+
 // longLimit returns how many long requests this host may have in flight at the
 // server. With a recent report it may also borrow unused slots for long requests.
 // The report does not distinguish sizes, so all requests of other hosts count as
@@ -183,7 +195,7 @@
 	limit := s.limit(now, fallback)
 	s.score[verbenastand.Short] = unavailable
 	s.score[verbenastand.Long] = unavailable
-	if s.total() >= limit {
+	if s.total() >= limit || !s.limiter.Available(s.Process()) {
 		return
 	}
 	if s.inFlight[verbenastand.Short] > 0 && s.estimate.Stalled(now, expected) {
