--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -191,12 +191,9 @@
 		if slices.Contains(q.Tried, server) {
 			continue
 		}
-		c, ok := server.candidate(now)
-		if !ok {
-			continue
-		}
-		if !server.limiter().Available(server.Registration().Process()) {
-			limited = true
+		c, err := server.candidate(now)
+		if err != nil {
+			limited = limited || errors.Is(err, ErrLimited)
 			continue
 		}
 		c.connected = s.balancer.config.HealthChecker.Connected(server)
@@ -230,11 +227,15 @@
 	return 1
 }
 
-func (s *Server) candidate(now time.Time) (candidate, bool) {
+// candidate returns an error if the server must not get a request.
+func (s *Server) candidate(now time.Time) (candidate, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.replaced {
-		return candidate{}, false
+		return candidate{}, ErrServerReplaced
+	}
+	if !s.limiter().Available(s.registration.Process()) {
+		return candidate{}, ErrLimited
 	}
 	s.decayLocked(now)
 	c := candidate{server: s, tiebreak: rand.Uint64(), lastReport: s.reportedAt, crossZone: s.registration.Zone() != s.service.balancer.config.Zone}
@@ -244,7 +245,7 @@
 	case s.failureRate > degradedFailureRate || s.latencyRatioLocked(now) > degradedLatencyRatio || s.warmingLocked(now):
 		c.tier = tierDegraded
 	}
-	return c, true
+	return c, nil
 }
 
 // evaluate estimates how long the request takes at a server: from the last load
