Remember that a limit was lifted as long as others may tell of it

Found by reading: a host that was cut off for over half a minute would have brought back a limit that had been lifted meanwhile, since the others remembered that for 30 s and it told of the limit for two minutes (TestALiftedLimitDoesNotReturn failed with the shorter time). The line of a lifted limit read its rate without the lock. Comments say success where only a success counts.

--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -20,10 +20,9 @@
 const (
 	// MaxLimits is the maximum number of limits.
 	MaxLimits = 4096
-	// limitLifetime is how long a limit is kept that no response renews.
+	// limitLifetime is how long a limit is kept that no response renews. One that was
+	// lifted is remembered as long, since hosts that were cut off may still tell of it.
 	limitLifetime = 2 * time.Minute
-	// liftedLifetime is how long a limit that was lifted is remembered.
-	liftedLifetime = 30 * time.Second
 	// announcedChange is the part by which a limit must change for other hosts to be told
 	// at once. Smaller changes reach them with the next messages.
 	announcedChange = 0.1
@@ -62,8 +61,8 @@
 	// Named is set if the server named a limit, and Text is what it named.
 	Named bool
 	Text  string
-	// Succeeded is set if the response is the server's answer to a request, neither a
-	// failure nor a refusal. Only such a response without a limit lifts it.
+	// Succeeded is set if the response is neither a failure nor a refusal. Only such a
+	// response without a limit lifts it.
 	Succeeded bool
 	// SentAt is when the request was sent.
 	SentAt time.Time
@@ -125,12 +124,14 @@
 	l.mu.Lock()
 	known := l.limits[keyOf(r.Process)]
 	lift := known != nil && !known.lifted && r.Succeeded && r.SentAt.After(known.observedAt)
+	c := Change{Kind: Lifted, Process: r.Process}
 	if lift {
 		known.lifted, known.observedAt, known.changedAt = true, now, now
+		c.Rate = known.rate
 	}
 	l.mu.Unlock()
 	if lift {
-		l.notify(Change{Kind: Lifted, Process: r.Process, Rate: known.rate})
+		l.notify(c)
 	}
 }
 
@@ -183,11 +184,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for k, known := range l.limits {
-		lifetime := limitLifetime
-		if known.lifted {
-			lifetime = liftedLifetime
-		}
-		if now.Sub(known.observedAt) > lifetime {
+		if now.Sub(known.observedAt) > limitLifetime {
 			delete(l.limits, k)
 		}
 	}
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -131,6 +131,27 @@
 	require.Zero(t, second.Limited())
 }
 
+// Guards against a limit that a host brings back that was cut off when it was lifted.
+func TestALiftedLimitDoesNotReturn(t *testing.T) {
+	clock := fake.NewClock()
+	here, _ := newTestLimiter(clock, 1)
+	cutOff, _ := newTestLimiter(clock, 1)
+	cutOff.Observe(named(clock, "1"))
+	clock.Advance(time.Second)
+	here.Observe(named(clock, "1"))
+	clock.Advance(time.Second)
+	here.Observe(Response{Process: process, Succeeded: true, SentAt: clock.Now()})
+	for range 200 {
+		clock.Advance(time.Second)
+		here.Sweep(clock.Now())
+		cutOff.Sweep(clock.Now())
+		for _, r := range cutOff.Records(8) {
+			here.Merge(r)
+		}
+		require.Zero(t, here.Limited())
+	}
+}
+
 // Guards against a burst of a host that wakes up: time that passed while it stood still
 // earns nothing.
 func TestAPauseSavesNothingUp(t *testing.T) {
--- a/quarantiner/change.go
+++ b/quarantiner/change.go
@@ -14,7 +14,7 @@
 	Recorded ChangeKind = iota // recorded
 	// Learned evidence came from another host.
 	Learned // learned
-	// Cleared evidence was dropped because the request got a response.
+	// Cleared evidence was dropped because the request succeeded.
 	Cleared // cleared
 )
 
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -1,6 +1,6 @@
 // Package quarantiner detects requests that crash backend servers and refuses to
 // send them to further servers. Evidence is the set of crashed servers per request
-// fingerprint. A response to the request clears it and begins a new generation. Hosts
+// fingerprint. A success of the request clears it and begins a new generation. Hosts
 // exchange evidence: the higher generation wins, and sets of one generation are merged
 // by union, so the order in which evidence arrives does not matter.
 package quarantiner
@@ -30,7 +30,7 @@
 	Scope       Scope  `cbor:"c,omitempty"`
 	// Servers are the IDs of the crashed servers.
 	Servers []verbenastand.ServerID `cbor:"s"`
-	// Generation counts the responses that have cleared earlier evidence.
+	// Generation counts the successes that have cleared earlier evidence.
 	Generation uint32 `cbor:"g,omitempty"`
 	// Remaining is the time after which the evidence expires. Zero means the whole
 	// lifetime: hosts of earlier versions do not send it.
--- a/quarantiner/scope.go
+++ b/quarantiner/scope.go
@@ -11,7 +11,7 @@
 	PerCaller Scope = iota // perCaller
 	// AllCallers evidence is about requests whoever sends them. Many callers may use
 	// a path, and several servers may end at once for another reason: it takes more
-	// crashes, and any response clears it.
+	// crashes, and any success clears it.
 	AllCallers // allCallers
 )
 
