--- a/gossiper/limit_test.go
+++ b/gossiper/limit_test.go
@@ -15,7 +15,7 @@
 const (
 	limitSettleTime = 3 * time.Second
 	limitWindow     = 4 * time.Second
-	toldDelay       = 500 * time.Millisecond
+	informedDelay   = 500 * time.Millisecond
 )
 
 // limitedFleet is a fleet whose hosts want to send a server far more requests than the
@@ -25,12 +25,12 @@
 	net   *network
 	nodes []*node
 	rate  float64
-	// frozen holds the hosts that stand still, told when each host first got a response
-	// that names the limit.
-	frozen map[*node]bool
-	told   map[*node]time.Time
-	named  bool
-	// arrivals are the times of requests from hosts that had been told before.
+	// frozen holds the hosts that are paused, informedAt when each host first got a
+	// response that names the limit.
+	frozen     map[*node]bool
+	informedAt map[*node]time.Time
+	named      bool
+	// arrivals are the times of requests from hosts that had been informed before.
 	arrivals []time.Time
 	ticks    int
 	// tick is the time between two requests that a host wants to send.
@@ -43,7 +43,7 @@
 
 func newLimitedFleet(t *testing.T, size int, rate float64) *limitedFleet {
 	net, nodes := newNetwork(size)
-	f := &limitedFleet{t: t, net: net, nodes: nodes, rate: rate, frozen: make(map[*node]bool), told: make(map[*node]time.Time), named: true}
+	f := &limitedFleet{t: t, net: net, nodes: nodes, rate: rate, frozen: make(map[*node]bool), informedAt: make(map[*node]time.Time), named: true}
 	for _, n := range nodes {
 		n.config.Neighbours, n.config.LifetimePerHost = 8, 20*time.Millisecond
 	}
@@ -77,11 +77,11 @@
 	if !n.limiter.Take(limitedServer) {
 		return
 	}
-	if told, ok := f.told[n]; ok && now.Sub(told) >= toldDelay {
+	if at, ok := f.informedAt[n]; ok && now.Sub(at) >= informedDelay {
 		f.arrivals = append(f.arrivals, now)
 	}
-	if _, ok := f.told[n]; !ok && f.named {
-		f.told[n] = now
+	if _, ok := f.informedAt[n]; !ok && f.named {
+		f.informedAt[n] = now
 	}
 	n.limiter.Observe(limiter.Response{
 		Process: limitedServer, Named: f.named, Text: fmt.Sprint(f.rate), Succeeded: true, SentAt: now,
@@ -116,7 +116,7 @@
 }
 
 // Guards against hosts that together send a server more requests than the limit that it
-// names (issue 23, LIMIT): in fleets of several sizes, while hosts restart, stand still
+// names (issue 23, LIMIT): in fleets of several sizes, while hosts restart, are paused
 // and are cut off from each other, also for limits below one request a second.
 func TestALimitHoldsInAFleet(t *testing.T) {
 	cases := []struct {
@@ -185,5 +185,5 @@
 }
 
 // longestTrial is the time in which a server gets a request however low its limit is,
-// and the news of the response reaches all hosts.
+// and what it shows reaches all hosts.
 const longestTrial = 35 * time.Second
--- a/limiter/change.go
+++ b/limiter/change.go
@@ -30,7 +30,7 @@
 	// Rate is the limit of all hosts together, after the change or before it was
 	// lifted.
 	Rate verbenastand.RequestRate
-	// Learned is set if another host told of the change, Age ago.
+	// Learned is set if another host reported the change, whose response is Age old.
 	Learned bool
 	Age     time.Duration
 	// Err tells why a text is malformed.
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -1,6 +1,6 @@
 // Package limiter keeps the limits that backend servers name: the requests per second
 // that a server takes from all hosts together. Each response of a server tells whether
-// it names a limit. Hosts tell each other what they have seen; the latest response counts.
+// it names a limit. Hosts exchange what they have seen; the latest response counts.
 //
 // A limit is divided among a few hosts, without messages: those that come first for the
 // server by rendezvous hashing, as many as get a request per second each. The others
@@ -21,9 +21,9 @@
 	// MaxLimits is the maximum number of limits.
 	MaxLimits = 4096
 	// limitLifetime is how long a limit is kept that no response renews. One that was
-	// lifted is remembered as long, since hosts that were cut off may still tell of it.
+	// lifted is remembered as long, since hosts that were cut off may still send it.
 	limitLifetime = 2 * time.Minute
-	// announcedChange is the part by which a limit must change for other hosts to be told
+	// announcedChange is the fraction by which a limit must change to be sent to other hosts
 	// at once. Smaller changes reach them with the next messages.
 	announcedChange = 0.1
 )
@@ -39,7 +39,7 @@
 // limit is what the latest response of a server tells about its limit.
 type limit struct {
 	rate verbenastand.RequestRate
-	// announced is the rate that other hosts have been told.
+	// announced is the rate that was last sent to other hosts at once.
 	announced verbenastand.RequestRate
 	// lifted is set if the response named no limit.
 	lifted bool
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -152,8 +152,7 @@
 	}
 }
 
-// Guards against a burst of a host that wakes up: time that passed while it stood still
-// earns nothing.
+// Guards against a burst of a host that resumes after a pause: the pause earns nothing.
 func TestAPauseSavesNothingUp(t *testing.T) {
 	clock := fake.NewClock()
 	l, _ := newTestLimiter(clock, 1)
--- a/limiter/record.go
+++ b/limiter/record.go
@@ -14,13 +14,13 @@
 // Each exchange makes a record seem younger by the time that it takes.
 const renewalStep = time.Second
 
-// Record is a limit as hosts tell each other.
+// Record is a limit as hosts exchange it.
 type Record struct {
 	Server    verbenastand.ServerID    `cbor:"s"`
 	StartTime int64                    `cbor:"t,omitempty"`
 	Rate      verbenastand.RequestRate `cbor:"r"`
 	Lifted    bool                     `cbor:"l,omitempty"`
-	// Age is the time since the response was received that tells the limit.
+	// Age is the time since the response was received that the limit is from.
 	Age time.Duration `cbor:"a"`
 }
 
@@ -53,7 +53,7 @@
 }
 
 // Merge applies a limit that another host has seen later than this one, and reports
-// whether it was news.
+// whether it was new.
 func (l *Limiter) Merge(r Record) bool {
 	rate := float64(r.Rate)
 	if r.Age < 0 || r.Age > limitLifetime || !(rate >= 0) || math.IsInf(rate, 0) {
--- a/limiter/share.go
+++ b/limiter/share.go
@@ -19,7 +19,7 @@
 	burst = 500 * time.Millisecond
 	// hostsLifetime is how long the hosts that share limits are used once they are read.
 	hostsLifetime = 200 * time.Millisecond
-	// longestWait bounds the wait that is told to callers: another host may have a share.
+	// longestWait bounds the wait of a host without a share: another host may have one.
 	longestWait = time.Second
 )
 
