Show that a fleet misses what a restored store writes again

The test brings it about in memory: the store returns from an older copy, and the changes written again under known revisions never take effect.

--- a/follower/fake_fleet_test.go
+++ b/follower/fake_fleet_test.go
@@ -55,6 +55,29 @@
 	s.updated = make(chan struct{})
 }
 
+// restore makes the store return from a copy of an earlier revision: later changes are
+// lost, and their revisions are given out again.
+func (s *fakeStore) restore(revision verbenastand.Revision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kept := s.changes[:0:0]
+	for _, c := range s.changes {
+		if c.Revision <= revision {
+			kept = append(kept, c)
+		}
+	}
+	s.changes, s.revision = kept, revision
+	close(s.updated)
+	s.updated = make(chan struct{})
+}
+
+// newestRevision returns the revision of the last change.
+func (s *fakeStore) newestRevision() verbenastand.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
 // storeClient is the store as one host reaches it.
 type storeClient struct {
 	store *fakeStore
@@ -118,7 +141,7 @@
 			return nil, 0, verbenastand.ErrStoreBusy
 		}
 		stalled := call <= s.stalledCalls
-		if after < s.compactedUntil && !stalled {
+		if (after < s.compactedUntil || after > s.revision) && !stalled {
 			s.mu.Unlock()
 			return nil, 0, verbenastand.ErrHistoryGone
 		}
