Order the states of the store by its era first

Callers got routes that were two changes old, and 404 for new ones, once the store had returned from an older copy. Cause: hosts ordered its states by the revision alone; what was written again under a revision that they had already seen never took effect, and drains among it were missed. Class of fault: an identity that is valid within one history of a store, used across two.

The store's client now reads the era of each response. An era orders before the revision: in memory, in watches and checks, and in the messages between hosts. A reader whose answer is of another era lists everything; in a new era any state of an object is newer by position and must be newer by content: a table by its version, a registration by its process and sequence number. A server that the copy lacks is kept like one that expired in an outage. Messages of an earlier era are ignored and answered with the position, and a confirmation from there no longer counts. A list that may be stale is used only until an authoritative one arrives, since its era can't be trusted.

--- a/follower/batch.go
+++ b/follower/batch.go
@@ -10,19 +10,28 @@
 // revision.
 type batch struct {
 	changes []verbenastand.Change
+	// era is the era of all revisions of the batch.
+	era verbenastand.Era
 	// after is the revision after which the changes are complete, zero if they are all
 	// objects.
-	after       verbenastand.Revision
-	full        bool
+	after verbenastand.Revision
+	full  bool
+	// provisional is set if the changes may be of any era.
+	provisional bool
 	revision    verbenastand.Revision
 	confirmedAt time.Time
 	// forwardTo are the hosts to which the receiver forwards the batch.
 	forwardTo []verbenastand.HostID
 }
 
+// position returns the position up to which the changes are complete.
+func (b batch) position() verbenastand.Position {
+	return verbenastand.Position{Era: b.era, Revision: b.revision}
+}
+
 // announcement returns the batch without its changes.
 func (b batch) announcement() batch {
-	return batch{after: b.revision, revision: b.revision, confirmedAt: b.confirmedAt}
+	return batch{era: b.era, after: b.revision, revision: b.revision, confirmedAt: b.confirmedAt}
 }
 
 // large reports whether sending the batch to many peers would saturate a slow
@@ -37,20 +46,24 @@
 	return routes+len(b.changes) > largeBatchSize
 }
 
-// apply applies a batch. It returns false if changes before it are missing.
+// apply applies a batch. It returns false if changes before it are missing, or if it
+// is from an earlier era than this host's.
 func (f *Follower) apply(b batch) bool {
 	f.mu.Lock()
-	f.newest = max(f.newest, b.revision)
-	if !b.full && b.after > f.revision {
+	f.noteNewestLocked(b.position())
+	if b.era < f.era || (!b.full && (b.era > f.era || b.after > f.revision || f.provisional)) {
 		f.mu.Unlock()
 		return false
 	}
 	var events []Event
-	if b.revision >= f.newest {
-		// A revision older than one that a peer knows is not current.
-		events = f.confirmLocked(b.confirmedAt)
-	}
 	changed := false
+	if b.era > f.era || f.provisional {
+		events = append(events, f.enterEraLocked(b)...)
+	}
+	if !b.position().Before(f.newest) {
+		// A position before one that a peer knows is not current.
+		events = append(events, f.confirmLocked(b)...)
+	}
 	for _, c := range b.changes {
 		updated, event := f.applyLocked(c)
 		changed = changed || updated
@@ -58,6 +71,9 @@
 			events = append(events, event)
 		}
 	}
+	if b.provisional {
+		f.provisional = true
+	}
 	if b.full {
 		changed = f.removeMissingLocked(b) || changed
 		f.recordGapLocked(b.revision)
@@ -75,7 +91,8 @@
 
 // confirmLocked records the confirmation of a batch. It returns an event if an
 // outage of the store ended.
-func (f *Follower) confirmLocked(at time.Time) []Event {
+func (f *Follower) confirmLocked(b batch) []Event {
+	at := b.confirmedAt
 	if !at.After(f.confirmedAt) {
 		return nil
 	}
@@ -86,7 +103,7 @@
 		return nil
 	}
 	f.recoveredAt = f.config.Clock.Now()
-	return []Event{{Name: "storeReturned", Revision: f.revision, Staleness: elapsed}}
+	return []Event{{Name: "storeReturned", Position: b.position(), Staleness: elapsed}}
 }
 
 // recordGapLocked records that a list of all objects advanced this host to a
@@ -110,13 +127,14 @@
 	return after != 0 && after >= f.historyFrom && (after <= f.gapFrom || after >= f.gapUntil)
 }
 
-// changesSince returns the newest change of each object after a revision, or all
+// changesSince returns the newest change of each object after a position, or all
 // objects if changes in between are not known.
-func (f *Follower) changesSince(after verbenastand.Revision) batch {
+func (f *Follower) changesSince(position verbenastand.Position) batch {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	b := batch{after: after, revision: f.revision, confirmedAt: f.confirmedAt}
-	if !f.contiguousLocked(after) {
+	after := position.Revision
+	b := batch{era: f.era, after: after, revision: f.revision, confirmedAt: f.confirmedAt}
+	if position.Era != f.era || !f.contiguousLocked(after) {
 		b.full, b.after = true, 0
 	}
 	for _, o := range f.objects {
--- a/follower/fake_fleet_test.go
+++ b/follower/fake_fleet_test.go
@@ -17,6 +17,7 @@
 	mu       sync.Mutex
 	changes  []verbenastand.Change
 	revision verbenastand.Revision
+	era      verbenastand.Era
 	// compactedUntil is the revision before which the history is discarded.
 	compactedUntil verbenastand.Revision
 	updated        chan struct{}
@@ -67,10 +68,15 @@
 		}
 	}
 	s.changes, s.revision = kept, revision
+	s.era++
 	close(s.updated)
 	s.updated = make(chan struct{})
 }
 
+func (s *fakeStore) positionLocked() verbenastand.Position {
+	return verbenastand.Position{Era: s.era, Revision: s.revision}
+}
+
 // newestRevision returns the revision of the last change.
 func (s *fakeStore) newestRevision() verbenastand.Revision {
 	s.mu.Lock()
@@ -96,7 +102,7 @@
 	for _, c := range s.changes {
 		latest[c.Key] = c
 	}
-	snapshot := verbenastand.Snapshot{Revision: s.revision}
+	snapshot := verbenastand.Snapshot{Position: s.positionLocked()}
 	for _, c := range latest {
 		if !c.Removed {
 			snapshot.Changes = append(snapshot.Changes, c)
@@ -105,28 +111,28 @@
 	return snapshot, nil
 }
 
-func (sc storeClient) NewestRevision(ctx context.Context) (verbenastand.Revision, error) {
+func (sc storeClient) NewestPosition(ctx context.Context) (verbenastand.Position, error) {
 	s := sc.store
 	s.mu.Lock()
 	delay := s.newestDelay
 	s.mu.Unlock()
 	sleep(ctx, delay)
 	if ctx.Err() != nil {
-		return 0, ctx.Err()
+		return verbenastand.Position{}, ctx.Err()
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.cheapCalls++
 	if s.down[sc.host] {
-		return 0, verbenastand.ErrStoreBusy
+		return verbenastand.Position{}, verbenastand.ErrStoreBusy
 	}
 	if s.staleRevision != 0 {
-		return s.staleRevision, nil
+		return verbenastand.Position{Era: s.era, Revision: s.staleRevision}, nil
 	}
-	return s.revision, nil
+	return s.positionLocked(), nil
 }
 
-func (sc storeClient) Watch(ctx context.Context, after verbenastand.Revision, wait time.Duration) ([]verbenastand.Change, verbenastand.Revision, error) {
+func (sc storeClient) Watch(ctx context.Context, after verbenastand.Revision, wait time.Duration) ([]verbenastand.Change, verbenastand.Position, error) {
 	s := sc.store
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -138,12 +144,12 @@
 		s.mu.Lock()
 		if s.down[sc.host] {
 			s.mu.Unlock()
-			return nil, 0, verbenastand.ErrStoreBusy
+			return nil, verbenastand.Position{}, verbenastand.ErrStoreBusy
 		}
 		stalled := call <= s.stalledCalls
 		if (after < s.compactedUntil || after > s.revision) && !stalled {
 			s.mu.Unlock()
-			return nil, 0, verbenastand.ErrHistoryGone
+			return nil, verbenastand.Position{}, verbenastand.ErrHistoryGone
 		}
 		var changes []verbenastand.Change
 		for _, c := range s.changes {
@@ -151,22 +157,22 @@
 				changes = append(changes, c)
 			}
 		}
-		revision, updated := s.revision, s.updated
+		position, updated := s.positionLocked(), s.updated
 		s.mu.Unlock()
 		if stalled {
 			<-ctx.Done()
-			return nil, 0, ctx.Err()
+			return nil, verbenastand.Position{}, ctx.Err()
 		}
 		if len(changes) > 0 {
 			time.Sleep(s.responseDelay)
-			return changes, revision, nil
+			return changes, position, nil
 		}
 		select {
 		case <-updated:
 		case <-timer.C:
-			return nil, revision, nil
+			return nil, position, nil
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, verbenastand.Position{}, ctx.Err()
 		}
 	}
 }
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -47,7 +47,7 @@
 	// Key identifies the object in the store, if the event concerns one, or the peer
 	// of a failed relay.
 	Key      string
-	Revision verbenastand.Revision
+	Position verbenastand.Position
 	// Staleness is the time since the last confirmation when the event occurred. At
 	// the end of an outage, it is the time between the last two confirmations.
 	Staleness time.Duration
@@ -62,12 +62,17 @@
 	// rankCache holds the host's rank until the membership changes.
 	rankCache atomic.Pointer[cachedRank]
 
-	mu       sync.Mutex
-	objects  map[string]*object
-	table    *verbenastand.RouteTable
+	mu      sync.Mutex
+	objects map[string]*object
+	table   *verbenastand.RouteTable
+	// era is the era of all revisions below and of the objects.
+	era      verbenastand.Era
 	revision verbenastand.Revision
-	// newest is the highest revision that this host or a peer has seen.
-	newest verbenastand.Revision
+	// provisional is set while the objects come only from a list that may be of an
+	// earlier era.
+	provisional bool
+	// newest is the newest position that this host or a peer has seen.
+	newest verbenastand.Position
 	// Of the changes after historyFrom, the newest of each object is known, except for
 	// objects that were both created and removed between gapFrom and gapUntil.
 	historyFrom       verbenastand.Revision
@@ -122,11 +127,22 @@
 	f.confirmedAt = time.Time{}
 }
 
-// Revision returns the revision up to which all changes are known.
-func (f *Follower) Revision() verbenastand.Revision {
+// Position returns the position up to which all changes are known.
+func (f *Follower) Position() verbenastand.Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.revision
+	return f.positionLocked()
+}
+
+func (f *Follower) positionLocked() verbenastand.Position {
+	return verbenastand.Position{Era: f.era, Revision: f.revision}
+}
+
+// mustList reports whether the objects are to be read as a whole.
+func (f *Follower) mustList() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.revision == 0 || f.provisional
 }
 
 // ExpireRegistrations stops using retained registrations that were not renewed in
@@ -146,13 +162,26 @@
 	}
 }
 
-// newestKnown returns the highest revision that is known to exist.
-func (f *Follower) newestKnown() verbenastand.Revision {
+// newestKnown returns the newest position that is known to exist.
+func (f *Follower) newestKnown() verbenastand.Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.newest
 }
 
+// noteNewest records a position that a peer knows.
+func (f *Follower) noteNewest(p verbenastand.Position) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.noteNewestLocked(p)
+}
+
+func (f *Follower) noteNewestLocked(p verbenastand.Position) {
+	if f.newest.Before(p) {
+		f.newest = p
+	}
+}
+
 // publish builds a view of the current state and makes it the current view.
 func (f *Follower) publish() {
 	f.publishMu.Lock()
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -157,7 +157,7 @@
 			changes = append(changes, registered(id, revision, nil))
 		}
 		follow := func(f *Follower, until int) {
-			after := f.Revision()
+			after := f.Position().Revision
 			f.apply(batch{changes: changes[after:until], after: after, revision: verbenastand.Revision(until)})
 		}
 		list := func(f *Follower, until int) {
@@ -176,7 +176,7 @@
 		sender, peer := newFollower(fake.NewClock()), newFollower(fake.NewClock())
 		listed := false
 		for range rapid.IntRange(1, 5).Draw(t, "steps") {
-			until := rapid.IntRange(int(sender.Revision()), len(changes)).Draw(t, "until")
+			until := rapid.IntRange(int(sender.Position().Revision), len(changes)).Draw(t, "until")
 			if rapid.Bool().Draw(t, "list") {
 				list(sender, until)
 				listed = true
@@ -184,18 +184,18 @@
 			}
 			follow(sender, until)
 		}
-		follow(peer, rapid.IntRange(0, int(sender.Revision())).Draw(t, "peer"))
-		fresh := peer.Revision() == 0
-		peer.apply(sender.changesSince(peer.Revision()))
-		if peer.Revision() != sender.Revision() || fmt.Sprint(states(peer)) != fmt.Sprint(states(sender)) {
-			t.Fatalf("%d: %v, want %d: %v", peer.Revision(), states(peer), sender.Revision(), states(sender))
+		follow(peer, rapid.IntRange(0, int(sender.Position().Revision)).Draw(t, "peer"))
+		fresh := peer.Position().Revision == 0
+		peer.apply(sender.changesSince(peer.Position()))
+		if peer.Position().Revision != sender.Position().Revision || fmt.Sprint(states(peer)) != fmt.Sprint(states(sender)) {
+			t.Fatalf("%d: %v, want %d: %v", peer.Position().Revision, states(peer), sender.Position().Revision, states(sender))
 		}
 		if listed || fresh {
 			// A list of all objects does not contain removed ones, by whose last
 			// registration a late one is recognized as outdated.
 			return
 		}
-		late := registered("a", sender.Revision()+1, func(c *verbenastand.RegistrationConfig) {
+		late := registered("a", sender.Position().Revision+1, func(c *verbenastand.RegistrationConfig) {
 			c.Sequence = rapid.Uint64Range(1, 30).Draw(t, "sequence of a late registration")
 		})
 		sender.apply(batch{changes: []verbenastand.Change{late}, revision: late.Revision})
@@ -214,7 +214,7 @@
 	for revision := verbenastand.Revision(2); revision <= 40; revision++ {
 		f.apply(batch{changes: []verbenastand.Change{table(revision, verbenastand.TableVersion(revision))}, after: revision - 1, revision: revision})
 	}
-	b := f.changesSince(1)
+	b := f.changesSince(verbenastand.Position{Revision: 1})
 	require.Len(t, b.changes, 1)
 	require.EqualValues(t, 40, b.changes[0].Table.Version())
 }
@@ -243,7 +243,7 @@
 	f := newFollower(fake.NewClock())
 	f.apply(batch{changes: []verbenastand.Change{registered("a", 2, nil)}, revision: 2})
 	require.False(t, f.apply(batch{changes: []verbenastand.Change{registered("b", 5, nil)}, after: 4, revision: 5}))
-	require.EqualValues(t, 2, f.Revision())
+	require.EqualValues(t, 2, f.Position().Revision)
 }
 
 // TestRegistrationsThatExpireDuringAnOutage: registrations may expire while the
--- a/follower/message.go
+++ b/follower/message.go
@@ -38,6 +38,12 @@
 	// ForwardTo are the hosts to which the receiver forwards the changes. Key 8 had
 	// another meaning in earlier versions.
 	ForwardTo []string `cbor:"10,keyasint,omitempty"`
+	// Era is the era of all revisions of the message.
+	Era uint64 `cbor:"11,keyasint,omitempty"`
+}
+
+func (m message) position() verbenastand.Position {
+	return verbenastand.Position{Era: verbenastand.Era(m.Era), Revision: verbenastand.Revision(m.Revision)}
 }
 
 type changeRecord struct {
@@ -101,7 +107,7 @@
 // encode encodes a batch, with its staleness at the given time.
 func encode(b batch, now time.Time) ([]byte, error) {
 	m := message{
-		Version: messageVersion, After: uint64(b.after), Full: b.full, Revision: uint64(b.revision),
+		Version: messageVersion, After: uint64(b.after), Full: b.full, Era: uint64(b.era), Revision: uint64(b.revision),
 		Staleness: unknownStaleness,
 	}
 	if !b.confirmedAt.IsZero() {
@@ -194,7 +200,7 @@
 
 // batch returns the changes of a message that was received at the given time.
 func (m message) batch(now time.Time) batch {
-	b := batch{after: verbenastand.Revision(m.After), full: m.Full, revision: verbenastand.Revision(m.Revision)}
+	b := batch{era: verbenastand.Era(m.Era), after: verbenastand.Revision(m.After), full: m.Full, revision: verbenastand.Revision(m.Revision)}
 	for _, id := range m.ForwardTo {
 		b.forwardTo = append(b.forwardTo, verbenastand.HostID(id))
 	}
--- a/follower/object.go
+++ b/follower/object.go
@@ -29,7 +29,7 @@
 	if c.Revision <= o.change.Revision {
 		return false, Event{}
 	}
-	event := Event{Key: c.Key, Revision: c.Revision, Staleness: f.stalenessLocked(), Err: errors.Join(c.Err, c.Warning)}
+	event := Event{Key: c.Key, Position: verbenastand.Position{Era: f.era, Revision: c.Revision}, Staleness: f.stalenessLocked(), Err: errors.Join(c.Err, c.Warning)}
 	if c.Table != nil || (c.Err != nil && o.change.Table != nil) {
 		return f.applyTableLocked(o, c, event)
 	}
@@ -43,8 +43,13 @@
 		o.retainedUntil = f.retainUntilLocked()
 	}
 	if !removed {
+		unchanged := o.change.Registration != nil && *o.change.Registration == *c.Registration
 		o.lastRegistration, o.lastRevision = c.Registration, c.Revision
 		o.retainedUntil = time.Time{}
+		if unchanged {
+			o.change = c
+			return false, Event{}
+		}
 	}
 	o.change = c
 	event.Name = registrationEvent(c)
@@ -80,14 +85,17 @@
 		o.change.Revision = c.Revision
 		return false, event
 	}
-	if f.table != nil && c.Table.Version() <= f.table.Version() {
+	event.Name = "tableInForce"
+	if f.table != nil && c.Table.Version() < f.table.Version() {
 		event.Name = "tableOutdated"
 		o.change.Revision = c.Revision
 		return false, event
 	}
+	if f.table != nil && c.Table.Version() == f.table.Version() {
+		event.Name = "tableRewritten"
+	}
 	f.table = c.Table
 	o.change = c
-	event.Name = "tableInForce"
 	return true, event
 }
 
--- a/follower/read.go
+++ b/follower/read.go
@@ -17,11 +17,11 @@
 	// watchMargin is how long a watch may take beyond its wait before it counts as
 	// lost.
 	watchMargin = 500 * time.Millisecond
-	// revisionCheckInterval is how often a reader requests the newest revision while
+	// revisionCheckInterval is how often a reader requests the newest position while
 	// its watch waits: the response confirms that the store is reachable, and reveals
 	// a watch that has stalled. Such a request costs a tenth of a watch.
 	revisionCheckInterval = 900 * time.Millisecond
-	// revisionCheckTimeout bounds one request for the newest revision.
+	// revisionCheckTimeout bounds one request for the newest position.
 	revisionCheckTimeout = 400 * time.Millisecond
 	// watchStallTimeout is how long a watch may fail to return a revision that is
 	// known to exist.
@@ -88,7 +88,7 @@
 		shouldRead := f.shouldRead()
 		if shouldRead != reading {
 			reading = shouldRead
-			f.config.OnEvent(Event{Name: readingEvent(shouldRead), Revision: f.Revision(), Staleness: f.Staleness()})
+			f.config.OnEvent(Event{Name: readingEvent(shouldRead), Position: f.Position(), Staleness: f.Staleness()})
 		}
 		if !shouldRead {
 			backoff = 0
@@ -98,7 +98,7 @@
 		changed, err := f.read(ctx)
 		switch {
 		case err != nil && ctx.Err() == nil:
-			f.config.OnEvent(Event{Name: "storeCallFailed", Revision: f.Revision(), Staleness: f.Staleness(), Err: err})
+			f.config.OnEvent(Event{Name: "storeCallFailed", Position: f.Position(), Staleness: f.Staleness(), Err: err})
 			backoff = f.nextBackoff(backoff)
 			sleep(ctx, backoff/2+rand.N(backoff))
 		case changed:
@@ -178,7 +178,7 @@
 // read lists all objects if none are known, and otherwise watches for changes. It
 // relays the result.
 func (f *Follower) read(ctx context.Context) (changed bool, err error) {
-	if f.Revision() == 0 {
+	if f.mustList() {
 		return f.list(ctx, false)
 	}
 	return f.watch(ctx)
@@ -187,7 +187,7 @@
 // watchResult is the result of a watch.
 type watchResult struct {
 	changes  []verbenastand.Change
-	revision verbenastand.Revision
+	position verbenastand.Position
 	err      error
 }
 
@@ -204,15 +204,19 @@
 func (f *Follower) watch(ctx context.Context) (changed bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	after := f.Revision()
+	after := f.Position()
 	results := make(chan watchResult, maxWatches)
 	if f.Staleness() > maxStaleness {
-		// Confirms the revision to the peers, so that they do not read as well.
-		if _, err := f.checkRevision(ctx, after); err != nil {
+		// Confirms the position to the peers, so that they do not read as well.
+		newest, err := f.checkPosition(ctx, after)
+		if err != nil {
 			return false, err
 		}
+		if newest.Era > after.Era {
+			return f.list(ctx, false)
+		}
 	}
-	f.startWatch(ctx, after, results)
+	f.startWatch(ctx, after.Revision, results)
 	waiting, started := 1, 1
 	check := time.NewTicker(revisionCheckInterval)
 	defer check.Stop()
@@ -225,18 +229,21 @@
 				return f.handleWatchResult(ctx, after, r)
 			}
 		case <-check.C:
-			newest, err := f.checkRevision(ctx, after)
+			newest, err := f.checkPosition(ctx, after)
 			if err != nil {
 				return false, err
 			}
-			if newest > after && stallTimer == nil {
+			if newest.Era > after.Era {
+				return f.list(ctx, false)
+			}
+			if after.Before(newest) && stallTimer == nil {
 				stallTimer = time.After(watchStallTimeout)
 			}
 		case <-stallTimer:
 			if started == maxWatches {
 				return false, errWatchStalled
 			}
-			f.startWatch(ctx, after, results)
+			f.startWatch(ctx, after.Revision, results)
 			waiting++
 			started++
 			stallTimer = time.After(slowResponseTime)
@@ -249,37 +256,46 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, watchWait+watchMargin)
 		defer cancel()
-		changes, revision, err := f.config.Store.Watch(ctx, after, watchWait)
-		results <- watchResult{changes, revision, err}
+		changes, position, err := f.config.Store.Watch(ctx, after, watchWait)
+		results <- watchResult{changes, position, err}
 	}()
 }
 
-func (f *Follower) handleWatchResult(ctx context.Context, after verbenastand.Revision, r watchResult) (changed bool, err error) {
+func (f *Follower) handleWatchResult(ctx context.Context, after verbenastand.Position, r watchResult) (changed bool, err error) {
 	if errors.Is(r.err, verbenastand.ErrHistoryGone) {
 		return f.list(context.WithoutCancel(ctx), false)
 	}
 	if r.err != nil {
 		return false, r.err
 	}
-	b := batch{changes: r.changes, after: after, revision: r.revision, confirmedAt: f.confirmationTime(f.config.Clock.Now().Add(-maxResponseAge))}
+	if r.position.Era != after.Era {
+		// The changes follow another revision of the same number.
+		return f.list(context.WithoutCancel(ctx), false)
+	}
+	b := batch{changes: r.changes, era: after.Era, after: after.Revision, revision: r.position.Revision, confirmedAt: f.confirmationTime(f.config.Clock.Now().Add(-maxResponseAge))}
 	f.apply(b)
 	f.broadcast(ctx, b)
 	return len(r.changes) > 0, nil
 }
 
-// checkRevision requests the newest revision from the store, and sends the
+// checkPosition requests the newest position from the store, and sends the
 // confirmation to the peers if nothing is newer.
-func (f *Follower) checkRevision(ctx context.Context, after verbenastand.Revision) (verbenastand.Revision, error) {
+func (f *Follower) checkPosition(ctx context.Context, after verbenastand.Position) (verbenastand.Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, revisionCheckTimeout)
 	defer cancel()
 	started := f.config.Clock.Now()
 	f.countCall()
-	newest, err := f.config.Store.NewestRevision(ctx)
-	newest = max(newest, f.newestKnown())
-	if err != nil || newest > after {
+	newest, err := f.config.Store.NewestPosition(ctx)
+	if err != nil {
 		return newest, err
 	}
-	b := batch{after: after, revision: after, confirmedAt: f.confirmationTime(started)}
+	if known := f.newestKnown(); newest.Before(known) {
+		newest = known
+	}
+	if after.Before(newest) {
+		return newest, nil
+	}
+	b := batch{era: after.Era, after: after.Revision, revision: after.Revision, confirmedAt: f.confirmationTime(started)}
 	f.apply(b)
 	f.broadcast(ctx, b)
 	return newest, nil
@@ -296,8 +312,11 @@
 	return now.Add(-min(now.Sub(started), maxResponseAge))
 }
 
+// errEarlierEra means that the store answered from an era before the one that is known.
+var errEarlierEra = errors.New("follower: the store answered from an earlier era")
+
 // list reads all objects and relays them. A stale list does not confirm that the
-// view is current and is not relayed.
+// view is current and is not relayed; it is used only while nothing else is known.
 func (f *Follower) list(ctx context.Context, stale bool) (changed bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
@@ -307,14 +326,15 @@
 	if err != nil {
 		return false, err
 	}
-	b := batch{changes: snapshot.Changes, full: true, revision: snapshot.Revision, confirmedAt: started}
 	if stale {
-		b.confirmedAt = time.Time{}
+		f.applyProvisional(snapshot)
+		return true, nil
 	}
-	f.apply(b)
-	if !stale {
-		f.broadcast(ctx, b)
+	b := batch{changes: snapshot.Changes, full: true, era: snapshot.Position.Era, revision: snapshot.Position.Revision, confirmedAt: started}
+	if !f.apply(b) {
+		return false, errEarlierEra
 	}
+	f.broadcast(ctx, b)
 	return true, nil
 }
 
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -96,44 +96,47 @@
 // another host.
 func (f *Follower) send(ctx context.Context, b batch, to subtree) {
 	if !b.large() {
-		peerRevision, err := f.exchange(ctx, b, to)
-		if err != nil || peerRevision >= b.revision {
+		known, err := f.exchange(ctx, b, to)
+		if err != nil || !known.Before(b.position()) {
 			return
 		}
-		b = f.changesSince(peerRevision)
+		b = f.changesSince(known)
 	}
 	if b.large() {
 		f.largeSends <- struct{}{}
 		defer func() { <-f.largeSends }()
-		peerRevision, err := f.exchange(ctx, b.announcement(), to)
-		if err != nil || peerRevision >= b.revision {
+		known, err := f.exchange(ctx, b.announcement(), to)
+		if err != nil || !known.Before(b.position()) {
 			return
 		}
-		b = f.changesSince(peerRevision)
+		b = f.changesSince(known)
 	}
 	_, err := f.exchange(ctx, b, to)
 	if err != nil {
-		f.config.OnEvent(Event{Name: "relayFailed", Key: string(to.root.ID()), Revision: b.revision, Err: err})
+		f.config.OnEvent(Event{Name: "relayFailed", Key: string(to.root.ID()), Position: b.position(), Err: err})
 	}
 }
 
-// exchange sends a batch to a peer and returns the revision known there.
-func (f *Follower) exchange(ctx context.Context, b batch, to subtree) (verbenastand.Revision, error) {
+// exchange sends a batch to a peer and returns the position known there.
+func (f *Follower) exchange(ctx context.Context, b batch, to subtree) (verbenastand.Position, error) {
 	for _, h := range to.descendants {
 		b.forwardTo = append(b.forwardTo, h.ID())
 	}
 	data, err := encode(b, f.config.Clock.Now())
 	if err != nil {
-		return 0, err
+		return verbenastand.Position{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout+time.Duration(len(data))*time.Second/minRelayRate)
 	defer cancel()
 	response, err := f.config.Relay.Relay(ctx, to.root, data)
 	if err != nil {
-		return 0, err
+		return verbenastand.Position{}, err
 	}
 	m, err := decode(response)
-	return verbenastand.Revision(m.Revision), err
+	if err == nil {
+		f.noteNewest(m.position())
+	}
+	return m.position(), err
 }
 
 // forward sends a batch to the peers that its sender delegated to this host. Those
@@ -154,7 +157,8 @@
 func (f *Follower) pull(ctx context.Context, peer verbenastand.Host) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	request, err := marshal(message{Version: messageVersion, Pull: true, After: uint64(f.Revision())})
+	position := f.Position()
+	request, err := marshal(message{Version: messageVersion, Pull: true, Era: uint64(position.Era), After: uint64(position.Revision)})
 	if err != nil {
 		return
 	}
@@ -176,11 +180,12 @@
 	}
 	now := f.config.Clock.Now()
 	if m.Pull {
-		return encode(f.changesSince(verbenastand.Revision(m.After)), now)
+		return encode(f.changesSince(verbenastand.Position{Era: verbenastand.Era(m.Era), Revision: verbenastand.Revision(m.After)}), now)
 	}
 	b := m.batch(now)
 	if f.apply(b) {
 		f.forward(b)
 	}
-	return marshal(message{Version: messageVersion, Revision: uint64(f.Revision())})
+	position := f.Position()
+	return marshal(message{Version: messageVersion, Era: uint64(position.Era), Revision: uint64(position.Revision)})
 }
--- a/launcher/gateway_run.go
+++ b/launcher/gateway_run.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/sender"
@@ -141,7 +142,9 @@
 		}
 	}
 	g.follower.Bootstrap(ctx, peers)
-	g.log.WithField("known", g.follower.HasRouteTable()).WithField("revision", uint64(g.follower.Revision())).Info("ready")
+	g.log.WithFields(log.Fields{
+		"known": g.follower.HasRouteTable(), "era": uint64(g.follower.Position().Era), "revision": uint64(g.follower.Position().Revision),
+	}).Info("ready")
 }
 
 func (g *Gateway) handleReloads(ctx context.Context, reload <-chan struct{}) {
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -115,7 +115,8 @@
 // Store logs an event of the configuration store's follower.
 func (r *Recorder) Store(e follower.Event) {
 	r.config.Log.WithFields(log.Fields{
-		"change": e.Name, "key": e.Key, "revision": uint64(e.Revision), "proofAgeMs": milliseconds(e.Staleness), "error": errorText(e.Err),
+		"change": e.Name, "key": e.Key, "era": uint64(e.Position.Era), "revision": uint64(e.Position.Revision),
+		"proofAgeMs": milliseconds(e.Staleness), "error": errorText(e.Err),
 	}).Info(eventStore)
 }
 
--- a/store.go
+++ b/store.go
@@ -1,15 +1,31 @@
 package verbenastand
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
 )
 
-// Revision numbers the changes of the configuration store in order. Zero precedes
-// all of them.
+// Revision numbers the changes of the configuration store in order, within one era.
+// Zero precedes all of them.
 type Revision uint64
 
+// Era counts how often the configuration store has returned from an older copy. It has
+// then lost its last changes, and gives out their revisions again.
+type Era uint64
+
+// Position identifies a state of the configuration store.
+type Position struct {
+	Era      Era
+	Revision Revision
+}
+
+// Before reports whether p precedes other.
+func (p Position) Before(other Position) bool {
+	return cmp.Or(cmp.Compare(p.Era, other.Era), cmp.Compare(p.Revision, other.Revision)) < 0
+}
+
 // Change is the state of one object of the store after a change. Exactly one of
 // Registration, Table, Removed and Err is set.
 type Change struct {
@@ -33,9 +49,9 @@
 // Snapshot is the state of all objects of the store at one revision.
 type Snapshot struct {
 	Changes []Change
-	// Revision is the earliest revision that the snapshot may show. The reader has
-	// to request the changes after it.
-	Revision Revision
+	// Position is the earliest state that the snapshot may show. The reader has to
+	// request the changes after it.
+	Position Position
 }
 
 // Errors of a ConfigurationStore.
@@ -50,15 +66,16 @@
 // registrations. Access to it is read-only.
 type ConfigurationStore interface {
 	// List returns all objects. If stale is set, the list is cheaper for the store
-	// and may be seconds old.
+	// and may be seconds old, also from an earlier era than it says.
 	List(ctx context.Context, stale bool) (Snapshot, error)
-	// NewestRevision returns the newest revision. It is cheap for the store, and
-	// the result may be seconds old.
-	NewestRevision(ctx context.Context) (Revision, error)
+	// NewestPosition returns the newest state. It is cheap for the store, and the
+	// result may be seconds old.
+	NewestPosition(ctx context.Context) (Position, error)
 	// Watch returns the changes after a revision as soon as there are any, or none
-	// when the given time has passed. It also returns the revision up to which the
-	// changes are complete.
-	Watch(ctx context.Context, after Revision, wait time.Duration) ([]Change, Revision, error)
+	// when the given time has passed. It also returns the position up to which the
+	// changes are complete. If its era is not that of the given revision, the changes
+	// are not those that the caller lacks.
+	Watch(ctx context.Context, after Revision, wait time.Duration) ([]Change, Position, error)
 }
 
 // HeaderNames holds the names of the non-standard header fields that callers, hosts
