Keep servers out that left in the seconds that the store lost

A server that left, and whose removal the store has lost, was used again as soon as hosts had read the copy, if it never reported that it drains: its registration there is the one that they had seen last, so neither older nor newer.

The first state of an object in a new era no longer counts as written again if it is the registration that was seen before the removal: the same process, sequence and revision, or, without start time, no later revision.

--- a/configurer/gateway.go
+++ b/configurer/gateway.go
@@ -21,6 +21,8 @@
 	Peers        []string `long:"peer" env:"VERBENASTAND_PEERS" env-delim:"," description:"IP address and UDP port of a host to contact at start; may be repeated"`
 	SharedSecret string   `long:"shared-secret" env:"VERBENASTAND_SHARED_SECRET" default:"verbenastand" description:"Shared secret from which the hosts derive the certificates for mutual authentication"`
 
+	RegistrationLifetime time.Duration `long:"registration-lifetime" env:"VERBENASTAND_REGISTRATION_LIFETIME" default:"4500ms" description:"How long the store keeps the registration of a server that does not renew it"`
+
 	GracePeriod    time.Duration `long:"grace-period" env:"VERBENASTAND_GRACE_PERIOD" default:"6s" description:"Maximum time between SIGTERM or SIGINT and the exit of the process"`
 	StartTimeout   time.Duration `long:"start-timeout" env:"VERBENASTAND_START_TIMEOUT" default:"3s" description:"Maximum time to load routes and servers before requests are accepted"`
 	AnswerValidity time.Duration `long:"answer-validity" env:"VERBENASTAND_ANSWER_VALIDITY" default:"2s" description:"How long a caller may cache the list of hosts to use"`
@@ -52,6 +54,7 @@
 	errs.checkURL(flagValue{"trace-endpoint", g.TraceEndpoint})
 	checkRanges(&errs, []flagRange[time.Duration]{
 		{"grace-period", g.GracePeriod, time.Second, time.Hour},
+		{"registration-lifetime", g.RegistrationLifetime, 100 * time.Millisecond, time.Hour},
 		{"start-timeout", g.StartTimeout, 0, time.Hour},
 		{"answer-validity", g.AnswerValidity, 100 * time.Millisecond, time.Hour},
 		{"retry-window", g.RetryWindow, time.Second, time.Hour},
--- a/follower/batch.go
+++ b/follower/batch.go
@@ -57,7 +57,8 @@
 	}
 	var events []Event
 	changed := false
-	if b.era > f.era || f.provisional {
+	f.entering = b.era > f.era || f.provisional
+	if f.entering {
 		events = append(events, f.enterEraLocked(b)...)
 	}
 	if !b.position().Before(f.newest) {
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -32,6 +32,9 @@
 	// Membership lists the hosts of the deployment.
 	Membership interface{ Hosts() []verbenastand.Host }
 	Self       verbenastand.Host
+	// RegistrationLifetime is how long the store keeps a registration that its server
+	// does not renew.
+	RegistrationLifetime time.Duration
 	// OnView is called with each new view. Calls do not overlap.
 	OnView func(*verbenastand.View)
 	// OnEvent is called for changes, applied or rejected, for failed calls to the
@@ -71,6 +74,8 @@
 	// provisional is set while the objects come only from a list that may be of an
 	// earlier era.
 	provisional bool
+	// entering is set while the first batch of an era is applied.
+	entering bool
 	// newest is the newest position that this host or a peer has seen.
 	newest verbenastand.Position
 	// Of the changes after historyFrom, the newest of each object is known, except for
@@ -146,17 +151,25 @@
 }
 
 // ExpireRegistrations stops using retained registrations that were not renewed in
-// time.
+// time, and uses those that were renewed although they seemed outdated.
 func (f *Follower) ExpireRegistrations(now time.Time) {
 	f.mu.Lock()
 	changed := false
+	var events []Event
 	for _, o := range f.objects {
 		if !o.retainedUntil.IsZero() && !now.Before(o.retainedUntil) {
 			o.retainedUntil = time.Time{}
 			changed = true
 		}
+		if renewed, event := f.renewLocked(o, now); renewed {
+			changed = true
+			events = append(events, event)
+		}
 	}
 	f.mu.Unlock()
+	for _, e := range events {
+		f.config.OnEvent(e)
+	}
 	if changed {
 		f.publish()
 	}
--- a/follower/object.go
+++ b/follower/object.go
@@ -17,6 +17,14 @@
 	// retainedUntil is when a removed registration that may have expired during an
 	// outage stops being used.
 	retainedUntil time.Time
+	// earlierRevision is lastRevision as it was in the era in which the registration was
+	// written.
+	earlierRevision verbenastand.Revision
+	// outdated is a registration that the store shows after its return although this
+	// host has seen its removal. A server that still renews it by outdatedUntil is
+	// running.
+	outdated      *verbenastand.Change
+	outdatedUntil time.Time
 }
 
 // applyLocked applies one change and reports whether it changed the view.
@@ -33,11 +41,15 @@
 	if c.Table != nil || (c.Err != nil && o.change.Table != nil) {
 		return f.applyTableLocked(o, c, event)
 	}
-	if c.Registration != nil && o.lastRegistration != nil && c.Registration.OlderThan(*o.lastRegistration) {
+	if c.Registration != nil && o.lastRegistration != nil && (c.Registration.OlderThan(*o.lastRegistration) || (f.entering && o.restores(c))) {
 		event.Name = "registrationOutdated"
 		o.change.Revision = c.Revision
+		if o.change.Registration == nil && f.entering {
+			o.outdated, o.outdatedUntil = &c, f.config.Clock.Now().Add(f.config.RegistrationLifetime+reregistrationGrace)
+		}
 		return false, event
 	}
+	o.outdated = nil
 	removed := c.Registration == nil
 	if removed && o.change.Registration != nil && o.change.Registration.State() == verbenastand.ServerActive {
 		o.retainedUntil = f.retainUntilLocked()
@@ -56,6 +68,32 @@
 	return true, event
 }
 
+// restores reports whether the first state that the store shows of an object after its
+// return is the registration that this host has seen before the removal or the drain
+// of the server. Registrations without a start time have no order of their own.
+func (o *object) restores(c verbenastand.Change) bool {
+	last, inUse := o.lastRegistration, o.change.Registration
+	if c.Registration.StartTime() == 0 || last.StartTime() == 0 {
+		unused := inUse == nil || inUse.State() == verbenastand.ServerDraining
+		return unused && c.Registration.State() == verbenastand.ServerActive && c.Revision <= o.earlierRevision
+	}
+	return inUse == nil && !last.OlderThan(*c.Registration) && c.Revision == o.earlierRevision
+}
+
+// renewLocked uses a registration that the store still has although it seemed outdated,
+// and reports whether it does so now.
+func (f *Follower) renewLocked(o *object, now time.Time) (bool, Event) {
+	if o.outdated == nil || now.Before(o.outdatedUntil) || f.stalenessLocked() > outageThreshold {
+		return false, Event{}
+	}
+	o.change, o.outdated = *o.outdated, nil
+	o.lastRegistration, o.lastRevision = o.change.Registration, o.change.Revision
+	return true, Event{
+		Name: "registrationRenewed", Key: o.change.Key, Staleness: f.stalenessLocked(),
+		Position: verbenastand.Position{Era: f.era, Revision: o.change.Revision},
+	}
+}
+
 // retainUntilLocked returns the time until which a registration that is removed now
 // remains in use, since it may have expired during an outage of the store. The time
 // is zero if there was no recent outage.
--- a/follower/restored_test.go
+++ b/follower/restored_test.go
@@ -204,3 +204,108 @@
 	require.Equal(t, time.Second, f.Staleness())
 	require.False(t, f.apply(batch{era: 2, after: 5, revision: 6, confirmedAt: clock.Now()}), "changes of a later era need its state")
 }
+
+// TestAServerThatLeftInTheLostSecondsStaysOut: the copy still has its registration, which
+// is not written again. One that registers again is in use.
+func TestAServerThatLeftInTheLostSecondsStaysOut(t *testing.T) {
+	cases := []struct {
+		name  string
+		leave func(f *fleet)
+	}{
+		{"removed at once", func(f *fleet) { f.removeServer("left") }},
+		{"drained before", func(f *fleet) {
+			f.writeServer("left", 2, verbenastand.ServerDraining)
+			f.removeServer("left")
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			runInFleet(t, 14, func(f *fleet) {
+				f.writeServer("left", 1, verbenastand.ServerActive)
+				time.Sleep(time.Second)
+				copied := f.store.newestRevision()
+				tc.leave(f)
+				time.Sleep(time.Second)
+				f.store.restore(copied)
+				for range 30 {
+					time.Sleep(100 * time.Millisecond)
+					f.requireStates(t, map[string]verbenastand.ServerState{})
+				}
+				f.removeServer("left")
+				time.Sleep(settling)
+				f.writeServer("left", 9, verbenastand.ServerActive)
+				time.Sleep(settling)
+				f.requireStates(t, map[string]verbenastand.ServerState{"left": verbenastand.ServerActive})
+			})
+		})
+	}
+}
+
+// TestRegistrationsOfACopy: which registrations that a host finds after the return of the
+// store are older than what it knows.
+func TestRegistrationsOfACopy(t *testing.T) {
+	anonymous := func(c *verbenastand.RegistrationConfig) { c.StartTime, c.Sequence = 0, 0 }
+	anonymousDraining := func(c *verbenastand.RegistrationConfig) {
+		c.StartTime, c.Sequence, c.State = 0, 0, verbenastand.ServerDraining
+	}
+	sequence := func(n uint64) func(*verbenastand.RegistrationConfig) {
+		return func(c *verbenastand.RegistrationConfig) { c.Sequence = n }
+	}
+	restarted := func(c *verbenastand.RegistrationConfig) { c.StartTime, c.Sequence = 2, 1 }
+	active := map[string]verbenastand.ServerState{"a": verbenastand.ServerActive}
+	draining := map[string]verbenastand.ServerState{"a": verbenastand.ServerDraining}
+	none := map[string]verbenastand.ServerState{}
+	cases := []struct {
+		name   string
+		before []verbenastand.Change
+		copied verbenastand.Change
+		want   map[string]verbenastand.ServerState
+	}{
+		{"removed, the same registration", []verbenastand.Change{registered("a", 4, nil), removed("a", 5)}, registered("a", 4, nil), none},
+		{"removed, registered again with the next number", []verbenastand.Change{registered("a", 4, nil), removed("a", 5)}, registered("a", 4, sequence(5)), active},
+		{"removed, registered again as before", []verbenastand.Change{registered("a", 4, nil), removed("a", 5)}, registered("a", 5, sequence(4)), active},
+		{"removed, started again", []verbenastand.Change{registered("a", 4, nil), removed("a", 5)}, registered("a", 4, restarted), active},
+		{"removed, no start time, the same", []verbenastand.Change{registered("a", 4, anonymous), removed("a", 5)}, registered("a", 4, anonymous), none},
+		{"removed, no start time, earlier", []verbenastand.Change{registered("a", 4, anonymous), removed("a", 5)}, registered("a", 3, anonymous), none},
+		{"removed, no start time, later", []verbenastand.Change{registered("a", 4, anonymous), removed("a", 5)}, registered("a", 6, anonymous), active},
+		{"draining, no start time, an earlier one", []verbenastand.Change{registered("a", 4, anonymousDraining)}, registered("a", 3, anonymous), draining},
+		{"active, no start time, draining", []verbenastand.Change{registered("a", 4, anonymous)}, registered("a", 3, anonymousDraining), draining},
+		{"active, the same", []verbenastand.Change{registered("a", 4, nil)}, registered("a", 4, nil), active},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			clock := fake.NewClock()
+			f := newFollower(clock)
+			for _, c := range tc.before {
+				f.apply(batch{era: 1, full: c.Revision == 4, revision: c.Revision, after: c.Revision - 1, changes: []verbenastand.Change{c}, confirmedAt: clock.Now()})
+			}
+			require.True(t, f.apply(batch{era: 2, full: true, revision: 6, changes: []verbenastand.Change{tc.copied}, confirmedAt: clock.Now()}))
+			require.Equal(t, tc.want, states(f))
+		})
+	}
+}
+
+// TestARunningServerThatExpiredInTheLostSecondsIsUsedAgain: the server was cut off from
+// the store for a while. It renews the registration of the copy, which does not change it.
+func TestARunningServerThatExpiredInTheLostSecondsIsUsedAgain(t *testing.T) {
+	clock := fake.NewClock()
+	f := newFollower(clock)
+	f.config.RegistrationLifetime = 4500 * time.Millisecond
+	confirm := func() { f.apply(batch{era: f.era, after: f.revision, revision: f.revision, confirmedAt: clock.Now()}) }
+	f.apply(batch{era: 1, full: true, revision: 4, confirmedAt: clock.Now(), changes: []verbenastand.Change{registered("a", 4, nil), registered("b", 3, nil)}})
+	f.apply(batch{era: 1, after: 4, revision: 6, confirmedAt: clock.Now(), changes: []verbenastand.Change{removed("a", 5), removed("b", 6)}})
+	f.apply(batch{era: 2, full: true, revision: 4, confirmedAt: clock.Now(), changes: []verbenastand.Change{registered("a", 4, nil), registered("b", 3, nil)}})
+	for range 45 {
+		clock.Advance(100 * time.Millisecond)
+		confirm()
+		f.ExpireRegistrations(clock.Now())
+		require.Empty(t, states(f))
+	}
+	f.apply(batch{era: 2, after: 4, revision: 5, confirmedAt: clock.Now(), changes: []verbenastand.Change{removed("b", 5)}})
+	clock.Advance(3 * time.Second)
+	f.ExpireRegistrations(clock.Now())
+	require.Empty(t, states(f), "while the store is unavailable, a removal may be unknown")
+	confirm()
+	f.ExpireRegistrations(clock.Now())
+	require.Equal(t, map[string]verbenastand.ServerState{"a": verbenastand.ServerActive}, states(f))
+}
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -167,7 +167,8 @@
 	})
 	g.follower = follower.NewFollower(follower.Config{
 		Clock: g.timer, Store: g.config.Store, Relay: g.forwarder, Membership: g.gossiper, Self: g.self,
-		OnView: g.onView, OnEvent: g.recorder.Store,
+		RegistrationLifetime: g.config.Settings.RegistrationLifetime,
+		OnView:               g.onView, OnEvent: g.recorder.Store,
 	})
 	g.peerServer = forwarder.NewServer(forwarder.ServerConfig{
 		Certifier: certificates, CloseIdle: true, Exchange: g.gossiper.HandleMessage, Relay: g.follower.HandleMessage,
