Share what hosts know beyond the store that has returned

What a host holds beyond the copy (a newer table, a drain, a departure) was known only to hosts that had followed the lost seconds. One that was cut off then, or that started after the return, took the copy for the truth and stood at the same revision as the others, so nothing was ever sent to it: TestAHostThatMissedTheLostSeconds and TestManyHostsStartAfterTheReturn failed (table 2 instead of 3, a server that had left in use).

Objects whose state in use is newer than the store's are now held as such. Messages carry a digest of them; hosts at the same position whose digests differ exchange what they hold, in the request's response and one message more, and lists carry it along. States of a server are ordered by process and sequence number, a removal after the registration that it removed. Nothing is held once the store shows as much. Responses of peers at the start are also used after a table is known.

--- a/follower/batch.go
+++ b/follower/batch.go
@@ -20,6 +20,9 @@
 	provisional bool
 	revision    verbenastand.Revision
 	confirmedAt time.Time
+	// held are states that the sender uses although the store shows older ones at the
+	// revision.
+	held []heldChange
 	// forwardTo are the hosts to which the receiver forwards the batch.
 	forwardTo []verbenastand.HostID
 }
@@ -79,6 +82,13 @@
 		changed = f.removeMissingLocked(b) || changed
 		f.recordGapLocked(b.revision)
 	}
+	for _, h := range b.held {
+		updated, event := f.mergeHeldLocked(h)
+		changed = changed || updated
+		if event.Name != "" {
+			events = append(events, event)
+		}
+	}
 	f.revision = max(f.revision, b.revision)
 	f.mu.Unlock()
 	for _, e := range events {
@@ -138,7 +148,10 @@
 	if position.Era != f.era || !f.contiguousLocked(after) {
 		b.full, b.after = true, 0
 	}
-	for _, o := range f.objects {
+	for key, o := range f.objects {
+		if f.held[key] != nil && b.full {
+			continue
+		}
 		if o.change.Registration != nil || o.change.Table != nil {
 			if b.full || o.change.Revision > after {
 				b.changes = append(b.changes, o.change)
@@ -149,5 +162,8 @@
 			b.changes = append(b.changes, o.removalLocked()...)
 		}
 	}
+	if b.full {
+		b.held = f.heldChangesLocked()
+	}
 	return b
 }
--- a/follower/era.go
+++ b/follower/era.go
@@ -8,11 +8,10 @@
 // missing stays in use as after an outage, the route table until there is another.
 func (f *Follower) enterEraLocked(b batch) []Event {
 	for _, o := range f.objects {
-		if o.lastRevision != 0 {
-			o.earlierRevision = o.lastRevision
-		}
+		o.earlierRevision = max(o.earlierRevision, o.change.Revision)
 		o.change.Revision, o.lastRevision, o.outdated = 0, 0, nil
 	}
+	clear(f.held)
 	known := f.revision != 0 && !f.provisional
 	f.era, f.revision, f.provisional = b.era, 0, false
 	f.historyFrom, f.gapFrom, f.gapUntil = 0, 0, 0
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -67,7 +67,9 @@
 
 	mu      sync.Mutex
 	objects map[string]*object
-	table   *verbenastand.RouteTable
+	// held are the objects whose state in use is newer than the store's.
+	held  map[string]*object
+	table *verbenastand.RouteTable
 	// era is the era of all revisions below and of the objects.
 	era      verbenastand.Era
 	revision verbenastand.Revision
@@ -96,7 +98,7 @@
 	if c.OnEvent == nil {
 		c.OnEvent = func(Event) {}
 	}
-	f := &Follower{config: c, startedAt: c.Clock.Now(), objects: make(map[string]*object), largeSends: make(chan struct{}, fanOut)}
+	f := &Follower{config: c, startedAt: c.Clock.Now(), objects: make(map[string]*object), held: make(map[string]*object), largeSends: make(chan struct{}, fanOut)}
 	f.view.Store(verbenastand.NewView(verbenastand.ViewConfig{}))
 	return f
 }
--- a/follower/object.go
+++ b/follower/object.go
@@ -17,8 +17,7 @@
 	// retainedUntil is when a removed registration that may have expired during an
 	// outage stops being used.
 	retainedUntil time.Time
-	// earlierRevision is lastRevision as it was in the era in which the registration was
-	// written.
+	// earlierRevision is the revision of change in the era before.
 	earlierRevision verbenastand.Revision
 	// outdated is a registration that the store shows after its return although this
 	// host has seen its removal. A server that still renews it by outdatedUntil is
@@ -44,12 +43,14 @@
 	if c.Registration != nil && o.lastRegistration != nil && (c.Registration.OlderThan(*o.lastRegistration) || (f.entering && o.restores(c))) {
 		event.Name = "registrationOutdated"
 		o.change.Revision = c.Revision
+		f.holdLocked(c.Key, o)
 		if o.change.Registration == nil && f.entering {
-			o.outdated, o.outdatedUntil = &c, f.config.Clock.Now().Add(f.config.RegistrationLifetime+reregistrationGrace)
+			o.outdated, o.outdatedUntil = &c, f.renewalDeadline()
 		}
 		return false, event
 	}
 	o.outdated = nil
+	delete(f.held, c.Key)
 	removed := c.Registration == nil
 	if removed && o.change.Registration != nil && o.change.Registration.State() == verbenastand.ServerActive {
 		o.retainedUntil = f.retainUntilLocked()
@@ -68,16 +69,25 @@
 	return true, event
 }
 
+// renewalDeadline returns the time at which the store has removed all registrations that
+// are no longer renewed.
+func (f *Follower) renewalDeadline() time.Time {
+	return f.config.Clock.Now().Add(f.config.RegistrationLifetime + reregistrationGrace)
+}
+
 // restores reports whether the first state that the store shows of an object after its
-// return is the registration that this host has seen before the removal or the drain
-// of the server. Registrations without a start time have no order of their own.
+// return may have been written before the removal of the server that this host has
+// seen, by the same process. Registrations without a start time have no order of
+// their own, so that one may also have been written before the drain.
 func (o *object) restores(c verbenastand.Change) bool {
 	last, inUse := o.lastRegistration, o.change.Registration
+	if c.Revision > o.earlierRevision || c.Registration.State() != verbenastand.ServerActive {
+		return false
+	}
 	if c.Registration.StartTime() == 0 || last.StartTime() == 0 {
-		unused := inUse == nil || inUse.State() == verbenastand.ServerDraining
-		return unused && c.Registration.State() == verbenastand.ServerActive && c.Revision <= o.earlierRevision
+		return inUse == nil || inUse.State() == verbenastand.ServerDraining
 	}
-	return inUse == nil && !last.OlderThan(*c.Registration) && c.Revision == o.earlierRevision
+	return inUse == nil && last.StartTime() == c.Registration.StartTime()
 }
 
 // renewLocked uses a registration that the store still has although it seemed outdated,
@@ -87,6 +97,7 @@
 		return false, Event{}
 	}
 	o.change, o.outdated = *o.outdated, nil
+	delete(f.held, o.change.Key)
 	o.lastRegistration, o.lastRevision = o.change.Registration, o.change.Revision
 	return true, Event{
 		Name: "registrationRenewed", Key: o.change.Key, Staleness: f.stalenessLocked(),
@@ -121,12 +132,14 @@
 	if c.Table == nil {
 		event.Name = "tableUnreadable"
 		o.change.Revision = c.Revision
+		f.holdLocked(c.Key, o)
 		return false, event
 	}
 	event.Name = "tableInForce"
 	if f.table != nil && c.Table.Version() < f.table.Version() {
 		event.Name = "tableOutdated"
 		o.change.Revision = c.Revision
+		f.holdLocked(c.Key, o)
 		return false, event
 	}
 	if f.table != nil && c.Table.Version() == f.table.Version() {
@@ -134,6 +147,7 @@
 	}
 	f.table = c.Table
 	o.change = c
+	delete(f.held, c.Key)
 	return true, event
 }
 
@@ -144,13 +158,26 @@
 	for _, c := range b.changes {
 		listed[c.Key] = true
 	}
+	for _, h := range b.held {
+		listed[h.change.Key] = true
+	}
 	changed := false
 	for key, o := range f.objects {
-		if listed[key] || o.change.Registration == nil || o.change.Revision > b.revision {
+		if listed[key] || o.change.Revision > b.revision {
 			continue
 		}
-		updated, _ := f.applyLocked(verbenastand.Change{Key: key, Revision: b.revision, Removed: true})
-		changed = changed || updated
+		switch {
+		case o.change.Table != nil:
+			// The table stays in force until there is another.
+			o.change.Revision = b.revision
+			f.holdLocked(key, o)
+		case o.change.Registration == nil:
+			o.outdated = nil
+			delete(f.held, key)
+		default:
+			updated, _ := f.applyLocked(verbenastand.Change{Key: key, Revision: b.revision, Removed: true})
+			changed = changed || updated
+		}
 	}
 	return changed
 }
--- a/follower/read.go
+++ b/follower/read.go
@@ -136,19 +136,20 @@
 }
 
 // Bootstrap requests the state from the store and from the peers in parallel. It
-// returns once a route table is known, all requests have ended, or ctx ends.
+// returns once a route table is known, all requests have ended, or ctx ends. The peers
+// may know more than the store, so their responses are used also after that.
 func (f *Follower) Bootstrap(ctx context.Context, peers []verbenastand.Host) {
-	ctx, cancel := context.WithCancel(ctx)
+	listCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	finished := make(chan struct{}, len(peers)+1)
 	for _, p := range peers {
 		go func() {
-			f.pull(ctx, p)
+			f.pull(context.WithoutCancel(ctx), p)
 			finished <- struct{}{}
 		}()
 	}
 	go func() {
-		f.listOnce(ctx)
+		f.listOnce(listCtx)
 		finished <- struct{}{}
 	}()
 	for range len(peers) + 1 {
@@ -334,6 +335,7 @@
 	if !f.apply(b) {
 		return false, errEarlierEra
 	}
+	b.held = f.heldChanges()
 	f.broadcast(ctx, b)
 	return true, nil
 }
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -117,26 +117,49 @@
 	}
 }
 
-// exchange sends a batch to a peer and returns the position known there.
+// exchange sends a batch to a peer and returns the position known there. If the peer
+// holds other states than this host, both learn of them.
 func (f *Follower) exchange(ctx context.Context, b batch, to subtree) (verbenastand.Position, error) {
 	for _, h := range to.descendants {
 		b.forwardTo = append(b.forwardTo, h.ID())
 	}
-	data, err := encode(b, f.config.Clock.Now())
+	m, err := f.relay(ctx, b, to.root)
 	if err != nil {
 		return verbenastand.Position{}, err
 	}
+	f.noteNewest(m.position())
+	if m.position() != f.Position() || m.HeldDigest == f.heldDigest() {
+		return m.position(), nil
+	}
+	f.apply(batch{era: m.position().Era, after: m.position().Revision, revision: m.position().Revision, held: m.heldChanges()})
+	if m.HeldDigest != f.heldDigest() {
+		_, err = f.relay(ctx, f.heldBatch(), to.root)
+	}
+	return m.position(), err
+}
+
+// heldBatch returns a batch with only the states that this host holds.
+func (f *Follower) heldBatch() batch {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return batch{era: f.era, after: f.revision, revision: f.revision, held: f.heldChangesLocked()}
+}
+
+// relay sends a batch to a peer and returns its response.
+func (f *Follower) relay(ctx context.Context, b batch, peer verbenastand.Host) (message, error) {
+	request := messageOf(b, f.config.Clock.Now())
+	request.HeldDigest = f.heldDigest()
+	data, err := encodeMessage(request)
+	if err != nil {
+		return message{}, err
+	}
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout+time.Duration(len(data))*time.Second/minRelayRate)
 	defer cancel()
-	response, err := f.config.Relay.Relay(ctx, to.root, data)
+	response, err := f.config.Relay.Relay(ctx, peer, data)
 	if err != nil {
-		return verbenastand.Position{}, err
-	}
-	m, err := decode(response)
-	if err == nil {
-		f.noteNewest(m.position())
+		return message{}, err
 	}
-	return m.position(), err
+	return decode(response)
 }
 
 // forward sends a batch to the peers that its sender delegated to this host. Those
@@ -186,6 +209,21 @@
 	if f.apply(b) {
 		f.forward(b)
 	}
-	position := f.Position()
-	return marshal(message{Version: messageVersion, Era: uint64(position.Era), Revision: uint64(position.Revision)})
+	return encodeMessage(f.response(m))
+}
+
+// response returns this host's position, and the states that it holds if the sender of a
+// message at the same position holds others.
+func (f *Follower) response(to message) message {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := message{
+		Version: messageVersion, Era: uint64(f.era), Revision: uint64(f.revision), HeldDigest: f.heldDigestLocked(),
+	}
+	if m.HeldDigest != to.HeldDigest && m.position() == to.position() {
+		for _, h := range f.heldChangesLocked() {
+			m.Held = append(m.Held, heldRecordOf(h))
+		}
+	}
+	return m
 }
