Delegate requests while a host reaches no server

Callers of hosts that were partitioned from all servers got 503 at every first attempt, for as long as the partition lasted, although the other hosts would have served them; with hanging connections each waited 0.4 s for it. Cause: a host that found no server took that for the state of the service. Class of fault: a local view used as the global one.

A detector collects failed connections; once two servers have failed without a response on a new connection in between, it probes up to six others. If none responds, the host announces by gossip that it reaches no server, and probes on until one does. Lookups name such hosts only if there are no others, and requests that callers still send to them are passed over a tunnel (HTTP/3) to the acceptor of one of up to eight hosts that reach servers, the one of two with fewer requests under way. Nothing is sent before that host has accepted the tunnel, it never delegates further, gets the caller's address, the time left and the servers already tried, counts the request, and gives half of its concurrent requests to others at most. If no host reaches a server, requests are refused at once.

Ruled out by the record: refusals for evidence or limits, and late detection, which explains only the 0.4 s.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -116,6 +116,18 @@
 	})
 }
 
+// delegatedConn is a connection over which another host sends requests of its callers.
+type delegatedConn struct {
+	net.Conn
+	origin verbenastand.Origin
+}
+
+// ServeDelegated serves a connection over which another host sends requests of its
+// callers. It returns at once.
+func (a *Acceptor) ServeDelegated(conn net.Conn, origin verbenastand.Origin) {
+	a.start(&delegatedConn{Conn: conn, origin: origin})
+}
+
 // Drain makes later responses announce that their connection will be closed, except
 // those that are followed by the response to a pipelined request.
 func (a *Acceptor) Drain() { a.draining.Store(true) }
--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -155,6 +155,9 @@
 	}
 	c.limited.Allow(bounder.Unlimited)
 	r := &Request{Request: httpRequest, arrived: time.Now(), remote: c.conn.RemoteAddr().String(), last: httpRequest.Close}
+	if d, ok := c.conn.(*delegatedConn); ok {
+		r.origin, r.remote = &d.origin, d.origin.Caller
+	}
 	if err := validate(httpRequest); err != nil {
 		return nil, err
 	}
--- a/acceptor/message.go
+++ b/acceptor/message.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/internal/bounder"
 )
 
@@ -25,6 +26,8 @@
 	buffer bounder.Buffer
 	stream *bodyStream
 	turn   <-chan struct{}
+	// origin is set if another host has delegated the request.
+	origin *verbenastand.Origin
 	// last is set if the caller sends no further request on the connection.
 	last bool
 }
@@ -35,6 +38,10 @@
 // Remote returns the address of the caller.
 func (r *Request) Remote() string { return r.remote }
 
+// Origin returns where a request comes from that another host has delegated, nil for one
+// that a caller sent to this host.
+func (r *Request) Origin() *verbenastand.Origin { return r.origin }
+
 // Buffered reports whether the complete body is in memory.
 func (r *Request) Buffered() bool { return r.stream == nil }
 
--- a/carrier/attempt.go
+++ b/carrier/attempt.go
@@ -38,7 +38,9 @@
 // outcome is the result of one attempt: a response, or an error whose verdict
 // indicates whether the request may have run.
 type outcome struct {
-	server   *balancer.Server
+	server *balancer.Server
+	// delegate is the host to which the request was delegated, instead of a server.
+	delegate verbenastand.HostID
 	response *sender.Response
 	// body is the part of the response body that has been read.
 	body bounder.Buffer
@@ -76,6 +78,7 @@
 	if err != nil {
 		choice.Release()
 		choice.Server.MarkUnreachable()
+		c.carrier.config.Reachability.Failed(registration.Server())
 		return &outcome{server: choice.Server, err: err}
 	}
 	request := c.newRequest(registration.Server())
@@ -88,6 +91,9 @@
 	c.carrier.config.Observer.AttemptSent(event)
 	response, err := connection.Exchange(ctx, request)
 	o := &outcome{server: choice.Server, response: response, err: err}
+	if err == nil && !connection.Reused() {
+		c.carrier.config.Reachability.Reached()
+	}
 	if err == nil {
 		o.err = c.validate(response)
 	}
@@ -110,6 +116,7 @@
 		event.Took = c.carrier.config.Clock.Now().Sub(event.At)
 		c.carrier.config.Observer.AttemptEnded(event)
 		if result == balancer.ConnectionLost {
+			c.carrier.config.Reachability.Failed(registration.Server())
 			o.crashChecked = c.confirmCrash(choice.Server)
 		}
 	}
--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -46,6 +46,9 @@
 	AttemptSent(Event)
 	// AttemptEnded is called when an attempt has ended.
 	AttemptEnded(Event)
+	// Delegated is called when a request that was delegated to another host has ended
+	// there.
+	Delegated(Event)
 	// RequestEnded is called once for each request, with its final result.
 	RequestEnded(Event)
 }
@@ -60,6 +63,13 @@
 	Sender       *sender.Sender
 	Quarantiner  *quarantiner.Quarantiner
 	Limiter      *limiter.Limiter
+	// Self is the name of this host.
+	Self verbenastand.HostID
+	// Reachability reports whether this host reaches servers; if nil, it always does.
+	Reachability Reachability
+	// Delegator selects the hosts that handle requests while this one reaches no server;
+	// if nil, they are refused.
+	Delegator Delegator
 	// NewBudget returns the retry budget of a service.
 	NewBudget func(verbenastand.ServiceName) *retrier.WindowBudget
 	Observer  Observer
@@ -75,6 +85,8 @@
 type Carrier struct {
 	config    Config
 	semaphore chan struct{}
+	// delegated is the semaphore of the requests that other hosts delegate.
+	delegated chan struct{}
 	// stopped ends when Stop is called.
 	stopped context.Context
 	stop    context.CancelFunc
@@ -88,8 +100,12 @@
 // NewCarrier returns a carrier.
 func NewCarrier(c Config) *Carrier {
 	stopped, stop := context.WithCancel(context.Background())
+	if c.Reachability == nil {
+		c.Reachability = alwaysReached{}
+	}
 	return &Carrier{
-		config: c, semaphore: make(chan struct{}, c.MaxConcurrent), stopped: stopped, stop: stop,
+		delegated: make(chan struct{}, max(1, int(delegatedShare*float64(c.MaxConcurrent)))),
+		config:    c, semaphore: make(chan struct{}, c.MaxConcurrent), stopped: stopped, stop: stop,
 		budgets: make(map[verbenastand.ServiceName]*retrier.WindowBudget), responseMemory: bounder.NewBudget(maxResponseMemory),
 	}
 }
@@ -188,7 +204,11 @@
 		incoming.interrupt(ctx, verbenastand.NotRun)
 		return
 	}
-	incoming.budget.RecordRequest()
+	releaseDelegated, ok := c.acquireDelegated(incoming)
+	if !ok {
+		return
+	}
+	defer releaseDelegated()
 	if err := c.config.Quarantiner.Acquire(ctx, incoming.fingerprint); err != nil {
 		if ctx.Err() != nil {
 			incoming.interrupt(ctx, verbenastand.NotRun)
@@ -301,14 +321,16 @@
 	})
 }
 
-// newRequest returns the request for one attempt, with the remaining time as its
-// deadline.
+// newRequest returns the request for one attempt at a server, or for another host if that
+// is empty, with the remaining time as its deadline.
 func (c *call) newRequest(server verbenastand.ServerID) *sender.Request {
 	names := c.carrier.config.Names
 	h := c.header.Clone()
 	left := max(1, c.deadline.Sub(c.carrier.config.Clock.Now()).Milliseconds())
 	h.Set(names.Deadline, strconv.FormatInt(left, 10))
-	h.Set(names.ExpectedInstance, string(server))
+	if server != "" {
+		h.Set(names.ExpectedInstance, string(server))
+	}
 	uri := c.request.RequestURI
 	if !strings.HasPrefix(uri, "/") {
 		uri = c.request.URL.RequestURI()
--- a/carrier/check.go
+++ b/carrier/check.go
@@ -13,10 +13,38 @@
 // HealthChecker makes health checks over the connections that requests use.
 type HealthChecker struct {
 	Sender *sender.Sender
+	// Reachability learns which servers respond; nil for none.
+	Reachability Reachability
 	// OnCheck is called after each health check.
 	OnCheck func(service verbenastand.ServiceName, ok bool)
 }
 
+// observe passes on whether a server has responded.
+func (h *HealthChecker) observe(ctx context.Context, server verbenastand.ServerID, c *sender.Connection, err error) {
+	switch {
+	case h.Reachability == nil || errors.Is(ctx.Err(), context.Canceled):
+	case err != nil && !errors.Is(err, sender.ErrInstanceMismatch):
+		h.Reachability.Failed(server)
+	case !c.Reused():
+		h.Reachability.Reached()
+	}
+}
+
+// Probe checks the health of a server over a new connection. The error is nil if any
+// process has responded at its address.
+func (h *HealthChecker) Probe(ctx context.Context, r verbenastand.Registration, healthPath string) error {
+	c, err := h.Sender.ConnectNew(ctx, targetOf(r))
+	if err == nil {
+		_, _, _, err = c.Check(ctx, healthPath)
+		defer h.Sender.PutIdle(c)
+	}
+	if errors.Is(err, sender.ErrInstanceMismatch) {
+		err = nil
+	}
+	h.OnCheck(r.Service(), err == nil)
+	return err
+}
+
 // checkConn holds the connection of a health check for the request that may follow.
 type checkConn struct {
 	sender     *sender.Sender
@@ -42,10 +70,12 @@
 	for {
 		c, err := h.Sender.Connect(ctx, targetOf(registration))
 		if err != nil {
+			h.observe(ctx, registration.Server(), nil, err)
 			h.OnCheck(registration.Service(), false)
 			return balancer.CheckResult{}, err
 		}
 		report, reported, healthy, err := c.Check(ctx, healthPath)
+		h.observe(ctx, registration.Server(), c, err)
 		h.OnCheck(registration.Service(), err == nil)
 		if err == nil {
 			return balancer.CheckResult{Report: report, Reported: reported, Healthy: healthy, Conn: &checkConn{sender: h.Sender, connection: c}}, nil
--- a/carrier/event.go
+++ b/carrier/event.go
@@ -28,6 +28,10 @@
 	Checks        int
 	Estimate      time.Duration
 	LightlyLoaded bool
+	// Delegate is the host to which the request was delegated, empty if it was not.
+	Delegate verbenastand.HostID
+	// DelegatedBy is the host that delegated the request to this one.
+	DelegatedBy verbenastand.HostID
 	// At is when the attempt began, or when the request arrived.
 	At time.Time
 	// Took is the duration of the attempt, or of the whole request.
@@ -73,6 +77,9 @@
 		e.Target, e.Deadline = c.targetTime.Sub(c.arrived), c.deadline.Sub(c.arrived)
 	}
 	e.RetryDenied = c.retryDenied
+	if origin := c.request.Origin(); origin != nil {
+		e.DelegatedBy = origin.Host
+	}
 	if c.service != nil {
 		e.Waiting = c.service.Waiting()
 	}
--- a/carrier/harness_test.go
+++ b/carrier/harness_test.go
@@ -113,6 +113,7 @@
 
 func (h *harness) AttemptSent(Event)    {}
 func (h *harness) AttemptEnded(e Event) { h.recordEvent(e) }
+func (h *harness) Delegated(e Event)    { h.recordEvent(e) }
 func (h *harness) RequestEnded(e Event) {
 	h.recordEvent(e)
 }
--- a/carrier/respond.go
+++ b/carrier/respond.go
@@ -26,6 +26,7 @@
 func (c *call) deliver(o *outcome) bool {
 	h := endToEnd(o.response.Header)
 	h.Del(c.carrier.config.Names.Load)
+	c.stripVerdict(h)
 	var err error
 	if o.body.Complete() {
 		err = c.writer.Write(o.response.Status, h, o.body.Bytes())
@@ -35,8 +36,10 @@
 		body.close()
 	}
 	c.reportEnd(o.response.Status, func(e *Event) {
-		e.Server = o.server.Registration().Server()
-		e.Err = err
+		if o.server != nil {
+			e.Server = o.server.Registration().Server()
+		}
+		e.Delegate, e.Err = o.delegate, err
 	})
 	return err == nil && o.response.Status < http.StatusInternalServerError
 }
--- a/carrier/run.go
+++ b/carrier/run.go
@@ -56,6 +56,8 @@
 	// hedgeTimer fires when a hedge is to be considered.
 	hedgeTimer *time.Timer
 	cancels    []context.CancelFunc
+	// delegates are the hosts to which the request was delegated.
+	delegates []verbenastand.HostID
 	// handled holds the outcomes of the attempts that have ended.
 	handled []*outcome
 }
@@ -63,18 +65,17 @@
 // run sends the request to servers until one responds, and reports whether a
 // server's response that is no failure was delivered.
 func (c *call) run(ctx context.Context) bool {
-	r := &runner{call: c, ctx: ctx, results: make(chan *outcome, 1+c.route.MaxAttempts()+maxUnreachable)}
+	r := &runner{
+		call: c, ctx: ctx, sent: c.priorAttempts(),
+		results: make(chan *outcome, 1+c.route.MaxAttempts()+maxUnreachable+maxDelegations),
+	}
 	limit := time.NewTimer(c.deadline.Add(responseGrace).Sub(c.carrier.config.Clock.Now()))
 	defer limit.Stop()
 	r.hedgeTimer = time.NewTimer(time.Hour)
 	defer r.hedgeTimer.Stop()
 	defer r.cancelAttempts()
 	defer r.releaseMemory()
-	choice, err := c.admit(ctx)
-	if err == nil {
-		err = c.checkEvidence(choice)
-	}
-	if err != nil {
+	if err := r.begin(); err != nil {
 		if ctx.Err() != nil {
 			c.interrupt(ctx, verbenastand.NotRun)
 			return false
@@ -82,7 +83,6 @@
 		c.refuse(err)
 		return false
 	}
-	r.startAttempt(choice)
 	for {
 		select {
 		case o := <-r.results:
@@ -101,6 +101,32 @@
 	}
 }
 
+// begin sends the request to the first server, or delegates it if this host reaches none.
+// A delegated request is counted by the host that sends it.
+func (r *runner) begin() error {
+	if r.carrier.config.Reachability.Cut() {
+		if r.mayDelegate(r.ctx) && r.delegate() {
+			return nil
+		}
+		return r.noServer(errCut)
+	}
+	if r.sent == 0 {
+		r.budget.RecordRequest()
+	}
+	choice, err := r.admit(r.ctx)
+	if errors.Is(err, balancer.ErrNoServer) && r.mayDelegate(r.ctx) && r.delegate() {
+		return nil
+	}
+	if err == nil {
+		err = r.checkEvidence(choice)
+	}
+	if err != nil {
+		return err
+	}
+	r.startAttempt(choice)
+	return nil
+}
+
 // checkEvidence releases the choice and returns an error if evidence against the
 // request has arrived while it waited for a server.
 func (c *call) checkEvidence(choice balancer.Choice) error {
@@ -176,6 +202,9 @@
 func (r *runner) handleOutcome(o *outcome) (done, succeeded bool) {
 	r.running--
 	r.handled = append(r.handled, o)
+	if o.delegate != "" {
+		return r.handleDelegated(o)
+	}
 	if o.acceptable() {
 		return true, r.deliver(o)
 	}
@@ -195,7 +224,7 @@
 }
 
 func (r *runner) recordOutcome(o *outcome) {
-	if o.unreachable() {
+	if o.unreachable() && o.delegate == "" {
 		r.unreachable++
 		r.sent--
 	}
@@ -217,9 +246,15 @@
 	if r.retryDenied != "" {
 		return false
 	}
+	if r.carrier.config.Reachability.Cut() {
+		return r.retryByDelegate()
+	}
 	choice, err := r.service.Choose(r.ctx, balancer.Query{Route: r.route, Tried: r.tried})
+	if errors.Is(err, balancer.ErrNoServer) && r.mayDelegate(r.ctx) {
+		return r.retryByDelegate()
+	}
 	if err != nil {
-		r.retryDenied = "noServer"
+		r.retryDenied = retryNoServer
 		return false
 	}
 	if r.checkEvidence(choice) != nil {
@@ -241,6 +276,23 @@
 	return true
 }
 
+// retryByDelegate lets another host send the request again. It is a retry like any other
+// if a server may have received it.
+func (r *runner) retryByDelegate() bool {
+	switch {
+	case !r.mayDelegate(r.ctx):
+		r.retryDenied = retryNoServer
+	case r.sent > 0 && !r.budget.Allow():
+		r.retryDenied = "budget"
+	case !r.delegate():
+		r.retryDenied = retryNoServer
+	}
+	return r.retryDenied == ""
+}
+
+// retryNoServer is the reason why a request is not retried if no server is reached.
+const retryNoServer = "noServer"
+
 // retryQuarantined is the reason why a request that crashes servers is not retried.
 const retryQuarantined = "quarantined"
 
@@ -270,6 +322,10 @@
 	if r.hedged || r.running != 1 || r.sent >= r.route.MaxAttempts() {
 		return
 	}
+	if r.carrier.config.Reachability.Cut() {
+		r.hedged = r.hedgeByDelegate()
+		return
+	}
 	choice, ok := r.chooseHedge()
 	if !ok {
 		r.hedgeTimer.Reset(max(hedgeInterval, r.service.Expected(r.route)/2))
@@ -279,6 +335,13 @@
 	r.startAttempt(choice)
 }
 
+// hedgeByDelegate lets another host send a request again whose server is no longer
+// reached.
+func (r *runner) hedgeByDelegate() bool {
+	suspected := r.carrier.config.Quarantiner.Suspected(r.fingerprint)
+	return !suspected && r.mayDelegate(r.ctx) && r.budget.Available() >= hedgeReserve && r.budget.Allow() && r.delegate()
+}
+
 func (r *runner) chooseHedge() (balancer.Choice, bool) {
 	suspected := r.carrier.config.Quarantiner.Suspected(r.fingerprint)
 	if suspected || r.budget.Available() < hedgeReserve || r.service.Waiting() > 0 {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -71,8 +71,8 @@
 }
 
 // initialWindow is the initial receive window of hosts that close idle connections.
-// They exchange gossip messages and changes of the configuration store, but forward
-// no requests.
+// They exchange gossip messages and changes of the configuration store, and forward
+// requests only while they reach no server.
 const initialWindow = 64 << 10
 
 // peerConn is the connection to one instance of a peer.
@@ -274,6 +274,9 @@
 	ForwardHandler http.Handler
 	// Relay handles a message about the configuration store.
 	Relay func(message []byte) ([]byte, error)
+	// Tunnel serves a connection over which a peer sends requests of its callers. It
+	// returns false if this host accepts none.
+	Tunnel func(conn net.Conn, origin verbenastand.Origin) bool
 }
 
 // Server serves requests of peers.
@@ -319,6 +322,8 @@
 		s.config.ForwardHandler.ServeHTTP(w, r)
 	case purposeRelay:
 		s.serveMessage(w, r, maxRelayBytes, s.config.Relay)
+	case purposeTunnel:
+		s.serveTunnel(w, r)
 	}
 }
 
@@ -335,6 +340,8 @@
 		return s.config.ForwardHandler != nil
 	case purposeRelay:
 		return s.config.Relay != nil
+	case purposeTunnel:
+		return s.config.Tunnel != nil
 	}
 	return false
 }
--- /dev/null
+++ b/forwarder/tunnel.go
@@ -0,0 +1,136 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+
+	verbenastand "github.com/verbenastand/verbenastand"
+)
+
+const (
+	purposeTunnel  = "tunnel"
+	callerHeader   = "Verbenastand-Caller"
+	attemptsHeader = verbenastand.HeaderAttempt
+	// tunnelBuffer is the size of each of the two buffers of a tunnel.
+	tunnelBuffer = 16 << 10
+)
+
+// Tunnel opens a connection to the acceptor of a peer on behalf of a caller. Nothing is
+// sent over it before the peer has accepted it, so after an error nothing has run.
+func (f *Forwarder) Tunnel(ctx context.Context, peer verbenastand.Host, origin verbenastand.Origin) (net.Conn, error) {
+	streamCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, cancel)
+	body, toPeer := io.Pipe()
+	response, err := f.openTunnel(streamCtx, peer, origin, body)
+	if !stop() && err == nil {
+		err = context.Cause(ctx)
+		_ = response.Body.Close()
+	}
+	if err != nil {
+		cancel()
+		_ = toPeer.Close()
+		return nil, err
+	}
+	near, far := net.Pipe()
+	go func() {
+		copyTunnel(toPeer, far)
+		_ = toPeer.Close()
+		// A request of which the sender expects no more is cancelled at the peer.
+		cancel()
+	}()
+	go func() {
+		copyTunnel(far, response.Body)
+		_ = response.Body.Close()
+		_ = far.Close()
+	}()
+	return near, nil
+}
+
+func (f *Forwarder) openTunnel(ctx context.Context, peer verbenastand.Host, origin verbenastand.Origin, body io.Reader) (*http.Response, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, peerScheme+"://"+peer.PeerAddress()+"/", io.NopCloser(body))
+	if err != nil {
+		return nil, fmt.Errorf("forwarder: %w", err)
+	}
+	r.ContentLength = -1
+	r.Header.Set(purposeHeader, purposeTunnel)
+	r.Header.Set(verbenastand.HeaderHost, string(origin.Host))
+	r.Header.Set(callerHeader, origin.Caller)
+	r.Header.Set(attemptsHeader, strconv.Itoa(origin.Attempts))
+	c, _ := f.connection(peer)
+	response, err := c.transport.RoundTrip(r)
+	if err != nil {
+		if ctx.Err() == nil {
+			f.discard(c)
+		}
+		return nil, fmt.Errorf("forwarder: tunnel to %s: %w", peer.PeerAddress(), err)
+	}
+	if response.StatusCode != http.StatusOK {
+		_ = response.Body.Close()
+		return nil, fmt.Errorf("forwarder: tunnel to %s: status %d", peer.PeerAddress(), response.StatusCode)
+	}
+	return response, nil
+}
+
+func copyTunnel(to io.Writer, from io.Reader) {
+	// The end of a tunnel shows on the connection of either side.
+	_, _ = io.CopyBuffer(struct{ io.Writer }{to}, struct{ io.Reader }{from}, make([]byte, tunnelBuffer))
+}
+
+// errMalformedOrigin means that a peer sent a malformed description of a caller.
+var errMalformedOrigin = errors.New("forwarder: malformed origin of a tunnel")
+
+func originOf(h http.Header) (verbenastand.Origin, error) {
+	attempts, err := strconv.Atoi(h.Get(attemptsHeader))
+	origin := verbenastand.Origin{
+		Host: verbenastand.HostID(h.Get(verbenastand.HeaderHost)), Caller: h.Get(callerHeader), Attempts: attempts,
+	}
+	if err != nil || attempts < 0 || origin.Caller == "" {
+		return origin, errMalformedOrigin
+	}
+	return origin, nil
+}
+
+// serveTunnel passes the connection of a tunnel to the acceptor of this host, and returns
+// when it has ended.
+func (s *Server) serveTunnel(w http.ResponseWriter, r *http.Request) {
+	origin, err := originOf(r.Header)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	near, far := net.Pipe()
+	if !s.config.Tunnel(far, origin) {
+		http.Error(w, "no requests are accepted", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+	out := &flushedWriter{writer: w}
+	out.flush()
+	var reading sync.WaitGroup
+	reading.Go(func() {
+		copyTunnel(near, r.Body)
+		_ = near.Close()
+	})
+	copyTunnel(out, near)
+	_ = near.Close()
+	_ = r.Body.Close()
+	reading.Wait()
+}
+
+// flushedWriter sends each write at once.
+type flushedWriter struct{ writer http.ResponseWriter }
+
+// Write implements io.Writer.
+func (f *flushedWriter) Write(p []byte) (int, error) {
+	n, err := f.writer.Write(p)
+	f.flush()
+	return n, err
+}
+
+func (f *flushedWriter) flush() { _ = http.NewResponseController(f.writer).Flush() }
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -170,6 +170,16 @@
 	g.push(ctx, g.neighbours(g.contacts()))
 }
 
+// SetDetached announces whether this host reaches no backend server.
+func (g *Gossiper) SetDetached(ctx context.Context, detached bool) {
+	g.mu.Lock()
+	g.self.Detached = detached
+	g.self.Heartbeat++
+	g.mu.Unlock()
+	g.rebuild()
+	g.PushNeighbours(ctx)
+}
+
 // PushNeighbours sends the current state to the neighbours at once and waits up to
 // pushTimeout for their responses. They pass on what is urgent to the other hosts.
 func (g *Gossiper) PushNeighbours(ctx context.Context) {
--- a/gossiper/message.go
+++ b/gossiper/message.go
@@ -38,6 +38,8 @@
 	Digest      uint64                    `cbor:"10,keyasint"`
 	// ImportedFrom names the stopped instances whose keys the host imported.
 	ImportedFrom []string `cbor:"11,keyasint,omitempty"`
+	// Detached is set while the host reaches no backend server.
+	Detached bool `cbor:"12,keyasint,omitempty"`
 }
 
 // noticeRecord is the encoded form of a Notice.
@@ -107,7 +109,7 @@
 	return hostRecord{
 		Host: string(h.ID()), Boot: h.Instance().Boot(), Zone: string(h.Zone()),
 		CallAddress: h.CallAddress(), APIAddress: h.APIAddress(),
-		PeerAddress: h.PeerAddress(), Leaving: h.Leaving(),
+		PeerAddress: h.PeerAddress(), Leaving: h.Leaving(), Detached: h.Detached(),
 	}
 }
 
@@ -115,7 +117,7 @@
 	return verbenastand.NewHost(verbenastand.HostConfig{
 		Instance: verbenastand.NewInstance(verbenastand.HostID(r.Host), r.Boot), Zone: verbenastand.Zone(r.Zone),
 		CallAddress: r.CallAddress, APIAddress: r.APIAddress,
-		PeerAddress: r.PeerAddress, Leaving: r.Leaving,
+		PeerAddress: r.PeerAddress, Leaving: r.Leaving, Detached: r.Detached,
 	})
 }
 
--- a/gossiper/peer.go
+++ b/gossiper/peer.go
@@ -44,7 +44,7 @@
 		return false
 	}
 	wasLeaving := r.Boot == p.record.Boot && p.record.Leaving
-	if r.Leaving && !wasLeaving {
+	if (r.Leaving && !wasLeaving) || (r.Boot == p.record.Boot && r.Detached != p.record.Detached) {
 		g.urgentRounds = urgentRounds
 	}
 	// A shutdown is final for the instance, also if a record that was sent before it
--- a/host.go
+++ b/host.go
@@ -9,6 +9,7 @@
 	apiAddress  string
 	peerAddress string
 	leaving     bool
+	detached    bool
 }
 
 // HostConfig holds the values of a Host.
@@ -24,13 +25,15 @@
 	PeerAddress string
 	// Leaving is set while the host is shutting down and must get no new callers.
 	Leaving bool
+	// Detached is set while the host reaches no backend server.
+	Detached bool
 }
 
 // NewHost returns a host.
 func NewHost(c HostConfig) Host {
 	return Host{
 		instance: c.Instance, zone: c.Zone, callAddress: c.CallAddress,
-		apiAddress: c.APIAddress, peerAddress: c.PeerAddress, leaving: c.Leaving,
+		apiAddress: c.APIAddress, peerAddress: c.PeerAddress, leaving: c.Leaving, detached: c.Detached,
 	}
 }
 
@@ -54,3 +57,6 @@
 
 // Leaving reports whether the host is shutting down and must get no new callers.
 func (h Host) Leaving() bool { return h.leaving }
+
+// Detached reports whether the host reaches no backend server.
+func (h Host) Detached() bool { return h.detached }
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -19,6 +19,8 @@
 	"github.com/verbenastand/verbenastand/carrier"
 	"github.com/verbenastand/verbenastand/certifier"
 	"github.com/verbenastand/verbenastand/configurer"
+	"github.com/verbenastand/verbenastand/delegator"
+	"github.com/verbenastand/verbenastand/detector"
 	"github.com/verbenastand/verbenastand/follower"
 	"github.com/verbenastand/verbenastand/forwarder"
 	"github.com/verbenastand/verbenastand/gossiper"
@@ -102,13 +104,17 @@
 	balancer      *balancer.Balancer
 	sender        *sender.Sender
 	carrier       *carrier.Carrier
+	detector      *detector.Detector
+	healthChecker *carrier.HealthChecker
 	acceptor      *acceptor.Acceptor
 	resolver      *resolver.Resolver
 	requestTracer trace.Tracer
 	stopTracer    func(context.Context) error
 
-	members    memberNames
-	leaving    atomic.Bool
+	members memberNames
+	leaving atomic.Bool
+	// reachMu orders the announcements of whether servers are reached.
+	reachMu    sync.Mutex
 	maxHosts   atomic.Int64
 	background sync.WaitGroup
 }
@@ -172,6 +178,7 @@
 	})
 	g.peerServer = forwarder.NewServer(forwarder.ServerConfig{
 		Certifier: certificates, CloseIdle: true, Exchange: g.gossiper.HandleMessage, Relay: g.follower.HandleMessage,
+		Tunnel: g.serveDelegated,
 	})
 }
 
@@ -187,13 +194,20 @@
 	s := g.config.Settings
 	g.router = router.NewRouter()
 	g.sender = sender.NewSender(sender.Config{HeaderFormat: g.config.HeaderFormat})
+	g.detector = detector.NewDetector(detector.Config{
+		Clock: g.timer, Servers: g.servers, Probe: g.probe, OnChange: g.onReachChange,
+	})
+	g.healthChecker = &carrier.HealthChecker{Sender: g.sender, Reachability: g.detector, OnCheck: g.meter.Probed}
 	g.balancer = balancer.NewBalancer(balancer.Config{
 		Clock: g.timer, Zone: g.self.Zone(), Limiter: g.limiter, OnServerChange: g.recorder.ServerChanged,
-		HealthChecker: &carrier.HealthChecker{Sender: g.sender, OnCheck: g.meter.Probed},
+		HealthChecker: g.healthChecker,
 	})
 	g.carrier = carrier.NewCarrier(carrier.Config{
 		Clock: g.timer, Names: g.config.HeaderFormat.Names(), HeaderFormat: g.config.HeaderFormat, Router: g.router,
 		Balancer: g.balancer, Sender: g.sender, Quarantiner: g.quarantiner, Limiter: g.limiter, Observer: g.recorder,
+		Self: g.self.ID(), Reachability: g.detector, Delegator: delegator.NewDelegator(delegator.Config{
+			Self: g.self, Membership: g.gossiper, Tunnel: g.forwarder.Tunnel,
+		}),
 		Tracer: g.requestTracer, OnCrashSuspected: g.onCrashSuspected, MaxConcurrent: s.MaxConcurrent,
 		NewBudget: func(verbenastand.ServiceName) *retrier.WindowBudget {
 			return retrier.NewWindowBudget(retrier.WindowBudgetConfig{
@@ -319,5 +333,11 @@
 	g.meter.Gauge("hosts", "Hosts believed alive.", func() float64 { return float64(len(g.gossiper.Hosts())) })
 	g.meter.Gauge("quarantined", "Request fingerprints that are refused.", func() float64 { return float64(g.quarantiner.Quarantined()) })
 	g.meter.Gauge("limited_servers", "Servers that name a limit of requests per second.", func() float64 { return float64(g.limiter.Limited()) })
+	g.meter.Gauge("servers_unreached", "1 while no server is reached.", func() float64 {
+		if g.detector.Cut() {
+			return 1
+		}
+		return 0
+	})
 	g.meter.Counter("store_calls_total", "Calls to the configuration store.", func() float64 { return float64(g.follower.StoreCalls()) })
 }
--- /dev/null
+++ b/origin.go
@@ -0,0 +1,11 @@
+package verbenastand
+
+// Origin describes where a request comes from that another host has delegated.
+type Origin struct {
+	// Host is the host that received the request from the caller.
+	Host HostID
+	// Caller is the network address of the caller.
+	Caller string
+	// Attempts is the number of servers that the request has been sent to.
+	Attempts int
+}
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -9,6 +9,7 @@
 	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/balancer"
 	"github.com/verbenastand/verbenastand/carrier"
+	"github.com/verbenastand/verbenastand/detector"
 	"github.com/verbenastand/verbenastand/follower"
 	"github.com/verbenastand/verbenastand/limiter"
 	"github.com/verbenastand/verbenastand/meter"
@@ -25,6 +26,8 @@
 	eventEvidence    = "evidence"
 	eventSuspected   = "requestSuspected"
 	eventLimit       = "serverLimit"
+	eventDelegated   = "delegated"
+	eventReach       = "serversReached"
 )
 
 // maxLoggedTarget bounds the bytes of a request target in a log line.
@@ -69,6 +72,21 @@
 	}).Info(eventAttempt)
 }
 
+// Delegated implements carrier.Observer.
+func (r *Recorder) Delegated(e carrier.Event) {
+	r.config.Meter.Forwarded(e.Err == nil)
+	r.entry(e).WithFields(log.Fields{
+		"to": string(e.Delegate), "attempt": e.Attempt, "error": errorText(e.Err),
+	}).Info(eventDelegated)
+}
+
+// ReachChanged logs that this host reaches no server, or does again.
+func (r *Recorder) ReachChanged(c detector.Change) {
+	r.config.Log.WithFields(log.Fields{
+		"reached": !c.Cut, "servers": c.Servers, "lastedMs": milliseconds(c.Lasted),
+	}).Warn(eventReach)
+}
+
 // RequestEnded implements carrier.Observer.
 func (r *Recorder) RequestEnded(e carrier.Event) {
 	if e.Refused {
@@ -101,7 +119,7 @@
 func (r *Recorder) entry(e carrier.Event) *log.Entry {
 	return r.config.Log.WithFields(log.Fields{
 		"id": e.ID, "route": string(e.Route), "version": uint64(e.Version), "service": string(e.Service),
-		"tookMs": milliseconds(e.Took), "fingerprint": e.Fingerprint.String(),
+		"tookMs": milliseconds(e.Took), "fingerprint": e.Fingerprint.String(), "delegatedBy": string(e.DelegatedBy),
 	})
 }
 
--- a/resolver/resolver.go
+++ b/resolver/resolver.go
@@ -36,11 +36,15 @@
 // Resolve returns the addresses of hosts for a caller in an availability zone, and
 // how long they are valid.
 func (r *Resolver) Resolve(zone verbenastand.Zone) (addresses []string, validity time.Duration) {
-	var selected, others []string
+	var selected, others, detached []string
 	for _, h := range r.config.Membership.Hosts() {
 		if h.Leaving() || (h.ID() == r.config.Self.ID() && !r.config.Serving()) {
 			continue
 		}
+		if h.Detached() {
+			detached = append(detached, h.CallAddress())
+			continue
+		}
 		if h.Zone() == zone {
 			selected = append(selected, h.CallAddress())
 			continue
@@ -52,6 +56,11 @@
 	if missing := minHosts - len(selected); missing > 0 {
 		selected = append(selected, others[:min(missing, len(others))]...)
 	}
+	if len(selected) == 0 {
+		// Hosts that reach no server refuse at once, with a time to come back.
+		shuffle(detached)
+		selected = detached
+	}
 	jitter := 1 - validityJitter*rand.Float64()
 	return selected, time.Duration(jitter * float64(r.config.Validity)).Round(time.Millisecond)
 }
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -196,6 +196,9 @@
 	s.Sweep(func(Target) bool { return false })
 }
 
+// Adopt returns a connection that was opened by other means, for one exchange.
+func (s *Sender) Adopt(conn net.Conn, t Target) *Connection { return newConnection(s, t, conn) }
+
 // ConnectNew opens a new connection to the server even if there is an idle one, to
 // find out whether the server is reachable.
 func (s *Sender) ConnectNew(ctx context.Context, t Target) (*Connection, error) {
--- a/verdict.go
+++ b/verdict.go
@@ -76,6 +76,17 @@
 	ReasonRefused // refused
 )
 
+// ParseRefusalReason returns the reason with the given name, or ReasonRefused if there is
+// none.
+func ParseRefusalReason(name string) RefusalReason {
+	for r := ReasonUnknownService; r <= ReasonRefused; r++ {
+		if r.String() == name {
+			return r
+		}
+	}
+	return ReasonRefused
+}
+
 // RequestError is the failure of a request together with its verdict.
 type RequestError struct {
 	verdict    Verdict
