Detect unreached services one by one

A service counts as cut off only while no server responds on any connection: servers near their limits reset new connections while those that are open serve. A request that finds no server then is delegated alone. After three hosts without a server, the service is refused at once for 0.3 s. Connections are closed after a partition only if no server had responded meanwhile.

--- a/carrier/attempt.go
+++ b/carrier/attempt.go
@@ -78,7 +78,7 @@
 	if err != nil {
 		choice.Release()
 		choice.Server.MarkUnreachable()
-		c.carrier.config.Reachability.Failed(registration.Server())
+		c.carrier.config.Reachability.Failed(registration)
 		return &outcome{server: choice.Server, err: err}
 	}
 	request := c.newRequest(registration.Server())
@@ -91,8 +91,8 @@
 	c.carrier.config.Observer.AttemptSent(event)
 	response, err := connection.Exchange(ctx, request)
 	o := &outcome{server: choice.Server, response: response, err: err}
-	if err == nil && !connection.Reused() {
-		c.carrier.config.Reachability.Reached()
+	if err == nil {
+		c.carrier.config.Reachability.Responded(registration, !connection.Reused())
 	}
 	if err == nil {
 		o.err = c.validate(response)
@@ -116,7 +116,7 @@
 		event.Took = c.carrier.config.Clock.Now().Sub(event.At)
 		c.carrier.config.Observer.AttemptEnded(event)
 		if result == balancer.ConnectionLost {
-			c.carrier.config.Reachability.Failed(registration.Server())
+			c.carrier.config.Reachability.Failed(registration)
 			o.crashChecked = c.confirmCrash(choice.Server)
 		}
 	}
--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -87,6 +87,7 @@
 	semaphore chan struct{}
 	// delegated is the semaphore of the requests that other hosts delegate.
 	delegated chan struct{}
+	unserved  unservedServices
 	// stopped ends when Stop is called.
 	stopped context.Context
 	stop    context.CancelFunc
--- a/carrier/check.go
+++ b/carrier/check.go
@@ -20,13 +20,13 @@
 }
 
 // observe passes on whether a server has responded.
-func (h *HealthChecker) observe(ctx context.Context, server verbenastand.ServerID, c *sender.Connection, err error) {
+func (h *HealthChecker) observe(ctx context.Context, server verbenastand.Registration, c *sender.Connection, err error) {
 	switch {
 	case h.Reachability == nil || errors.Is(ctx.Err(), context.Canceled):
 	case err != nil && !errors.Is(err, sender.ErrInstanceMismatch):
 		h.Reachability.Failed(server)
-	case !c.Reused():
-		h.Reachability.Reached()
+	default:
+		h.Reachability.Responded(server, !c.Reused())
 	}
 }
 
@@ -70,12 +70,12 @@
 	for {
 		c, err := h.Sender.Connect(ctx, targetOf(registration))
 		if err != nil {
-			h.observe(ctx, registration.Server(), nil, err)
+			h.observe(ctx, registration, nil, err)
 			h.OnCheck(registration.Service(), false)
 			return balancer.CheckResult{}, err
 		}
 		report, reported, healthy, err := c.Check(ctx, healthPath)
-		h.observe(ctx, registration.Server(), c, err)
+		h.observe(ctx, registration, c, err)
 		h.OnCheck(registration.Service(), err == nil)
 		if err == nil {
 			return balancer.CheckResult{Report: report, Reported: reported, Healthy: healthy, Conn: &checkConn{sender: h.Sender, connection: c}}, nil
--- a/carrier/delegate.go
+++ b/carrier/delegate.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	verbenastand "github.com/verbenastand/verbenastand"
@@ -23,16 +24,17 @@
 	delegatedShare = 0.5
 )
 
-// Reachability reports whether this host reaches any backend server.
+// Reachability tells which services this host reaches.
 type Reachability interface {
-	// Cut reports whether no server is reached.
-	Cut() bool
-	// Verify is Cut, after the end of probes that are under way.
-	Verify(ctx context.Context) bool
-	// Reached records a response on a new connection.
-	Reached()
+	// Cut reports whether no server of a service responds to this host.
+	Cut(service verbenastand.ServiceName) bool
+	// Unreached reports whether no new connection to a service can be opened. It waits
+	// for the end of probes that are under way.
+	Unreached(ctx context.Context, service verbenastand.ServiceName) bool
+	// Responded records a response of a server.
+	Responded(server verbenastand.Registration, newConnection bool)
 	// Failed records that a server could not be reached or did not respond.
-	Failed(server verbenastand.ServerID)
+	Failed(server verbenastand.Registration)
 }
 
 // Delegator selects and connects to hosts that handle requests on behalf of this one.
@@ -45,21 +47,53 @@
 // alwaysReached is the Reachability of a host that delegates no requests.
 type alwaysReached struct{}
 
-func (alwaysReached) Cut() bool                    { return false }
-func (alwaysReached) Verify(context.Context) bool  { return false }
-func (alwaysReached) Reached()                     {}
-func (alwaysReached) Failed(verbenastand.ServerID) {}
+func (alwaysReached) Cut(verbenastand.ServiceName) bool                        { return false }
+func (alwaysReached) Unreached(context.Context, verbenastand.ServiceName) bool { return false }
+func (alwaysReached) Responded(verbenastand.Registration, bool)                {}
+func (alwaysReached) Failed(verbenastand.Registration)                         {}
 
-// errCut means that this host reaches no server, and knows no other host that does.
-var errCut = errors.New("carrier: this host reaches no server")
+// errCut means that this host reaches no server of the service, and knows no other host
+// that does.
+var errCut = errors.New("carrier: this host reaches no server of the service")
 
 // errDelegatedLimit means that this host handles as many requests of others as it may.
 var errDelegatedLimit = errors.New("carrier: too many requests delegated to this host")
 
+// cut reports whether no server of the service responds to this host.
+func (c *call) cut() bool { return c.carrier.config.Reachability.Cut(c.serviceName) }
+
 // mayDelegate reports whether another host may send the request to a server: this host
-// reaches none, and received the request from its caller.
+// can connect to none, received the request from its caller, and has not just learnt that
+// the others reach none either.
 func (c *call) mayDelegate(ctx context.Context) bool {
-	return c.carrier.config.Delegator != nil && c.request.Origin() == nil && c.carrier.config.Reachability.Verify(ctx)
+	return c.carrier.config.Delegator != nil && c.request.Origin() == nil &&
+		!c.carrier.unserved.recent(c.serviceName, c.carrier.config.Clock.Now()) &&
+		c.carrier.config.Reachability.Unreached(ctx, c.serviceName)
+}
+
+// unservedMemory is how long requests to a service are refused at once after several
+// hosts have reported that they reach none of its servers.
+const unservedMemory = 300 * time.Millisecond
+
+// unservedServices remembers the services that no host is known to reach.
+type unservedServices struct {
+	mu    sync.Mutex
+	until map[verbenastand.ServiceName]time.Time
+}
+
+func (u *unservedServices) record(n verbenastand.ServiceName, now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.until == nil {
+		u.until = make(map[verbenastand.ServiceName]time.Time)
+	}
+	u.until[n] = now.Add(unservedMemory)
+}
+
+func (u *unservedServices) recent(n verbenastand.ServiceName, now time.Time) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return now.Before(u.until[n])
 }
 
 // priorAttempts returns the number of servers that another host has sent the request to.
@@ -73,6 +107,7 @@
 // delegate lets another host send the request, and reports whether there is one.
 func (r *runner) delegate() bool {
 	if len(r.delegates) >= maxDelegations {
+		r.carrier.unserved.record(r.serviceName, r.carrier.config.Clock.Now())
 		return false
 	}
 	host, err := r.carrier.config.Delegator.Select(r.delegates)
--- a/carrier/run.go
+++ b/carrier/run.go
@@ -104,7 +104,7 @@
 // begin sends the request to the first server, or delegates it if this host reaches none.
 // A delegated request is counted by the host that sends it.
 func (r *runner) begin() error {
-	if r.carrier.config.Reachability.Cut() {
+	if r.cut() {
 		if r.mayDelegate(r.ctx) && r.delegate() {
 			return nil
 		}
@@ -246,7 +246,7 @@
 	if r.retryDenied != "" {
 		return false
 	}
-	if r.carrier.config.Reachability.Cut() {
+	if r.cut() {
 		return r.retryByDelegate()
 	}
 	choice, err := r.service.Choose(r.ctx, balancer.Query{Route: r.route, Tried: r.tried})
@@ -322,7 +322,7 @@
 	if r.hedged || r.running != 1 || r.sent >= r.route.MaxAttempts() {
 		return
 	}
-	if r.carrier.config.Reachability.Cut() {
+	if r.cut() {
 		r.hedged = r.hedgeByDelegate()
 		return
 	}
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -1,6 +1,6 @@
-// Package detector finds out whether this host reaches any backend server. A host that
-// reaches none can't tell by itself whether it is partitioned or no server works, so it
-// tells its peers, and asks those that reach servers.
+// Package detector finds out which services this host reaches. A host that reaches no
+// server of a service can't tell by itself whether it is partitioned or none works, so
+// it asks hosts that do, and tells its peers if it reaches no service at all.
 package detector
 
 import (
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	verbenastand "github.com/verbenastand/verbenastand"
@@ -16,7 +15,7 @@
 
 const (
 	// suspiciousFailures is the number of servers that fail, without a response on a new
-	// connection in between, after which others are probed.
+	// connection in between, after which others of the service are probed.
 	suspiciousFailures = 2
 	// firstProbes is the number of servers that are probed at once, maxProbes the number
 	// of those that must all fail.
@@ -25,154 +24,238 @@
 	// probeTimeout bounds a probe: a new connection and a health check, also to another
 	// region.
 	probeTimeout = 250 * time.Millisecond
-	// verifyInterval is the minimum time between two series of probes while servers are
-	// reached.
+	// verifyInterval is the minimum time between two series of probes while the service
+	// is reached.
 	verifyInterval = time.Second
+	// silence is the time without a response on any connection after which a service to
+	// which no new connection can be opened is not tried any more. Connections that are
+	// open may live on during a partition, and servers near their limits reset new ones.
+	silence = 500 * time.Millisecond
+	// minRetry and maxRetry bound the time between two probes of a service that is not
+	// reached.
+	minRetry = 200 * time.Millisecond
+	maxRetry = time.Second
 )
 
-// Change describes that this host no longer reaches any server, or that it does again.
+// Change describes that no new connection to a service can be opened, or that one can
+// again.
 type Change struct {
-	// Cut is set if no server is reached.
-	Cut bool
-	// Servers is the number of servers that failed or were probed in vain.
-	Servers int
-	// Lasted is how long no server was reached.
+	Service verbenastand.ServiceName
+	Reached bool
+	// Failed is the number of servers that have failed or were probed in vain.
+	Failed int
+	// Lasted is how long the service was not reached.
 	Lasted time.Duration
+	// Silent is set if no server had responded before the service was reached again, so
+	// that connections that are still open may hang.
+	Silent bool
 }
 
 // Config holds the dependencies of a Detector.
 type Config struct {
 	Clock verbenastand.Clock
-	// Servers returns the servers in use, of all services.
-	Servers func() []verbenastand.Registration
+	// View returns the current view.
+	View func() *verbenastand.View
 	// Probe requests the health of a server over a new connection. Any response proves
-	// that servers are reached.
+	// that the service is reached.
 	Probe func(context.Context, verbenastand.Registration) error
-	// OnChange is called when the result changes. Calls do not overlap.
+	// OnChange is called when a result changes. It must not block.
 	OnChange func(Change)
 }
 
-// Detector collects the results of connections to servers, and probes servers once
-// several have failed. Only new connections count as proof: during a partition, those
-// that are open may live on.
+// Detector collects the results of connections to servers, and probes servers of a
+// service once several have failed.
 type Detector struct {
 	config Config
-	cut    atomic.Bool
-	// probing is set while Tick probes servers.
-	probing atomic.Bool
 
-	mu     sync.Mutex
+	mu       sync.Mutex
+	services map[verbenastand.ServiceName]*service
+}
+
+// service is what is known about the connections to the servers of one service.
+type service struct {
 	failed map[verbenastand.ServerID]struct{}
-	// responses counts the responses on new connections.
-	responses  uint64
-	verifiedAt time.Time
-	cutAt      time.Time
+	// connections counts the responses on new connections, and respondedAt is the time of
+	// the last response on any connection.
+	connections uint64
+	respondedAt time.Time
+	verifiedAt  time.Time
+	// unreachedAt is when the probes failed, zero while the service is reached.
+	unreachedAt time.Time
+	// retryAt is when the service is probed again, retry the time between two probes.
+	retryAt time.Time
+	retry   time.Duration
 	// verification is closed when the probes under way have ended, nil if there are none.
 	verification chan struct{}
 }
 
-// NewDetector returns a detector that considers servers reachable.
+// NewDetector returns a detector that considers all services reached.
 func NewDetector(c Config) *Detector {
-	return &Detector{config: c, failed: make(map[verbenastand.ServerID]struct{})}
+	return &Detector{config: c, services: make(map[verbenastand.ServiceName]*service)}
 }
 
-// Cut reports whether this host reaches no server.
-func (d *Detector) Cut() bool { return d.cut.Load() }
+func (d *Detector) serviceLocked(n verbenastand.ServiceName) *service {
+	s := d.services[n]
+	if s == nil {
+		s = &service{failed: make(map[verbenastand.ServerID]struct{})}
+		d.services[n] = s
+	}
+	return s
+}
 
-// Reached records a response on a new connection to a server.
-func (d *Detector) Reached() {
+// Cut reports whether this host reaches no server of a service: no new connection can be
+// opened, and none responds.
+func (d *Detector) Cut(n verbenastand.ServiceName) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.responses++
-	clear(d.failed)
+	return d.cutLocked(n)
 }
 
-// Failed records that a connection to a server failed, or that the server did not
-// respond.
-func (d *Detector) Failed(server verbenastand.ServerID) {
+func (d *Detector) cutLocked(n verbenastand.ServiceName) bool {
+	s := d.services[n]
+	return s != nil && !s.unreachedAt.IsZero() && d.config.Clock.Now().Sub(s.respondedAt) > silence
+}
+
+// Unreached reports whether no new connection to a service can be opened. It waits for
+// the probes under way.
+func (d *Detector) Unreached(ctx context.Context, n verbenastand.ServiceName) bool {
+	d.mu.Lock()
+	s := d.serviceLocked(n)
+	unreached, verification := !s.unreachedAt.IsZero(), s.verification
+	d.mu.Unlock()
+	if unreached || verification == nil {
+		return unreached
+	}
+	select {
+	case <-verification:
+	case <-ctx.Done():
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.Cut() {
-		return
+	return !s.unreachedAt.IsZero()
+}
+
+// Detached reports whether this host reaches none of the services.
+func (d *Detector) Detached() bool {
+	v := d.config.View()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	names := v.ServiceNames()
+	for _, n := range names {
+		if !d.cutLocked(n) && len(active(v, n)) > 0 {
+			return false
+		}
 	}
-	d.failed[server] = struct{}{}
-	if d.verification != nil || d.config.Clock.Now().Sub(d.verifiedAt) < verifyInterval {
-		return
+	return len(names) > 0
+}
+
+// active returns the servers of a service that accept requests.
+func active(v *verbenastand.View, n verbenastand.ServiceName) []verbenastand.Registration {
+	return slices.DeleteFunc(slices.Clone(v.Servers(n)), func(r verbenastand.Registration) bool {
+		return r.State() != verbenastand.ServerActive
+	})
+}
+
+// Responded records a response of a server, on a new connection or on one that has been
+// used before.
+func (d *Detector) Responded(r verbenastand.Registration, newConnection bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.respondedLocked(r.Service(), d.serviceLocked(r.Service()), newConnection)
+}
+
+func (d *Detector) respondedLocked(n verbenastand.ServiceName, s *service, newConnection bool) {
+	silent := d.cutLocked(n)
+	s.respondedAt = d.config.Clock.Now()
+	if newConnection {
+		s.connections++
+		d.reachedLocked(n, s, silent)
 	}
-	servers := d.config.Servers()
-	if len(servers) == 0 || len(d.failed) < min(suspiciousFailures, len(servers)) {
+}
+
+// reachedLocked ends the search for a server of the service.
+func (d *Detector) reachedLocked(n verbenastand.ServiceName, s *service, silent bool) {
+	clear(s.failed)
+	if s.unreachedAt.IsZero() {
 		return
 	}
-	d.verification = make(chan struct{})
-	go d.verify(servers, d.responses)
+	lasted := d.config.Clock.Now().Sub(s.unreachedAt)
+	s.unreachedAt = time.Time{}
+	d.config.OnChange(Change{Service: n, Reached: true, Lasted: lasted, Silent: silent})
 }
 
-// Forget discards the failures. It is called after the process was paused.
-func (d *Detector) Forget() {
+// Failed records that a connection to a server failed, or that the server did not
+// respond.
+func (d *Detector) Failed(r verbenastand.Registration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	clear(d.failed)
+	s := d.serviceLocked(r.Service())
+	if !s.unreachedAt.IsZero() {
+		return
+	}
+	s.failed[r.Server()] = struct{}{}
+	servers := active(d.config.View(), r.Service())
+	if len(s.failed) >= min(suspiciousFailures, len(servers)) {
+		d.startVerificationLocked(r.Service(), s, servers)
+	}
 }
 
-// Verify reports whether this host reaches no server. It waits for the probes under way.
-func (d *Detector) Verify(ctx context.Context) bool {
-	d.mu.Lock()
-	verification := d.verification
-	d.mu.Unlock()
-	if d.Cut() || verification == nil {
-		return d.Cut()
+// startVerificationLocked probes the servers of a service unless that was done recently.
+func (d *Detector) startVerificationLocked(n verbenastand.ServiceName, s *service, servers []verbenastand.Registration) {
+	recent := d.config.Clock.Now().Sub(s.verifiedAt) < verifyInterval
+	if len(servers) == 0 || s.verification != nil || recent || !s.unreachedAt.IsZero() {
+		return
 	}
-	select {
-	case <-verification:
-	case <-ctx.Done():
+	s.verification = make(chan struct{})
+	go d.verify(n, s, s.sample(servers), s.connections)
+}
+
+// sample returns the servers to probe in a random order, those first that have not
+// failed.
+func (s *service) sample(servers []verbenastand.Registration) []verbenastand.Registration {
+	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
+	var sample, failed []verbenastand.Registration
+	for _, r := range servers {
+		if _, found := s.failed[r.Server()]; found {
+			failed = append(failed, r)
+			continue
+		}
+		sample = append(sample, r)
 	}
-	return d.Cut()
+	sample = append(sample, failed...)
+	return sample[:min(maxProbes, len(sample))]
 }
 
-// verify probes servers, those first that have not failed.
-func (d *Detector) verify(servers []verbenastand.Registration, responses uint64) {
-	sample := d.sample(servers)
+// verify probes servers of a service that may not be reached.
+func (d *Detector) verify(n verbenastand.ServiceName, s *service, sample []verbenastand.Registration, connections uint64) {
 	first := min(firstProbes, len(sample))
 	reached := d.probe(sample[:first]) || (len(sample) > first && d.probe(sample[first:]))
-	d.mu.Lock()
-	d.verifiedAt = d.config.Clock.Now()
-	reached = reached || d.responses != responses
-	change := Change{Cut: true, Servers: len(d.failed)}
-	if reached {
-		clear(d.failed)
-	} else {
-		d.cutAt = d.verifiedAt
-		d.cut.Store(true)
-	}
-	if !reached {
-		d.config.OnChange(change)
-	}
-	close(d.verification)
-	d.verification = nil
-	d.mu.Unlock()
-}
-
-// sample returns the servers to probe, in a random order.
-func (d *Detector) sample(servers []verbenastand.Registration) []verbenastand.Registration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	servers = slices.Clone(servers)
-	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
-	slices.SortStableFunc(servers, func(a, b verbenastand.Registration) int {
-		return d.failedLocked(a) - d.failedLocked(b)
-	})
-	sample := servers[:min(maxProbes, len(servers))]
-	for _, s := range sample {
-		d.failed[s.Server()] = struct{}{}
+	close(s.verification)
+	s.verification = nil
+	s.verifiedAt = d.config.Clock.Now()
+	for _, r := range sample {
+		s.failed[r.Server()] = struct{}{}
 	}
-	return sample
+	if reached || s.connections != connections {
+		clear(s.failed)
+		return
+	}
+	s.unreachedAt = s.verifiedAt
+	s.retry, s.retryAt = minRetry, s.verifiedAt.Add(minRetry)
+	d.config.OnChange(Change{Service: n, Failed: len(s.failed)})
+	d.suspectOthersLocked(n)
 }
 
-func (d *Detector) failedLocked(r verbenastand.Registration) int {
-	if _, failed := d.failed[r.Server()]; failed {
-		return 1
+// suspectOthersLocked probes the other services, since a partition may concern them too.
+func (d *Detector) suspectOthersLocked(n verbenastand.ServiceName) {
+	v := d.config.View()
+	for _, other := range v.ServiceNames() {
+		if other != n {
+			d.startVerificationLocked(other, d.serviceLocked(other), active(v, other))
+		}
 	}
-	return 0
 }
 
 // probe probes servers concurrently and reports whether one has responded.
@@ -180,8 +263,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	results := make(chan error, len(servers))
-	for _, s := range servers {
-		go func() { results <- d.config.Probe(ctx, s) }()
+	for _, r := range servers {
+		go func() { results <- d.config.Probe(ctx, r) }()
 	}
 	for range servers {
 		if <-results == nil {
@@ -191,25 +274,41 @@
 	return false
 }
 
-// Tick probes servers while none is reached, and returns once the probes have ended. The
-// first response ends the partition.
-func (d *Detector) Tick(time.Time) {
-	if !d.Cut() || !d.probing.CompareAndSwap(false, true) {
-		return
-	}
-	defer d.probing.Store(false)
-	servers := slices.Clone(d.config.Servers())
-	if len(servers) == 0 {
-		return
+// Tick probes the services that are not reached. The first response ends the search.
+func (d *Detector) Tick(now time.Time) {
+	v := d.config.View()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for n, s := range d.services {
+		if s.unreachedAt.IsZero() || now.Before(s.retryAt) {
+			continue
+		}
+		servers := active(v, n)
+		if len(servers) == 0 {
+			delete(d.services, n)
+			continue
+		}
+		s.retry = min(2*s.retry, maxRetry)
+		s.retryAt = now.Add(s.retry + probeTimeout)
+		rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
+		go d.retry(n, s, servers[:min(firstProbes, len(servers))])
 	}
-	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
-	if !d.probe(servers[:min(firstProbes, len(servers))]) {
+}
+
+func (d *Detector) retry(n verbenastand.ServiceName, s *service, servers []verbenastand.Registration) {
+	if !d.probe(servers) {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	clear(d.failed)
-	d.verifiedAt = d.config.Clock.Now()
-	d.cut.Store(false)
-	d.config.OnChange(Change{Lasted: d.verifiedAt.Sub(d.cutAt)})
+	d.respondedLocked(n, s, true)
+}
+
+// Forget discards the failures. It is called after the process was paused.
+func (d *Detector) Forget() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.services {
+		clear(s.failed)
+	}
 }
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -170,14 +170,13 @@
 	g.push(ctx, g.neighbours(g.contacts()))
 }
 
-// SetDetached announces whether this host reaches no backend server.
-func (g *Gossiper) SetDetached(ctx context.Context, detached bool) {
+// SetDetached sets whether this host reaches no backend server, as advertised to peers.
+func (g *Gossiper) SetDetached(detached bool) {
 	g.mu.Lock()
 	g.self.Detached = detached
 	g.self.Heartbeat++
 	g.mu.Unlock()
 	g.rebuild()
-	g.PushNeighbours(ctx)
 }
 
 // PushNeighbours sends the current state to the neighbours at once and waits up to
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -113,8 +113,8 @@
 
 	members memberNames
 	leaving atomic.Bool
-	// reachMu orders the announcements of whether servers are reached.
-	reachMu    sync.Mutex
+	// detached is what was last announced to the other hosts.
+	detached   atomic.Bool
 	maxHosts   atomic.Int64
 	background sync.WaitGroup
 }
@@ -195,7 +195,7 @@
 	g.router = router.NewRouter()
 	g.sender = sender.NewSender(sender.Config{HeaderFormat: g.config.HeaderFormat})
 	g.detector = detector.NewDetector(detector.Config{
-		Clock: g.timer, Servers: g.servers, Probe: g.probe, OnChange: g.onReachChange,
+		Clock: g.timer, View: g.follower.View, Probe: g.probe, OnChange: g.onReachChange,
 	})
 	g.healthChecker = &carrier.HealthChecker{Sender: g.sender, Reachability: g.detector, OnCheck: g.meter.Probed}
 	g.balancer = balancer.NewBalancer(balancer.Config{
@@ -333,8 +333,8 @@
 	g.meter.Gauge("hosts", "Hosts believed alive.", func() float64 { return float64(len(g.gossiper.Hosts())) })
 	g.meter.Gauge("quarantined", "Request fingerprints that are refused.", func() float64 { return float64(g.quarantiner.Quarantined()) })
 	g.meter.Gauge("limited_servers", "Servers that name a limit of requests per second.", func() float64 { return float64(g.limiter.Limited()) })
-	g.meter.Gauge("servers_unreached", "1 while no server is reached.", func() float64 {
-		if g.detector.Cut() {
+	g.meter.Gauge("detached", "1 while no server is reached.", func() float64 {
+		if g.detector.Detached() {
 			return 1
 		}
 		return 0
--- a/launcher/gateway_run.go
+++ b/launcher/gateway_run.go
@@ -101,7 +101,7 @@
 	g.timer.Every(gossipPeriod, g.gossiper.Tick)
 	g.timer.Every(urgentPeriod, g.gossiper.PassOn)
 	g.timer.Every(followerPeriod, g.follower.ExpireRegistrations)
-	g.timer.Every(reachPeriod, func(now time.Time) { g.background.Go(func() { g.detector.Tick(now) }) })
+	g.timer.Every(reachPeriod, g.updateReach)
 	g.timer.Every(sweepPeriod, g.quarantiner.Sweep)
 	g.timer.Every(sweepPeriod, g.limiter.Sweep)
 	g.timer.Every(sweepPeriod, func(time.Time) { g.sender.Sweep(g.knownTargets()) })
--- a/launcher/reach.go
+++ b/launcher/reach.go
@@ -7,24 +7,11 @@
 
 	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/detector"
+	"github.com/verbenastand/verbenastand/sender"
 )
 
-// reachPeriod is the time between two probes while no server is reached.
-const reachPeriod = 200 * time.Millisecond
-
-// servers returns the servers in use, of all services.
-func (g *Gateway) servers() []verbenastand.Registration {
-	v := g.follower.View()
-	var servers []verbenastand.Registration
-	for _, n := range v.ServiceNames() {
-		for _, r := range v.Servers(n) {
-			if r.State() == verbenastand.ServerActive {
-				servers = append(servers, r)
-			}
-		}
-	}
-	return servers
-}
+// reachPeriod is the time between two looks at which services are reached.
+const reachPeriod = 100 * time.Millisecond
 
 // probe checks whether a server responds on a new connection.
 func (g *Gateway) probe(ctx context.Context, r verbenastand.Registration) error {
@@ -35,27 +22,41 @@
 	return g.healthChecker.Probe(ctx, r, path)
 }
 
-// onReachChange tells the other hosts whether this one reaches servers: callers are then
-// directed elsewhere, and no requests are delegated to it.
 func (g *Gateway) onReachChange(c detector.Change) {
 	g.recorder.ReachChanged(c)
-	if !c.Cut {
-		// Connections that were open during the partition may hang.
-		g.sender.CloseIdle()
+	if c.Silent {
+		g.background.Go(func() { g.closeIdle(c.Service) })
+	}
+}
+
+// closeIdle closes the idle connections to the servers of a service.
+func (g *Gateway) closeIdle(n verbenastand.ServiceName) {
+	servers := make(map[verbenastand.ServerID]bool)
+	for _, r := range g.follower.View().Servers(n) {
+		servers[r.Server()] = true
 	}
-	g.background.Go(g.announceReach)
+	g.sender.Sweep(func(t sender.Target) bool { return !servers[t.Server] })
 }
 
-func (g *Gateway) announceReach() {
-	g.reachMu.Lock()
-	defer g.reachMu.Unlock()
-	g.gossiper.SetDetached(context.Background(), g.detector.Cut())
+// updateReach probes services that are not reached, and tells the other hosts whether
+// this one reaches any: callers are directed elsewhere if not, and no requests are
+// delegated to it.
+func (g *Gateway) updateReach(now time.Time) {
+	g.detector.Tick(now)
+	detached := g.detector.Detached()
+	if detached == g.detached.Load() {
+		return
+	}
+	g.detached.Store(detached)
+	g.log.WithField("detached", detached).Warn("reach")
+	g.gossiper.SetDetached(detached)
+	g.background.Go(func() { g.gossiper.PushNeighbours(context.Background()) })
 }
 
 // serveDelegated accepts a connection over which another host sends requests of its
 // callers.
 func (g *Gateway) serveDelegated(conn net.Conn, origin verbenastand.Origin) bool {
-	if !g.ready() || g.detector.Cut() {
+	if !g.ready() || g.detached.Load() {
 		return false
 	}
 	g.acceptor.ServeDelegated(conn, origin)
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -27,7 +27,7 @@
 	eventSuspected   = "requestSuspected"
 	eventLimit       = "serverLimit"
 	eventDelegated   = "delegated"
-	eventReach       = "serversReached"
+	eventReach       = "serviceReached"
 )
 
 // maxLoggedTarget bounds the bytes of a request target in a log line.
@@ -80,10 +80,10 @@
 	}).Info(eventDelegated)
 }
 
-// ReachChanged logs that this host reaches no server, or does again.
+// ReachChanged logs that this host can't connect to a service, or can again.
 func (r *Recorder) ReachChanged(c detector.Change) {
 	r.config.Log.WithFields(log.Fields{
-		"reached": !c.Cut, "servers": c.Servers, "lastedMs": milliseconds(c.Lasted),
+		"service": string(c.Service), "reached": c.Reached, "failed": c.Failed, "lastedMs": milliseconds(c.Lasted),
 	}).Warn(eventReach)
 }
 
