--- a/carrier/harness_test.go
+++ b/carrier/harness_test.go
@@ -86,6 +86,10 @@
 	// callerAddress is the network address of the connections that connect opens.
 	callerAddress net.Addr
 	table         *verbenastand.RouteTable
+	view          *verbenastand.View
+	checker       *HealthChecker
+	// link is the path to all servers, nil if it can't fail.
+	link *link
 }
 
 // addRoute adds a second route to the same service.
@@ -191,9 +195,11 @@
 		return []verbenastand.Host{self}
 	}})
 	h.balancer = balancer.NewBalancer(balancer.Config{Clock: wallClock{}, Zone: "z", HealthChecker: checker, Limiter: h.limiter})
-	h.balancer.Update(verbenastand.NewView(verbenastand.ViewConfig{
+	h.view = verbenastand.NewView(verbenastand.ViewConfig{
 		Table: table, Servers: map[verbenastand.ServiceName][]verbenastand.Registration{"svc": registrations},
-	}))
+	})
+	h.balancer.Update(h.view)
+	h.checker = checker
 	h.carrier = NewCarrier(Config{
 		Clock: wallClock{}, Names: testHeaderFormat{}.Names(), HeaderFormat: testHeaderFormat{}, Router: routes, Balancer: h.balancer, Sender: s,
 		Quarantiner: quarantiner.NewQuarantiner(quarantiner.Config{Clock: wallClock{}}), Observer: h,
@@ -209,7 +215,14 @@
 	return h
 }
 
-func (h *harness) dial(_ context.Context, address string) (net.Conn, error) {
+func (h *harness) dial(ctx context.Context, address string) (net.Conn, error) {
+	if h.link == nil {
+		return h.dialServer(address)
+	}
+	return h.link.dial(ctx, func() (net.Conn, error) { return h.dialServer(address) })
+}
+
+func (h *harness) dialServer(address string) (net.Conn, error) {
 	s := h.servers[address]
 	h.mu.Lock()
 	down := s.down
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -1,8 +1,14 @@
 package forwarder
 
 import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -36,3 +42,97 @@
 	require.NoError(t, err)
 	require.Equal(t, "re: 2", string(response))
 }
+
+// newTunnelServer returns a forwarder and a peer that serves tunnels.
+func newTunnelServer(t *testing.T, serve func(conn net.Conn, origin verbenastand.Origin) bool) (*Forwarder, verbenastand.Host, *Server) {
+	certificates, err := certifier.NewSharedCertifier("a secret")
+	require.NoError(t, err)
+	server := NewServer(ServerConfig{Certifier: certificates, CloseIdle: true, Tunnel: serve})
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = server.Serve(conn) }()
+	f := NewForwarder(Config{Certifier: certificates, CloseIdle: true})
+	t.Cleanup(func() {
+		_ = f.Close()
+		_ = server.Close()
+	})
+	return f, verbenastand.NewHost(verbenastand.HostConfig{PeerAddress: conn.LocalAddr().String()}), server
+}
+
+// TestTunnel: a request and a large response pass in both directions, and the end of
+// either side ends the other.
+func TestTunnel(t *testing.T) {
+	const size = 1 << 20
+	origin := verbenastand.Origin{Host: "h1", Caller: "10.0.0.1:4711", Attempts: 1}
+	ended := make(chan error, 1)
+	f, peer, _ := newTunnelServer(t, func(conn net.Conn, got verbenastand.Origin) bool {
+		require.Equal(t, origin, got)
+		go func() {
+			reader := bufio.NewReader(conn)
+			for {
+				r, err := http.ReadRequest(reader)
+				if err != nil {
+					ended <- err
+					return
+				}
+				body, _ := io.ReadAll(r.Body)
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+			}
+		}()
+		return true
+	})
+	conn, err := f.Tunnel(t.Context(), peer, origin)
+	require.NoError(t, err)
+	reader := bufio.NewReader(conn)
+	for range 2 {
+		go func() {
+			_, _ = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", size)
+			_, _ = conn.Write(make([]byte, size))
+		}()
+		_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+		response, err := http.ReadResponse(reader, nil)
+		require.NoError(t, err)
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.Len(t, body, size)
+	}
+	require.NoError(t, conn.Close())
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the peer did not notice the end of the tunnel")
+	}
+}
+
+// TestAPeerThatEndsATunnel: a response that breaks off must not look complete.
+func TestAPeerThatEndsATunnel(t *testing.T) {
+	f, peer, _ := newTunnelServer(t, func(conn net.Conn, _ verbenastand.Origin) bool {
+		go func() {
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf")
+			_ = conn.Close()
+		}()
+		return true
+	})
+	conn, err := f.Tunnel(t.Context(), peer, verbenastand.Origin{Caller: "c"})
+	require.NoError(t, err)
+	_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	_, err = io.ReadAll(response.Body)
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
+
+// TestATunnelThatIsNotAccepted: nothing is sent before the peer has accepted the tunnel.
+func TestATunnelThatIsNotAccepted(t *testing.T) {
+	f, peer, server := newTunnelServer(t, func(net.Conn, verbenastand.Origin) bool { return false })
+	_, err := f.Tunnel(t.Context(), peer, verbenastand.Origin{Caller: "c"})
+	require.ErrorContains(t, err, "503")
+	_, err = f.Tunnel(t.Context(), peer, verbenastand.Origin{})
+	require.ErrorContains(t, err, "400")
+	_ = server.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	_, err = f.Tunnel(ctx, peer, verbenastand.Origin{Caller: "c"})
+	require.Error(t, err)
+}
--- a/resolver/resolver_test.go
+++ b/resolver/resolver_test.go
@@ -20,6 +20,12 @@
 	})
 }
 
+func detachedHost(id, zone string) verbenastand.Host {
+	return verbenastand.NewHost(verbenastand.HostConfig{
+		Instance: verbenastand.NewInstance(verbenastand.HostID(id), 1), Zone: verbenastand.Zone(zone), CallAddress: id, Detached: true,
+	})
+}
+
 func TestResolve(t *testing.T) {
 	cases := []struct {
 		name       string
@@ -32,6 +38,9 @@
 		{"one in the zone", fakeMembership{host("a1", "a", false), host("b1", "b", false), host("b2", "b", false), host("c1", "c", false)}, true, []string{"a1"}, 2},
 		{"leaving hosts", fakeMembership{host("a1", "a", true), host("a2", "a", false), host("b1", "b", true), host("c1", "c", false)}, true, []string{"a2"}, 1},
 		{"this host is leaving or starting", fakeMembership{host("a1", "a", false), host("self", "a", false), host("b1", "b", false)}, false, []string{"a1"}, 1},
+		{"a host that reaches no server", fakeMembership{detachedHost("a1", "a"), host("a2", "a", false), host("b1", "b", false)}, true, []string{"a2"}, 1},
+		{"a zone that reaches no server", fakeMembership{detachedHost("a1", "a"), detachedHost("a2", "a"), host("b1", "b", false), host("c1", "c", false)}, true, nil, 2},
+		{"no host reaches a server", fakeMembership{detachedHost("a1", "a"), detachedHost("b1", "b")}, true, nil, 2},
 		{"no host", fakeMembership{host("self", "a", false)}, false, nil, 0},
 	}
 	for _, tc := range cases {
