Delegate the requests of an entry host that reaches no server

The same cause on the entry host: one that reached no server of a service queued the requests of its callers until their deadlines, and stayed a home of its services. It now detects that like the gateway (failed and stalled requests, then plain connections, since health checks have a budget of slot time), and announces it; placement and host lookups leave such hosts out while others reach servers. Requests that still arrive are forwarded to a home or another host. The host keeps the idempotency key, so a request with a key runs at most once whoever sends it; one that must not run twice goes to a second host only if the first has certainly not sent it. A forwarded request is not forwarded again; if no host reaches the service it is refused at once.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -29,18 +29,26 @@
 type Config struct {
 	// MaxConnections is the maximum number of connections to one server.
 	MaxConnections int
+	// OnResult is called with the result of each request; newConnection is set if its
+	// connection was opened for it. The error is nil if there was a response. It may be
+	// nil.
+	OnResult func(server verbenastand.Server, newConnection bool, err error)
 }
 
 // Connector manages connections to servers. It implements
 // verbenastand.ServerTransport.
 type Connector struct {
+	config    Config
 	transport *http.Transport
 }
 
 // NewConnector returns a connector without connections.
 func NewConnector(c Config) *Connector {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Connector{transport: &http.Transport{
+	if c.OnResult == nil {
+		c.OnResult = func(verbenastand.Server, bool, error) {}
+	}
+	return &Connector{config: c, transport: &http.Transport{
 		DialContext:            dialer.DialContext,
 		MaxConnsPerHost:        c.MaxConnections,
 		MaxIdleConnsPerHost:    c.MaxConnections,
@@ -69,8 +77,11 @@
 // RoundTrip sends r to the server. The verdict of an error is NotRun only if no
 // connection was obtained, so that no byte of the request was written.
 func (c *Connector) RoundTrip(server verbenastand.Server, r *http.Request) (*http.Response, error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var connected, reused atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		connected.Store(true)
+		reused.Store(info.Reused)
+	}}
 	out := r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
 	out.URL.Scheme = "http"
 	out.URL.Host = server.Address()
@@ -83,6 +94,9 @@
 	id := strconv.FormatUint(rand.Uint64(), 36)
 	out.Header.Set(verbenastand.HeaderRequest, id)
 	response, err := c.transport.RoundTrip(out)
+	if !errors.Is(r.Context().Err(), context.Canceled) {
+		c.config.OnResult(server, !reused.Load(), err)
+	}
 	if err == nil {
 		return matchResponse(response, id)
 	}
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -137,6 +137,9 @@
 
 // Detached reports whether this host reaches none of the services.
 func (d *Detector) Detached() bool {
+	if !d.anyCut() {
+		return false
+	}
 	v := d.config.View()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -149,6 +152,17 @@
 	return len(names) > 0
 }
 
+func (d *Detector) anyCut() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for n := range d.services {
+		if d.cutLocked(n) {
+			return true
+		}
+	}
+	return false
+}
+
 // active returns the servers of a service that accept requests.
 func active(v *verbenastand.View, n verbenastand.ServiceName) []verbenastand.Registration {
 	return slices.DeleteFunc(slices.Clone(v.Servers(n)), func(r verbenastand.Registration) bool {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -31,6 +31,8 @@
 	Deduplicator *deduplicator.Deduplicator
 	Quarantiner  *quarantiner.Quarantiner
 	Limiter      *limiter.Limiter
+	// Reachability tells which services this host reaches; if nil, it reaches all.
+	Reachability Reachability
 	Peers        verbenastand.PeerTransport
 	Servers      verbenastand.ServerTransport
 	Meter        *meter.Meter
@@ -143,6 +145,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, req.deadline.Sub(d.config.Timer.Now()))
 	defer cancel()
+	if d.cut(req) {
+		d.runElsewhere(ctx, w, req, finish)
+		return
+	}
 	resp, err := d.execute(ctx, req)
 	if err != nil {
 		finish(failureOutcome(err))
@@ -174,6 +180,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, req.deadline.Sub(d.config.Timer.Now()))
 	defer cancel()
+	if d.cut(req) {
+		d.serveElsewhere(ctx, w, req)
+		return
+	}
 	if d.misdirected(req) && d.forward(ctx, w, req) {
 		return
 	}
@@ -203,7 +213,7 @@
 	if req.components == nil {
 		return verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonUnknownService, nil)
 	}
-	if !req.idempotent && !req.keyed && req.components.Service().RequireKey() {
+	if !req.idempotent && !req.keyed && !req.delegated && req.components.Service().RequireKey() {
 		return verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonKeyRequired, nil)
 	}
 	req.class = req.components.Classifier().Classify(req.request.Method, req.request.URL.Path, req.keyed)
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -52,8 +52,13 @@
 	peer        func(verbenastand.Host, *http.Request) (*http.Response, error)
 	sent        atomic.Int32
 	notified    atomic.Int32
+	// cut is set while the host reaches no server.
+	cut atomic.Bool
 }
 
+func (p *proxy) Cut(verbenastand.ServiceName) bool { return p.cut.Load() }
+func (p *proxy) Stalled(verbenastand.Server)       {}
+
 func (p *proxy) Self() verbenastand.Host    { return host }
 func (p *proxy) Hosts() []verbenastand.Host { return p.hosts }
 func (p *proxy) Find(id verbenastand.HostID) (verbenastand.Host, bool) {
@@ -100,7 +105,7 @@
 	p.keys = deduplicator.NewDeduplicator(deduplicator.Config{Clock: p.clock, Instance: host.Instance()})
 	p.Dispatcher = dispatcher.NewDispatcher(dispatcher.Config{
 		Timer: p.clock, Self: host, Membership: p, Registrar: serviceRegistrar, Deduplicator: p.keys,
-		Quarantiner: p.quarantiner, Limiter: p.limiter,
+		Quarantiner: p.quarantiner, Limiter: p.limiter, Reachability: p,
 		Peers: p, Servers: p, Meter: meter.NewMeter(), Tracer: noop.NewTracerProvider().Tracer(""),
 		MaxBody: 1 << 20, MaxConcurrent: 1000, StallTimeout: time.Second,
 		OnDrainNotice:    func(verbenastand.ServiceName, scheduler.DrainNotice) {},
--- a/dispatcher/hedge.go
+++ b/dispatcher/hedge.go
@@ -81,6 +81,9 @@
 		h.timer.Reset(checkInterval)
 		return
 	}
+	if r := h.dispatcher.config.Reachability; r != nil {
+		r.Stalled(h.first.Server())
+	}
 	second, ok := components.Scheduler().TryAcquire(&scheduler.Waiter{
 		Priority: h.request.class.Priority(), Expected: h.request.class.Expected(),
 		Deadline: h.request.deadline, Tried: []scheduler.Grant{h.first},
--- a/dispatcher/request.go
+++ b/dispatcher/request.go
@@ -37,13 +37,15 @@
 	keyed      bool
 	idempotent bool
 	forwarded  bool
-	attempt    int
-	depth      int
-	timeout    time.Duration
-	arrived    time.Time
-	deadline   time.Time
-	body       []byte
-	buffered   bool
+	// delegated is set if the host that forwarded the request keeps its idempotency key.
+	delegated bool
+	attempt   int
+	depth     int
+	timeout   time.Duration
+	arrived   time.Time
+	deadline  time.Time
+	body      []byte
+	buffered  bool
 	// keyFingerprint detects an idempotency key that is reused for another request.
 	keyFingerprint uint64
 	// crashFingerprint identifies equal requests of a caller in crash evidence.
@@ -98,6 +100,10 @@
 		}
 		req.key, req.keyed, req.idempotent = key, true, false
 	}
+	if forwarded && r.Header.Get(headerDelegated) != "" {
+		r.Header.Del(headerDelegated)
+		req.delegated, req.keyed = true, false
+	}
 	if r.ContentLength > d.config.MaxBody || (req.keyed && r.ContentLength > maxKeyedBody) {
 		return nil, verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonTooLarge, nil)
 	}
--- a/launcher/event.go
+++ b/launcher/event.go
@@ -27,11 +27,13 @@
 		h.deduplicator.Sweep(now)
 		h.gossiper.SetImportedFrom(h.deduplicator.ImportedFrom())
 	})
+	h.timer.Every(reachPeriod, h.reach.update)
 	h.timer.Every(sweepPeriod, h.quarantiner.Sweep)
 	h.timer.Every(sweepPeriod, h.limiter.Sweep)
 	h.timer.Every(certificatePeriod, func(time.Time) { h.reloadCertificates() })
 	h.timer.Every(hostListPeriod, func(time.Time) { h.background.Go(h.readHostList) })
 	h.timer.OnPause(func(gap time.Duration) {
+		h.reach.detector.Forget()
 		h.meter.Paused()
 		h.registrar.Invalidate()
 		h.gossiper.ResetTimeouts()
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -104,17 +104,15 @@
 	balancer      *balancer.Balancer
 	sender        *sender.Sender
 	carrier       *carrier.Carrier
-	detector      *detector.Detector
+	reach         *reach
 	healthChecker *carrier.HealthChecker
 	acceptor      *acceptor.Acceptor
 	resolver      *resolver.Resolver
 	requestTracer trace.Tracer
 	stopTracer    func(context.Context) error
 
-	members memberNames
-	leaving atomic.Bool
-	// detached is what was last announced to the other hosts.
-	detached   atomic.Bool
+	members    memberNames
+	leaving    atomic.Bool
 	maxHosts   atomic.Int64
 	background sync.WaitGroup
 }
@@ -194,10 +192,11 @@
 	s := g.config.Settings
 	g.router = router.NewRouter()
 	g.sender = sender.NewSender(sender.Config{HeaderFormat: g.config.HeaderFormat})
-	g.detector = detector.NewDetector(detector.Config{
+	g.reach = &reach{gossiper: g.gossiper, log: g.log}
+	g.reach.detector = detector.NewDetector(detector.Config{
 		Clock: g.timer, View: g.follower.View, Probe: g.probe, OnChange: g.onReachChange,
 	})
-	g.healthChecker = &carrier.HealthChecker{Sender: g.sender, Reachability: g.detector, OnCheck: g.meter.Probed}
+	g.healthChecker = &carrier.HealthChecker{Sender: g.sender, Reachability: g.reach.detector, OnCheck: g.meter.Probed}
 	g.balancer = balancer.NewBalancer(balancer.Config{
 		Clock: g.timer, Zone: g.self.Zone(), Limiter: g.limiter, OnServerChange: g.recorder.ServerChanged,
 		HealthChecker: g.healthChecker,
@@ -205,7 +204,7 @@
 	g.carrier = carrier.NewCarrier(carrier.Config{
 		Clock: g.timer, Names: g.config.HeaderFormat.Names(), HeaderFormat: g.config.HeaderFormat, Router: g.router,
 		Balancer: g.balancer, Sender: g.sender, Quarantiner: g.quarantiner, Limiter: g.limiter, Observer: g.recorder,
-		Self: g.self.ID(), Reachability: g.detector, Delegator: delegator.NewDelegator(delegator.Config{
+		Self: g.self.ID(), Reachability: g.reach.detector, Delegator: delegator.NewDelegator(delegator.Config{
 			Self: g.self, Membership: g.gossiper, Tunnel: g.forwarder.Tunnel,
 		}),
 		Tracer: g.requestTracer, OnCrashSuspected: g.onCrashSuspected, MaxConcurrent: s.MaxConcurrent,
@@ -334,7 +333,7 @@
 	g.meter.Gauge("quarantined", "Request fingerprints that are refused.", func() float64 { return float64(g.quarantiner.Quarantined()) })
 	g.meter.Gauge("limited_servers", "Servers that name a limit of requests per second.", func() float64 { return float64(g.limiter.Limited()) })
 	g.meter.Gauge("detached", "1 while no server is reached.", func() float64 {
-		if g.detector.Detached() {
+		if g.reach.detector.Detached() {
 			return 1
 		}
 		return 0
--- a/launcher/gateway_run.go
+++ b/launcher/gateway_run.go
@@ -101,7 +101,7 @@
 	g.timer.Every(gossipPeriod, g.gossiper.Tick)
 	g.timer.Every(urgentPeriod, g.gossiper.PassOn)
 	g.timer.Every(followerPeriod, g.follower.ExpireRegistrations)
-	g.timer.Every(reachPeriod, g.updateReach)
+	g.timer.Every(reachPeriod, g.reach.update)
 	g.timer.Every(sweepPeriod, g.quarantiner.Sweep)
 	g.timer.Every(sweepPeriod, g.limiter.Sweep)
 	g.timer.Every(sweepPeriod, func(time.Time) { g.sender.Sweep(g.knownTargets()) })
@@ -110,7 +110,7 @@
 		g.gossiper.ResetTimeouts()
 		g.follower.Invalidate()
 		g.limiter.Pause(gap)
-		g.detector.Forget()
+		g.reach.detector.Forget()
 		if gap > longPause {
 			g.sender.CloseIdle()
 		}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -20,12 +20,14 @@
 	"github.com/verbenastand/verbenastand/configurer"
 	"github.com/verbenastand/verbenastand/connector"
 	"github.com/verbenastand/verbenastand/deduplicator"
+	"github.com/verbenastand/verbenastand/detector"
 	"github.com/verbenastand/verbenastand/dispatcher"
 	"github.com/verbenastand/verbenastand/forwarder"
 	"github.com/verbenastand/verbenastand/gossiper"
 	"github.com/verbenastand/verbenastand/limiter"
 	"github.com/verbenastand/verbenastand/merger"
 	"github.com/verbenastand/verbenastand/meter"
+	"github.com/verbenastand/verbenastand/placer"
 	"github.com/verbenastand/verbenastand/prober"
 	"github.com/verbenastand/verbenastand/quarantiner"
 	"github.com/verbenastand/verbenastand/reader"
@@ -88,6 +90,7 @@
 	dispatcher   *dispatcher.Dispatcher
 	responder    *responder.Responder
 	prober       *prober.Prober
+	reach        *reach
 
 	callServer        *http.Server
 	apiServer         *http.Server
@@ -141,7 +144,7 @@
 	})
 	h.registrar = registrar.NewRegistrar(registrar.Config{
 		Clock: h.timer, Self: h.self, MaxQueue: h.settings.MaxQueue, Limiter: h.limiter, ZoneRTT: h.settings.ZoneRTT, Configuration: h.merger,
-		Hosts: func() []verbenastand.Host { return h.gossiper.Hosts() },
+		Hosts: func() []verbenastand.Host { return placer.Reaching(h.gossiper.Hosts()) },
 	})
 }
 
@@ -168,10 +171,14 @@
 	}
 	h.stopTracer = stop
 	connections := max(minServerConnections, serverConnections/h.settings.Fleet)
-	h.connector = connector.NewConnector(connector.Config{MaxConnections: connections})
+	h.connector = connector.NewConnector(connector.Config{MaxConnections: connections, OnResult: h.observeServer})
+	h.reach = &reach{gossiper: h.gossiper, log: h.log}
+	h.reach.detector = detector.NewDetector(detector.Config{
+		Clock: h.timer, View: h.serverView, Probe: dialServer, OnChange: h.recorder.ReachChanged,
+	})
 	h.dispatcher = dispatcher.NewDispatcher(dispatcher.Config{
 		Timer: h.timer, Self: h.self, Membership: h.gossiper, Registrar: h.registrar,
-		Deduplicator: h.deduplicator, Quarantiner: h.quarantiner, Limiter: h.limiter, Peers: h.forwarder,
+		Deduplicator: h.deduplicator, Quarantiner: h.quarantiner, Limiter: h.limiter, Peers: h.forwarder, Reachability: h,
 		Servers: h.connector, Meter: h.meter, Tracer: requestTracer, MaxBody: h.settings.MaxBody,
 		MaxConcurrent: h.settings.MaxConcurrent, StallTimeout: h.settings.StallTimeout,
 		OnDrainNotice: h.onDrainNotice, OnCrashSuspected: h.onCrashSuspected,
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -45,6 +45,15 @@
 	return homes
 }
 
+// Reaching returns the hosts that reach backend servers, or all if none does.
+func Reaching(hosts []verbenastand.Host) []verbenastand.Host {
+	reaching := slices.DeleteFunc(slices.Clone(hosts), verbenastand.Host.Detached)
+	if len(reaching) == 0 {
+		return hosts
+	}
+	return reaching
+}
+
 func rank(service verbenastand.ServiceName, hosts []verbenastand.Host) []candidate {
 	ranked := make([]candidate, 0, len(hosts))
 	for _, h := range hosts {
--- a/responder/responder.go
+++ b/responder/responder.go
@@ -124,7 +124,7 @@
 // orderHosts returns the homes in random order, weighted by their share of the slots,
 // those in the caller's zone first, followed by the alternates.
 func (r *Responder) orderHosts(service verbenastand.Service, zone verbenastand.Zone) []verbenastand.Host {
-	hosts := placer.Homes(service.Name(), service.Homes()+alternates, r.config.Membership.Hosts())
+	hosts := placer.Homes(service.Name(), service.Homes()+alternates, placer.Reaching(r.config.Membership.Hosts()))
 	homes := hosts[:min(service.Homes(), len(hosts))]
 	r.shuffle(service.Name(), homes)
 	slices.SortStableFunc(homes, func(x, y verbenastand.Host) int { return zoneDistance(x, zone) - zoneDistance(y, zone) })
