--- a/follower/restored_test.go
+++ b/follower/restored_test.go
@@ -25,8 +25,9 @@
 	})
 }
 
-func (f *fleet) removeServer(id string) {
-	f.store.write(func(r verbenastand.Revision) verbenastand.Change { return removed(id, r) })
+// leave removes the registration of a server that leaves.
+func (f *fleet) leave() {
+	f.store.write(func(r verbenastand.Revision) verbenastand.Change { return removed("left", r) })
 }
 
 // requireVersion checks that all hosts use the same version of the table.
@@ -212,10 +213,10 @@
 		name  string
 		leave func(f *fleet)
 	}{
-		{"removed at once", func(f *fleet) { f.removeServer("left") }},
+		{"removed at once", func(f *fleet) { f.leave() }},
 		{"drained before", func(f *fleet) {
 			f.writeServer("left", 2, verbenastand.ServerDraining)
-			f.removeServer("left")
+			f.leave()
 		}},
 	}
 	for _, tc := range cases {
@@ -231,7 +232,7 @@
 					time.Sleep(100 * time.Millisecond)
 					f.requireStates(t, map[string]verbenastand.ServerState{})
 				}
-				f.removeServer("left")
+				f.leave()
 				time.Sleep(settling)
 				f.writeServer("left", 9, verbenastand.ServerActive)
 				time.Sleep(settling)
@@ -323,7 +324,7 @@
 	meanwhile()
 	f.writeTable(3)
 	f.writeServer("draining", 2, verbenastand.ServerDraining)
-	f.removeServer("left")
+	f.leave()
 	time.Sleep(time.Second)
 	f.store.restore(copied)
 }
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -98,7 +98,8 @@
 	}
 	require.NoError(t, conn.Close())
 	select {
-	case <-ended:
+	case err := <-ended:
+		require.Error(t, err)
 	case <-time.After(5 * time.Second):
 		t.Fatal("the peer did not notice the end of the tunnel")
 	}
