Take a lost link for no evidence of crashes

Such evidence spreads to all hosts, and a popular request that several hosts run at that moment would be refused by all. The same cause again: a local view taken for the global one, also on the entry host.

A crash is recorded only if another server responds to a probe: one of the service, or, for a service of at most three, also one of another. Probes of the entry host are plain connections. TestALostLinkIsNoEvidenceOfCrashes failed on the gateway before (host 0 suspects); on the entry host it fails without the check.

--- a/carrier/attempt.go
+++ b/carrier/attempt.go
@@ -224,7 +224,8 @@
 }
 
 // confirmCrash reports the request as a suspect in the crash of a server only if the
-// server refuses new connections: a connection can fail while its server is running.
+// server refuses new connections and another one does not: a connection can fail while
+// its server is running, and this host may reach none.
 // It returns a channel that is closed when this is known.
 func (c *call) confirmCrash(server *balancer.Server) <-chan struct{} {
 	target := targetOf(server.Registration())
@@ -236,6 +237,9 @@
 			c.carrier.config.Sender.PutIdle(conn)
 			return
 		}
+		if !c.carrier.config.Reachability.ReachesOthers(server.Registration()) {
+			return
+		}
 		if c.carrier.config.Quarantiner.RecordCrash(c.fingerprint, target.Server) {
 			c.carrier.config.OnCrashSuspected(quarantiner.Suspect{
 				RequestID: c.id, Fingerprint: c.fingerprint, Server: target.Server,
--- a/carrier/delegate.go
+++ b/carrier/delegate.go
@@ -35,6 +35,8 @@
 	Responded(server verbenastand.Registration, newConnection bool)
 	// Failed records that a server could not be reached or did not respond.
 	Failed(server verbenastand.Registration)
+	// ReachesOthers reports whether another server than a failed one responds.
+	ReachesOthers(failed verbenastand.Registration) bool
 }
 
 // Delegator selects and connects to hosts that handle requests on behalf of this one.
@@ -51,6 +53,7 @@
 func (alwaysReached) Unreached(context.Context, verbenastand.ServiceName) bool { return false }
 func (alwaysReached) Responded(verbenastand.Registration, bool)                {}
 func (alwaysReached) Failed(verbenastand.Registration)                         {}
+func (alwaysReached) ReachesOthers(verbenastand.Registration) bool             { return true }
 
 // errCut means that this host reaches no server of the service, and knows no other host
 // that does.
--- a/carrier/delegate_test.go
+++ b/carrier/delegate_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -40,7 +41,7 @@
 type link struct {
 	mode  atomic.Int32
 	mu    sync.Mutex
-	conns []net.Conn
+	conns []*linkConn
 }
 
 func (l *link) dial(ctx context.Context, dial func() (net.Conn, error)) (net.Conn, error) {
@@ -57,8 +58,9 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.conns = append(l.conns, conn)
-	return &linkConn{Conn: conn, link: l}, nil
+	c := &linkConn{Conn: conn, link: l}
+	l.conns = append(l.conns, c)
+	return c, nil
 }
 
 func (l *link) set(mode cutMode) {
@@ -69,6 +71,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, c := range l.conns {
+		c.reset.Store(true)
 		_ = c.Close()
 	}
 	l.conns = nil
@@ -77,12 +80,16 @@
 // linkConn is a connection over a link.
 type linkConn struct {
 	net.Conn
-	link *link
+	link  *link
+	reset atomic.Bool
 }
 
 func (c *linkConn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
+		if c.reset.Load() {
+			return 0, syscall.ECONNRESET
+		}
 		if err != nil || cutMode(c.link.mode.Load()) != cutHang {
 			return n, err
 		}
@@ -569,3 +576,26 @@
 		require.LessOrEqual(t, len(f.hosts[1].requests())-before, int(1.5*2*4)+5)
 	})
 }
+
+// Guards against innocent requests that are taken for ones that crash servers, because a
+// host loses its connections to all servers while they run (issue 26, RECOVER).
+func TestALostLinkIsNoEvidenceOfCrashes(t *testing.T) {
+	withDelegatingFleet(t, 14, atMostOnce, steadyBackends(8), func(f *delegatingFleet) {
+		for _, i := range f.all() {
+			_, _ = f.load(i, "warm", 2, time.Second)
+		}
+		hosts := zoneOf(14, 1)
+		var pending sync.WaitGroup
+		for _, i := range hosts {
+			pending.Go(func() { _, _, _ = f.send(i, "POST", "popular") })
+		}
+		time.Sleep(20 * time.Millisecond)
+		f.cut(cutReset, hosts...)
+		pending.Wait()
+		time.Sleep(time.Second)
+		for _, i := range hosts {
+			h := f.hosts[i]
+			require.False(t, h.carrier.config.Quarantiner.Suspected(h.lastFingerprint()), "host %d", i)
+		}
+	})
+}
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -227,7 +227,7 @@
 // sample returns the servers to probe in a random order, those first that have not
 // failed.
 func (s *service) sample(servers []verbenastand.Registration) []verbenastand.Registration {
-	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
+	shuffle(servers)
 	var sample, failed []verbenastand.Registration
 	for _, r := range servers {
 		if _, found := s.failed[r.Server()]; found {
@@ -272,6 +272,39 @@
 	}
 }
 
+// smallService is the number of servers up to which the failure of all of them says little
+// about this host.
+const smallService = 3
+
+// ReachesOthers reports whether this host reaches a server other than the given one: if
+// not, its failure says nothing about that server. It probes others of the service, and
+// for a small service some of the others.
+func (d *Detector) ReachesOthers(failed verbenastand.Registration) bool {
+	v := d.config.View()
+	servers := active(v, failed.Service())
+	small := len(servers) <= smallService
+	servers = slices.DeleteFunc(servers, func(r verbenastand.Registration) bool { return r.Server() == failed.Server() })
+	shuffle(servers)
+	if small {
+		for _, n := range v.ServiceNames() {
+			if others := active(v, n); n != failed.Service() && len(others) > 0 {
+				servers = append(servers, others[rand.IntN(len(others))])
+			}
+		}
+	}
+	if len(servers) == 0 {
+		// Nothing tells the two apart.
+		return true
+	}
+	servers = servers[:min(maxProbes, len(servers))]
+	first := min(firstProbes, len(servers))
+	return d.probe(servers[:first]) || d.probe(servers[first:])
+}
+
+func shuffle(servers []verbenastand.Registration) {
+	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
+}
+
 // probe probes servers concurrently and reports whether one has responded.
 func (d *Detector) probe(servers []verbenastand.Registration) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
@@ -304,7 +337,7 @@
 		}
 		s.retry = min(2*s.retry, maxRetry)
 		s.retryAt = now.Add(s.retry + probeTimeout)
-		rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
+		shuffle(servers)
 		go d.retry(n, s, servers[:min(firstProbes, len(servers))])
 	}
 }
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -188,3 +188,32 @@
 	require.False(t, d.Detached())
 	require.False(t, d.Cut("a"))
 }
+
+// TestReachesOthers: a server that fails alone has failed; if no other one responds, the
+// host may be cut off, unless the service is so small that all may have failed.
+func TestReachesOthers(t *testing.T) {
+	cases := []struct {
+		name     string
+		servers  map[verbenastand.ServiceName]int
+		cut      verbenastand.ServiceName
+		all      bool
+		reaching bool
+	}{
+		{"others of the service respond", map[verbenastand.ServiceName]int{"a": 8, "b": 8}, "", false, true},
+		{"none responds", map[verbenastand.ServiceName]int{"a": 8, "b": 8}, "", true, false},
+		{"none of the service responds", map[verbenastand.ServiceName]int{"a": 8, "b": 8}, "a", true, false},
+		{"none of a small service responds", map[verbenastand.ServiceName]int{"a": 2, "b": 8}, "a", true, true},
+		{"the only server", map[verbenastand.ServiceName]int{"a": 1}, "", false, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			n := newFakeNetwork(tc.servers)
+			failed := n.server("a", 0)
+			n.reached[failed.Server()] = false
+			if tc.all {
+				n.cut(tc.cut, true)
+			}
+			require.Equal(t, tc.reaching, n.detector().ReachesOthers(failed))
+		})
+	}
+}
--- a/dispatcher/delegate.go
+++ b/dispatcher/delegate.go
@@ -30,6 +30,8 @@
 	Cut(service verbenastand.ServiceName) bool
 	// Stalled records that a server makes no progress.
 	Stalled(server verbenastand.Server)
+	// ReachesOthers reports whether another server than a failed one responds.
+	ReachesOthers(failed verbenastand.Server) bool
 }
 
 // cut reports whether only other hosts may be able to send the request to a server.
--- a/dispatcher/delegate_test.go
+++ b/dispatcher/delegate_test.go
@@ -178,3 +178,16 @@
 		Caller: "10.1.1.1", Service: "tins", Method: http.MethodGet, Path: "/crash",
 	})), "quarantined")
 }
+
+// Guards against innocent requests that are taken for ones that crash servers, because the
+// host loses its connections to all servers while they run (issue 26, RECOVER).
+func TestALostLinkIsNoEvidenceOfCrashes(t *testing.T) {
+	p := newProxy(8, false)
+	p.server = func(verbenastand.Server, *http.Request) (*http.Response, error) { return nil, connectionLost() }
+	p.unreached.Store(true)
+	for range 6 {
+		p.do(newRequest(http.MethodPost, "/popular", "", ""))
+	}
+	require.Zero(t, p.notified.Load())
+	require.Zero(t, p.quarantiner.Quarantined())
+}
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -54,11 +54,15 @@
 	notified    atomic.Int32
 	// cut is set while the host reaches no server.
 	cut atomic.Bool
+	// unreached is set if no other server responds than the one that failed.
+	unreached atomic.Bool
 }
 
 func (p *proxy) Cut(verbenastand.ServiceName) bool { return p.cut.Load() }
 func (p *proxy) Stalled(verbenastand.Server)       {}
 
+func (p *proxy) ReachesOthers(verbenastand.Server) bool { return !p.unreached.Load() }
+
 func (p *proxy) Self() verbenastand.Host    { return host }
 func (p *proxy) Hosts() []verbenastand.Host { return p.hosts }
 func (p *proxy) Find(id verbenastand.HostID) (verbenastand.Host, bool) {
--- a/dispatcher/execute.go
+++ b/dispatcher/execute.go
@@ -243,9 +243,13 @@
 	return re
 }
 
-// recordCrash adds evidence that the request crashed the server.
+// recordCrash adds evidence that the request crashed the server, unless this host reaches
+// no other one either.
 func (resp *serverResponse) recordCrash() {
 	req, server := resp.request, resp.grant.Server().ID()
+	if r := resp.dispatcher.config.Reachability; r != nil && !r.ReachesOthers(resp.grant.Server()) {
+		return
+	}
 	if !resp.dispatcher.config.Quarantiner.RecordCrash(req.crashFingerprint, server) {
 		return
 	}
--- a/launcher/reach.go
+++ b/launcher/reach.go
@@ -81,6 +81,11 @@
 // Stalled implements dispatcher.Reachability.
 func (h *Host) Stalled(s verbenastand.Server) { h.reach.detector.Failed(registrationOf(s)) }
 
+// ReachesOthers implements dispatcher.Reachability.
+func (h *Host) ReachesOthers(s verbenastand.Server) bool {
+	return h.reach.detector.ReachesOthers(registrationOf(s))
+}
+
 // observeServer records whether a server has responded to a request.
 func (h *Host) observeServer(s verbenastand.Server, newConnection bool, err error) {
 	if err != nil {
