Keep the service of a delegated request

The host that receives a request draws its service from the split of the route and delegates it if it does not reach that service. The other host drew again, so that the part that was not reached lost requests to the others. TestADelegatedRequestKeepsItsService failed before (request 0 or 1, at the part without servers); the tunnel now names the service that was drawn.

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -249,7 +249,7 @@
 	}
 	c.deadline = c.arrived.Add(timeout)
 	c.targetTime = c.arrived.Add(min(c.route.Target(), timeout))
-	c.serviceName = match.NextService()
+	c.serviceName = c.chooseService(match)
 	c.service = cr.config.Balancer.Service(c.serviceName)
 	c.budget = cr.Budget(c.serviceName)
 	c.header = c.forwardedHeader()
--- a/carrier/delegate.go
+++ b/carrier/delegate.go
@@ -11,6 +11,7 @@
 
 	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/balancer"
+	"github.com/verbenastand/verbenastand/router"
 	"github.com/verbenastand/verbenastand/sender"
 )
 
@@ -99,6 +100,19 @@
 	return now.Before(u.until[n])
 }
 
+// chooseService returns the service for the request: the next one of the route's split,
+// unless another host has drawn it.
+func (c *call) chooseService(m *router.Match) verbenastand.ServiceName {
+	if origin := c.request.Origin(); origin != nil {
+		for _, part := range m.Route().Split() {
+			if part.Service() == origin.Service {
+				return origin.Service
+			}
+		}
+	}
+	return m.NextService()
+}
+
 // priorAttempts returns the number of servers that another host has sent the request to.
 func (c *call) priorAttempts() int {
 	if origin := c.request.Origin(); origin != nil {
@@ -150,7 +164,7 @@
 	}
 	connectCtx, cancel := context.WithTimeout(ctx, connectTimeout)
 	conn, err := c.carrier.config.Delegator.Connect(connectCtx, host, verbenastand.Origin{
-		Host: c.carrier.config.Self, Caller: c.request.Remote(), Attempts: attempts,
+		Host: c.carrier.config.Self, Caller: c.request.Remote(), Service: c.serviceName, Attempts: attempts,
 	})
 	cancel()
 	if err != nil {
--- a/carrier/delegate_test.go
+++ b/carrier/delegate_test.go
@@ -599,3 +599,22 @@
 		}
 	})
 }
+
+// TestADelegatedRequestKeepsItsService: the host that received a request has drawn the
+// service from the split of its route; another draw would shift the shares.
+func TestADelegatedRequestKeepsItsService(t *testing.T) {
+	split := func(c *verbenastand.RouteConfig) {
+		c.Split = []verbenastand.WeightedService{verbenastand.NewWeightedService("svc", 1), verbenastand.NewWeightedService("other", 1)}
+	}
+	withHarness(t, split, steadyBackends(2), func(h *harness) {
+		for i := range 10 {
+			near, far := net.Pipe()
+			h.acceptor.ServeDelegated(far, verbenastand.Origin{Host: "h9", Caller: "10.0.0.1:1", Service: "svc"})
+			_, _ = fmt.Fprintf(near, "GET /x/1 HTTP/1.1\r\nHost: a.example\r\nX-Id: split-%d\r\n\r\n", i)
+			response, err := http.ReadResponse(bufio.NewReader(near), nil)
+			require.NoError(t, err)
+			_ = near.Close()
+			require.Equal(t, http.StatusOK, response.StatusCode, "request %d", i)
+		}
+	})
+}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -63,7 +63,7 @@
 // either side ends the other.
 func TestTunnel(t *testing.T) {
 	const size = 1 << 20
-	origin := verbenastand.Origin{Host: "h1", Caller: "10.0.0.1:4711", Attempts: 1}
+	origin := verbenastand.Origin{Host: "h1", Caller: "10.0.0.1:4711", Service: "s", Attempts: 1}
 	ended := make(chan error, 1)
 	f, peer, _ := newTunnelServer(t, func(conn net.Conn, got verbenastand.Origin) bool {
 		require.Equal(t, origin, got)
--- a/forwarder/tunnel.go
+++ b/forwarder/tunnel.go
@@ -61,6 +61,7 @@
 	r.Header.Set(purposeHeader, purposeTunnel)
 	r.Header.Set(verbenastand.HeaderHost, string(origin.Host))
 	r.Header.Set(callerHeader, origin.Caller)
+	r.Header.Set(verbenastand.HeaderService, string(origin.Service))
 	r.Header.Set(attemptsHeader, strconv.Itoa(origin.Attempts))
 	c, _ := f.connection(peer)
 	response, err := c.transport.RoundTrip(r)
@@ -88,7 +89,8 @@
 func originOf(h http.Header) (verbenastand.Origin, error) {
 	attempts, err := strconv.Atoi(h.Get(attemptsHeader))
 	origin := verbenastand.Origin{
-		Host: verbenastand.HostID(h.Get(verbenastand.HeaderHost)), Caller: h.Get(callerHeader), Attempts: attempts,
+		Host: verbenastand.HostID(h.Get(verbenastand.HeaderHost)), Caller: h.Get(callerHeader),
+		Service: verbenastand.ServiceName(h.Get(verbenastand.HeaderService)), Attempts: attempts,
 	}
 	if err != nil || attempts < 0 || origin.Caller == "" {
 		return origin, errMalformedOrigin
--- a/origin.go
+++ b/origin.go
@@ -6,6 +6,8 @@
 	Host HostID
 	// Caller is the network address of the caller.
 	Caller string
+	// Service is the service that was drawn from the split of the route.
+	Service ServiceName
 	// Attempts is the number of servers that the request has been sent to.
 	Attempts int
 }
