--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -117,10 +117,14 @@
 
 // entry returns a log entry with the fields common to all lines of a request.
 func (r *Recorder) entry(e carrier.Event) *log.Entry {
-	return r.config.Log.WithFields(log.Fields{
+	fields := log.Fields{
 		"id": e.ID, "route": string(e.Route), "version": uint64(e.Version), "service": string(e.Service),
-		"tookMs": milliseconds(e.Took), "fingerprint": e.Fingerprint.String(), "delegatedBy": string(e.DelegatedBy),
-	})
+		"tookMs": milliseconds(e.Took), "fingerprint": e.Fingerprint.String(),
+	}
+	if e.DelegatedBy != "" {
+		fields["delegatedBy"] = string(e.DelegatedBy)
+	}
+	return r.config.Log.WithFields(fields)
 }
 
 // ServerChanged logs that a server joined or left.
