Leave the keys of other hosts to their owners

An entry host that reached no server forwarded a request with the key of another host as a delegated one, so that its owner ran it without the key: a repeated key could have run twice. TestAKeyOfAnotherHostGoesToItsOwner failed before. Only requests that a host delegates now carry the mark.

--- a/dispatcher/delegate.go
+++ b/dispatcher/delegate.go
@@ -68,7 +68,7 @@
 	}
 	lastErr := unreachedError()
 	for _, host := range d.delegates(req) {
-		response, err := d.send(ctx, host, req)
+		response, err := d.sendDelegated(ctx, host, req)
 		if err == nil {
 			err = delegateRefusal(response)
 		}
@@ -86,6 +86,15 @@
 	return nil, req.combineVerdicts(lastErr)
 }
 
+func (d *Dispatcher) sendDelegated(ctx context.Context, host verbenastand.Host, req *proxiedRequest) (*http.Response, error) {
+	ctx, span := d.config.Tracer.Start(ctx, "delegate")
+	defer span.End()
+	out := d.newRequest(ctx, req)
+	out.Header.Set(headerDelegated, "1")
+	setTimeout(out, req.deadline.Sub(d.config.Timer.Now()))
+	return d.forwardTo(host, out)
+}
+
 // delegateRefusal returns the error with which another host itself responded, nil if the
 // response is that of a server.
 func delegateRefusal(r *http.Response) error {
--- a/dispatcher/delegate_test.go
+++ b/dispatcher/delegate_test.go
@@ -191,3 +191,19 @@
 	require.Zero(t, p.notified.Load())
 	require.Zero(t, p.quarantiner.Quarantined())
 }
+
+// Guards against a request with the key of another host that is run without its key,
+// because the host that received it reaches no server.
+func TestAKeyOfAnotherHostGoesToItsOwner(t *testing.T) {
+	cut, helpers := newCutHost(1, func(verbenastand.Server, *http.Request) (*http.Response, error) { return okResponse("ran"), nil })
+	owner := cut.hosts[1]
+	cut.peer = func(h verbenastand.Host, r *http.Request) (*http.Response, error) {
+		require.Equal(t, owner.ID(), h.ID())
+		require.Empty(t, r.Header.Get("Verbenastand-Delegated"))
+		return newResponse(http.StatusOK, http.Header{verbenastand.HeaderVerdict: {verbenastand.Ran.String()}}, strings.NewReader("stored"), 6), nil
+	}
+	key := deduplicator.Prefix(owner.Instance(), cut.clock.Now().Add(time.Minute)) + "k1"
+	w := cut.do(newRequest(http.MethodPost, "/tin", "", key))
+	require.Equal(t, "stored", w.Body.String())
+	require.Zero(t, sentBy(helpers))
+}
--- a/dispatcher/forward.go
+++ b/dispatcher/forward.go
@@ -107,10 +107,10 @@
 	if req.timeout > 0 {
 		setTimeout(out, req.timeout-d.config.Timer.Now().Sub(req.arrived))
 	}
-	if d.cut(req) {
-		out.Header.Set(headerDelegated, "1")
-		setTimeout(out, req.deadline.Sub(d.config.Timer.Now()))
-	}
+	return d.forwardTo(peer, out)
+}
+
+func (d *Dispatcher) forwardTo(peer verbenastand.Host, out *http.Request) (*http.Response, error) {
 	response, err := d.config.Peers.Forward(peer, out)
 	d.config.Meter.Forwarded(err == nil)
 	return response, err
