Delegate a request to one host at a time

A request whose server hung at the start of a partition was delegated as a hedge, and once more when its own connection was lost later: with two attempts allowed it reached three servers (BUDGET). TestARequestIsDelegatedOnceAtATime failed before (3 of at most 2). A request is delegated again only when the host before has certainly not sent it.

--- a/carrier/delegate.go
+++ b/carrier/delegate.go
@@ -132,6 +132,7 @@
 		return false
 	}
 	r.delegates = append(r.delegates, host.ID())
+	r.delegating = true
 	base := r.ctx
 	if !r.route.Retryable() {
 		base = context.WithoutCancel(base)
@@ -227,6 +228,7 @@
 		return true, r.deliver(o)
 	}
 	r.recordOutcome(o)
+	r.delegating = !o.notRun()
 	if r.ctx.Err() != nil {
 		r.interrupt(r.ctx, r.verdict())
 		return true, false
--- a/carrier/delegate_test.go
+++ b/carrier/delegate_test.go
@@ -626,3 +626,38 @@
 		}
 	})
 }
+
+// Guards against a request that reaches more servers than its route allows, because this
+// host delegates it once more while another host may still be sending it.
+func TestARequestIsDelegatedOnceAtATime(t *testing.T) {
+	var servers []*backend
+	for range 8 {
+		servers = append(servers, &backend{serve: func(conn net.Conn, r *http.Request) {
+			if r.URL.Path == "/x/stuck" {
+				time.Sleep(3 * time.Second)
+			}
+			reply(40*time.Millisecond)(conn, r)
+		}})
+	}
+	change := func(c *verbenastand.RouteConfig) { c.Timeout, c.MaxAttempts = 8*time.Second, 2 }
+	withDelegatingFleet(t, 14, change, servers, func(f *delegatingFleet) {
+		_, _ = f.load(0, "warm", 10, 2*time.Second)
+		var pending sync.WaitGroup
+		for i := range 6 {
+			pending.Go(func() {
+				conn := f.hosts[0].connect()
+				_, _ = fmt.Fprintf(conn, "GET /x/stuck HTTP/1.1\r\nHost: a.example\r\nX-Id: stuck-%d\r\nX-Deadline: 8000\r\n\r\n", i)
+				_, _ = http.ReadResponse(bufio.NewReader(conn), nil)
+				_ = conn.Close()
+			})
+		}
+		time.Sleep(20 * time.Millisecond)
+		f.cut(cutHang, 0)
+		_, _ = f.load(0, "probe", 4, 2*time.Second)
+		f.cut(cutReset, 0)
+		pending.Wait()
+		for i := range 6 {
+			require.LessOrEqual(t, f.executions()[fmt.Sprint("stuck-", i)], 2, "request %d", i)
+		}
+	})
+}
--- a/carrier/run.go
+++ b/carrier/run.go
@@ -58,6 +58,8 @@
 	cancels    []context.CancelFunc
 	// delegates are the hosts to which the request was delegated.
 	delegates []verbenastand.HostID
+	// delegating is set while another host may be sending the request, or has sent it.
+	delegating bool
 	// handled holds the outcomes of the attempts that have ended.
 	handled []*outcome
 }
@@ -280,7 +282,7 @@
 // if a server may have received it.
 func (r *runner) retryByDelegate() bool {
 	switch {
-	case !r.mayDelegate(r.ctx):
+	case r.delegating || !r.mayDelegate(r.ctx):
 		r.retryDenied = retryNoServer
 	case r.sent > 0 && !r.budget.Allow():
 		r.retryDenied = "budget"
@@ -339,7 +341,7 @@
 // reached.
 func (r *runner) hedgeByDelegate() bool {
 	suspected := r.carrier.config.Quarantiner.Suspected(r.fingerprint)
-	return !suspected && r.mayDelegate(r.ctx) && r.budget.Available() >= hedgeReserve && r.budget.Allow() && r.delegate()
+	return !suspected && !r.delegating && r.mayDelegate(r.ctx) && r.budget.Available() >= hedgeReserve && r.budget.Allow() && r.delegate()
 }
 
 func (r *runner) chooseHedge() (balancer.Choice, bool) {
