Take no confirmation from an earlier era of the store

A cheap call that was answered from before the return of the store confirmed the newest position, which that answer doesn't know. Found by reading the change; TestAStoreThatAnswersFromAnEarlierEraConfirmsNothing failed before. It counts as a failed call now.

--- a/follower/object.go
+++ b/follower/object.go
@@ -17,7 +17,7 @@
 	// retainedUntil is when a removed registration that may have expired during an
 	// outage stops being used.
 	retainedUntil time.Time
-	// earlierRevision is the revision of change in the era before.
+	// earlierRevision is the highest revision of change in earlier eras.
 	earlierRevision verbenastand.Revision
 	// outdated is a registration that the store shows after its return although this
 	// host has seen its removal. A server that still renews it by outdatedUntil is
--- a/follower/read.go
+++ b/follower/read.go
@@ -290,6 +290,9 @@
 	if err != nil {
 		return newest, err
 	}
+	if newest.Era < after.Era {
+		return newest, errEarlierEra
+	}
 	if known := f.newestKnown(); newest.Before(known) {
 		newest = known
 	}
--- a/follower/restored_test.go
+++ b/follower/restored_test.go
@@ -401,3 +401,16 @@
 		f.requireStates(t, afterLostSeconds)
 	})
 }
+
+// TestAStoreThatAnswersFromAnEarlierEraConfirmsNothing: a cheap call may be answered by a
+// part of the store that has not returned yet.
+func TestAStoreThatAnswersFromAnEarlierEraConfirmsNothing(t *testing.T) {
+	f := newFleet(1)
+	f.store.restore(1)
+	member := f.followers["h0"]
+	after := verbenastand.Position{Era: 2, Revision: 3}
+	member.apply(batch{full: true, era: after.Era, revision: after.Revision, changes: []verbenastand.Change{table(3, 1)}})
+	_, err := member.checkPosition(t.Context(), after)
+	require.ErrorIs(t, err, errEarlierEra)
+	require.Equal(t, unknownStaleness, member.Staleness())
+}
