--- a/follower/restored_test.go
+++ b/follower/restored_test.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -414,3 +415,37 @@
 	require.ErrorIs(t, err, errEarlierEra)
 	require.Equal(t, unknownStaleness, member.Staleness())
 }
+
+// TestTheStoreReturnsForSomeHostsOnly: after its return the store still refuses some
+// hosts, among them those that usually read it.
+func TestTheStoreReturnsForSomeHostsOnly(t *testing.T) {
+	cases := []struct {
+		name    string
+		refused func(f *fleet, id verbenastand.HostID) bool
+	}{
+		{"not for the readers", func(f *fleet, id verbenastand.HostID) bool { return slices.Contains(f.readers(), id) }},
+		{"for one host only", func(f *fleet, id verbenastand.HostID) bool { return id != f.hostOfRank(9) }},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			runInFleet(t, 14, func(f *fleet) {
+				f.loseSeconds(func() {})
+				for _, h := range f.hosts {
+					refused := tc.refused(f, h.ID())
+					f.store.mu.Lock()
+					f.store.down[h.ID()] = refused
+					f.store.mu.Unlock()
+				}
+				time.Sleep(3 * time.Second)
+				f.requireVersion(t, 3)
+				f.requireStates(t, afterLostSeconds)
+				f.writeTable(3)
+				f.writeTable(4)
+				f.writeServer("late", 1, verbenastand.ServerActive)
+				time.Sleep(2 * time.Second)
+				f.requireVersion(t, 4)
+				require.Equal(t, 14, f.hostsWithServer("late"))
+			})
+		})
+	}
+}
