--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -137,3 +137,34 @@
 	_, err = f.Tunnel(ctx, peer, verbenastand.Origin{Caller: "c"})
 	require.Error(t, err)
 }
+
+// BenchmarkTunnel measures what a delegated request adds: a tunnel, the request and its
+// response over it, and its end.
+func BenchmarkTunnel(b *testing.B) {
+	certificates, err := certifier.NewSharedCertifier("a secret")
+	require.NoError(b, err)
+	server := NewServer(ServerConfig{Certifier: certificates, CloseIdle: true, Tunnel: func(conn net.Conn, _ verbenastand.Origin) bool {
+		go func() {
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody")
+			}
+		}()
+		return true
+	}})
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(b, err)
+	go func() { _ = server.Serve(conn) }()
+	f := NewForwarder(Config{Certifier: certificates, CloseIdle: true})
+	defer func() { _ = f.Close() }()
+	defer func() { _ = server.Close() }()
+	peer := verbenastand.NewHost(verbenastand.HostConfig{PeerAddress: conn.LocalAddr().String()})
+	for b.Loop() {
+		tunnel, err := f.Tunnel(b.Context(), peer, verbenastand.Origin{Caller: "c"})
+		require.NoError(b, err)
+		_, _ = io.WriteString(tunnel, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		response, err := http.ReadResponse(bufio.NewReader(tunnel), nil)
+		require.NoError(b, err)
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = tunnel.Close()
+	}
+}
