Await the evidence of all crashes before a retry

The second lost connection waited for its own check only, while that of the first could still be pending; since a crash is confirmed by a probe of another server, for longer than before. TestARetryAwaitsTheEvidenceOfAllCrashes delays the first confirmation and failed (three requests, two allowed). An attempt whose connection was lost now awaits the checks of all earlier ones as well.

--- a/carrier/attempt.go
+++ b/carrier/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -251,14 +252,21 @@
 }
 
 // awaitEvidence delays the end of an attempt that lost its connection until it is
-// known whether the server crashed, unless this is the first such attempt: a retry
-// could crash a server beyond the limit.
+// known whether its server and those of earlier attempts crashed, unless this is the
+// first such attempt: a retry could crash a server beyond the limit.
 func (c *call) awaitEvidence(o *outcome) {
 	if o.crashChecked == nil {
 		return
 	}
-	if c.connectionsLost.Add(1) > 1 || c.carrier.config.Quarantiner.Suspected(c.fingerprint) {
-		<-o.crashChecked
+	c.crashMu.Lock()
+	c.crashChecks = append(c.crashChecks, o.crashChecked)
+	checks := slices.Clone(c.crashChecks)
+	c.crashMu.Unlock()
+	if len(checks) == 1 && !c.carrier.config.Quarantiner.Suspected(c.fingerprint) {
+		return
+	}
+	for _, checked := range checks {
+		<-checked
 	}
 }
 
--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -170,8 +170,10 @@
 	// bodyTaken is set once an attempt may have read a part of a body that is not in
 	// memory. The request can't be sent to another server afterwards.
 	bodyTaken atomic.Bool
-	// connectionsLost counts the attempts whose server closed the connection.
-	connectionsLost atomic.Int32
+	crashMu   sync.Mutex
+	// crashChecks are closed when it is known whether the servers crashed that closed
+	// the connections of attempts.
+	crashChecks []<-chan struct{}
 	// rejected is the choice that was considered when the request was refused.
 	rejected balancer.Choice
 	// retryDenied is the reason why a failed request was not retried.
--- a/carrier/crash_test.go
+++ b/carrier/crash_test.go
@@ -265,3 +265,29 @@
 		})
 	}
 }
+
+// slowEvidence delays the confirmation of the first crash.
+type slowEvidence struct {
+	alwaysReached
+	confirmed atomic.Int32
+}
+
+func (s *slowEvidence) ReachesOthers(verbenastand.Registration) bool {
+	if s.confirmed.Add(1) == 1 {
+		time.Sleep(200 * time.Millisecond)
+	}
+	return true
+}
+
+// Guards against a request that crashes a further server while the evidence of its first
+// crash is still being confirmed.
+func TestARetryAwaitsTheEvidenceOfAllCrashes(t *testing.T) {
+	servers, assign := newFragileBackends(8)
+	withHarness(t, func(c *verbenastand.RouteConfig) { c.MaxAttempts = 6 }, servers, func(h *harness) {
+		*assign = h
+		h.carrier.config.Reachability = &slowEvidence{}
+		response, _ := h.call("GET", "/x/crash", "")
+		require.Equal(t, http.StatusBadGateway, response.StatusCode)
+		require.Len(t, h.requests(), quarantiner.CrashLimit)
+	})
+}
