--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -86,3 +86,10 @@
 		require.Equal(t, slots, total)
 	})
 }
+
+func TestReaching(t *testing.T) {
+	reaching := verbenastand.NewHost(verbenastand.HostConfig{Instance: verbenastand.NewInstance("a", 1)})
+	detached := verbenastand.NewHost(verbenastand.HostConfig{Instance: verbenastand.NewInstance("b", 1), Detached: true})
+	require.Equal(t, []verbenastand.Host{reaching}, Reaching([]verbenastand.Host{detached, reaching}))
+	require.Equal(t, []verbenastand.Host{detached}, Reaching([]verbenastand.Host{detached}), "none reaches servers")
+}
