--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -68,6 +68,12 @@
 	return nil
 }
 
+func (n *fakeNetwork) probeCount() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.probes
+}
+
 // cut changes whether the servers of a service are reached, of all services if it is
 // empty.
 func (n *fakeNetwork) cut(service verbenastand.ServiceName, cut bool) {
@@ -155,7 +161,7 @@
 		}
 		require.False(t, d.Cut("a"))
 		require.Empty(t, n.changes)
-		require.LessOrEqual(t, n.probes, 2*6, "two probes each second")
+		require.LessOrEqual(t, n.probeCount(), 2*6, "two probes each second")
 	})
 }
 
