--- a/carrier/attempt.go
+++ b/carrier/attempt.go
@@ -229,28 +229,34 @@
 // its server is running, and this host may reach none.
 // It returns a channel that is closed when this is known.
 func (c *call) confirmCrash(server *balancer.Server) <-chan struct{} {
-	target := targetOf(server.Registration())
 	checked := make(chan struct{})
 	go func() {
 		defer close(checked)
-		conn, err := c.carrier.config.Sender.ConnectNew(context.Background(), target)
-		if err == nil {
-			c.carrier.config.Sender.PutIdle(conn)
-			return
-		}
-		if !c.carrier.config.Reachability.ReachesOthers(server.Registration()) {
-			return
+		suspect := quarantiner.Suspect{
+			RequestID: c.id, Fingerprint: c.fingerprint, Server: server.Registration().Server(), State: c.examine(server.Registration()),
+			Caller: c.request.Remote(), Method: c.request.Method, Target: c.request.RequestURI,
 		}
-		if c.carrier.config.Quarantiner.RecordCrash(c.fingerprint, target.Server) {
-			c.carrier.config.OnCrashSuspected(quarantiner.Suspect{
-				RequestID: c.id, Fingerprint: c.fingerprint, Server: target.Server,
-				Caller: c.request.Remote(), Method: c.request.Method, Target: c.request.RequestURI,
-			})
+		c.carrier.config.OnConnectionLost(suspect)
+		if suspect.State == verbenastand.ProcessEnded && c.carrier.config.Quarantiner.RecordCrash(c.fingerprint, suspect.Server) {
+			c.carrier.config.OnCrashSuspected(suspect)
 		}
 	}()
 	return checked
 }
 
+// examine returns what has become of a server whose connection was lost.
+func (c *call) examine(server verbenastand.Registration) verbenastand.ProcessState {
+	conn, err := c.carrier.config.Sender.ConnectNew(context.Background(), targetOf(server))
+	if err == nil {
+		c.carrier.config.Sender.PutIdle(conn)
+		return verbenastand.ProcessRunning
+	}
+	if !c.carrier.config.Reachability.ReachesOthers(server) {
+		return verbenastand.ProcessUnknown
+	}
+	return verbenastand.ProcessEnded
+}
+
 // awaitEvidence delays the end of an attempt that lost its connection until it is
 // known whether its server and those of earlier attempts crashed, unless this is the
 // first such attempt: a retry could crash a server beyond the limit.
--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -77,6 +77,9 @@
 	// OnCrashSuspected is called when a request becomes suspected of crashing a
 	// server.
 	OnCrashSuspected func(quarantiner.Suspect)
+	// OnConnectionLost is called when it is known what has become of a server whose
+	// connection was lost, or that this can't be known.
+	OnConnectionLost func(quarantiner.Suspect)
 	// MaxConcurrent bounds the concurrent requests on this host.
 	MaxConcurrent int
 }
@@ -104,6 +107,9 @@
 	if c.Reachability == nil {
 		c.Reachability = alwaysReached{}
 	}
+	if c.OnConnectionLost == nil {
+		c.OnConnectionLost = func(quarantiner.Suspect) {}
+	}
 	return &Carrier{
 		delegated: make(chan struct{}, max(1, int(delegatedShare*float64(c.MaxConcurrent)))),
 		config:    c, semaphore: make(chan struct{}, c.MaxConcurrent), stopped: stopped, stop: stop,
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -50,6 +50,9 @@
 	// OnCrashSuspected is called when a request is newly suspected of crashing a
 	// server, before its response is written. It notifies the other home hosts.
 	OnCrashSuspected func(homes []verbenastand.Host, s quarantiner.Suspect)
+	// OnConnectionLost is called with what is known about a server after the connection
+	// to it was lost.
+	OnConnectionLost func(quarantiner.Suspect)
 }
 
 // Dispatcher serves requests of callers and requests forwarded by peers.
@@ -60,7 +63,12 @@
 }
 
 // NewDispatcher returns a dispatcher.
-func NewDispatcher(c Config) *Dispatcher { return &Dispatcher{config: c} }
+func NewDispatcher(c Config) *Dispatcher {
+	if c.OnConnectionLost == nil {
+		c.OnConnectionLost = func(quarantiner.Suspect) {}
+	}
+	return &Dispatcher{config: c}
+}
 
 // StartDraining makes the dispatcher refuse all new requests with the verdict
 // notRun. Requests with a known idempotency key still get their stored response.
--- a/dispatcher/execute.go
+++ b/dispatcher/execute.go
@@ -246,17 +246,18 @@
 // recordCrash adds evidence that the request crashed the server, unless this host reaches
 // no other one either.
 func (resp *serverResponse) recordCrash() {
-	req, server := resp.request, resp.grant.Server().ID()
+	req := resp.request
+	suspect := quarantiner.Suspect{
+		Fingerprint: req.crashFingerprint, Server: resp.grant.Server().ID(), State: verbenastand.ProcessEnded,
+		Caller: req.caller(), Method: req.request.Method, Target: req.request.URL.RequestURI(),
+	}
 	if r := resp.dispatcher.config.Reachability; r != nil && !r.ReachesOthers(resp.grant.Server()) {
-		return
+		suspect.State = verbenastand.ProcessUnknown
 	}
-	if !resp.dispatcher.config.Quarantiner.RecordCrash(req.crashFingerprint, server) {
-		return
+	resp.dispatcher.config.OnConnectionLost(suspect)
+	if suspect.State == verbenastand.ProcessEnded && resp.dispatcher.config.Quarantiner.RecordCrash(req.crashFingerprint, suspect.Server) {
+		resp.dispatcher.config.OnCrashSuspected(req.components.Homes(), suspect)
 	}
-	resp.dispatcher.config.OnCrashSuspected(req.components.Homes(), quarantiner.Suspect{
-		Fingerprint: req.crashFingerprint, Server: server,
-		Caller: req.caller(), Method: req.request.Method, Target: req.request.URL.RequestURI(),
-	})
 }
 
 func (resp *serverResponse) requestError(ctx context.Context, err error) *verbenastand.RequestError {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -182,6 +182,7 @@
 		Servers: h.connector, Meter: h.meter, Tracer: requestTracer, MaxBody: h.settings.MaxBody,
 		MaxConcurrent: h.settings.MaxConcurrent, StallTimeout: h.settings.StallTimeout,
 		OnDrainNotice: h.onDrainNotice, OnCrashSuspected: h.onCrashSuspected,
+		OnConnectionLost: h.recorder.ConnectionLost,
 	})
 	h.prober = prober.NewProber(prober.Config{
 		Timer: h.timer, Registrar: h.registrar, MaxHosts: h.settings.Fleet,
--- a/quarantiner/change.go
+++ b/quarantiner/change.go
@@ -29,12 +29,15 @@
 	Crashes int
 }
 
-// Suspect describes a request that was in flight on a server that crashed.
+// Suspect describes a request that was in flight on a server when the connection to it
+// was lost.
 type Suspect struct {
 	// RequestID is the ID that the caller sent, if any.
 	RequestID   string
 	Fingerprint Fingerprint
 	Server      verbenastand.ServerID
+	// State is what is known about the server's process since the connection was lost.
+	State verbenastand.ProcessState
 	// Caller is the caller's network address. Method and Target are those of the
 	// request line.
 	Caller, Method, Target string
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -28,6 +28,7 @@
 	eventLimit       = "serverLimit"
 	eventDelegated   = "delegated"
 	eventReach       = "serviceReached"
+	eventLost        = "connectionLost"
 )
 
 // maxLoggedTarget bounds the bytes of a request target in a log line.
@@ -165,6 +166,13 @@
 	}).Warn(eventSuspected)
 }
 
+// ConnectionLost logs what is known about a server after the connection to it was lost.
+func (r *Recorder) ConnectionLost(s quarantiner.Suspect) {
+	r.config.Log.WithFields(log.Fields{
+		"id": s.RequestID, "fingerprint": s.Fingerprint.String(), "server": string(s.Server), "state": s.State.String(),
+	}).Info(eventLost)
+}
+
 func loggedTarget(target string) string { return target[:min(len(target), maxLoggedTarget)] }
 
 func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- a/verdict.go
+++ b/verdict.go
@@ -9,7 +9,7 @@
 // Verdict specifies whether a request may have run on a backend server.
 type Verdict int
 
-//go:generate go tool stringer -type=Verdict,Priority,Size,ServerState,RefusalReason,RetrySafety -linecomment -output=enums_string.go
+//go:generate go tool stringer -type=Verdict,Priority,Size,ServerState,RefusalReason,RetrySafety,ProcessState -linecomment -output=enums_string.go
 
 const (
 	// NotRun means that no backend server has run or will run the request.
