--- a/carrier/delegate_test.go
+++ b/carrier/delegate_test.go
@@ -154,7 +154,7 @@
 		h := newHarness(t, change, servers...)
 		h.link, h.hostCount = &link{}, size
 		d := detector.NewDetector(detector.Config{
-			Clock: wallClock{}, View: func() *verbenastand.View { return h.view }, OnChange: func(detector.Change) {},
+			Clock: wallClock{}, View: h.currentView, OnChange: func(detector.Change) {},
 			Probe: func(ctx context.Context, r verbenastand.Registration) error {
 				return h.checker.Probe(ctx, r, "/health")
 			},
--- a/carrier/harness_test.go
+++ b/carrier/harness_test.go
@@ -90,6 +90,22 @@
 	checker       *HealthChecker
 	// link is the path to all servers, nil if it can't fail.
 	link *link
+	// open opens a connection to a server; nil for those in servers.
+	open func(address string) (net.Conn, error)
+}
+
+// setView replaces the route table and the servers.
+func (h *harness) setView(v *verbenastand.View) {
+	h.mu.Lock()
+	h.view = v
+	h.mu.Unlock()
+	h.balancer.Update(v)
+}
+
+func (h *harness) currentView() *verbenastand.View {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.view
 }
 
 // addRoute adds a second route to the same service.
@@ -223,6 +239,9 @@
 }
 
 func (h *harness) dialServer(address string) (net.Conn, error) {
+	if h.open != nil {
+		return h.open(address)
+	}
 	s := h.servers[address]
 	h.mu.Lock()
 	down := s.down
