--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -128,6 +128,9 @@
 // Name returns the name of the service.
 func (s *Service) Name() verbenastand.ServiceName { return s.name }
 
+// HealthPath returns the path of the servers' health checks.
+func (s *Service) HealthPath() string { return s.settings.Load().HealthPath }
+
 // Servers returns the servers that are registered and not draining. The caller must
 // not change the slice.
 func (s *Service) Servers() []*Server { return *s.servers.Load() }
--- a/carrier/attempt.go
+++ b/carrier/attempt.go
@@ -17,7 +17,6 @@
 	"github.com/verbenastand/verbenastand/balancer"
 	"github.com/verbenastand/verbenastand/internal/bounder"
 	"github.com/verbenastand/verbenastand/limiter"
-	"github.com/verbenastand/verbenastand/quarantiner"
 	"github.com/verbenastand/verbenastand/sender"
 )
 
@@ -118,7 +117,7 @@
 		c.carrier.config.Observer.AttemptEnded(event)
 		if result == balancer.ConnectionLost {
 			c.carrier.config.Reachability.Failed(registration)
-			o.crashChecked = c.confirmCrash(choice.Server)
+			o.crashChecked = c.recordLoss(registration)
 		}
 	}
 	switch {
@@ -224,39 +223,6 @@
 	return balancer.Failed
 }
 
-// confirmCrash reports the request as a suspect in the crash of a server only if the
-// server refuses new connections and another one does not: a connection can fail while
-// its server is running, and this host may reach none.
-// It returns a channel that is closed when this is known.
-func (c *call) confirmCrash(server *balancer.Server) <-chan struct{} {
-	checked := make(chan struct{})
-	go func() {
-		defer close(checked)
-		suspect := quarantiner.Suspect{
-			RequestID: c.id, Fingerprint: c.fingerprint, Server: server.Registration().Server(), State: c.examine(server.Registration()),
-			Caller: c.request.Remote(), Method: c.request.Method, Target: c.request.RequestURI,
-		}
-		c.carrier.config.OnConnectionLost(suspect)
-		if suspect.State == verbenastand.ProcessEnded && c.carrier.config.Quarantiner.RecordCrash(c.fingerprint, suspect.Server) {
-			c.carrier.config.OnCrashSuspected(suspect)
-		}
-	}()
-	return checked
-}
-
-// examine returns what has become of a server whose connection was lost.
-func (c *call) examine(server verbenastand.Registration) verbenastand.ProcessState {
-	conn, err := c.carrier.config.Sender.ConnectNew(context.Background(), targetOf(server))
-	if err == nil {
-		c.carrier.config.Sender.PutIdle(conn)
-		return verbenastand.ProcessRunning
-	}
-	if !c.carrier.config.Reachability.ReachesOthers(server) {
-		return verbenastand.ProcessUnknown
-	}
-	return verbenastand.ProcessEnded
-}
-
 // awaitEvidence delays the end of an attempt that lost its connection until it is
 // known whether its server and those of earlier attempts crashed, unless this is the
 // first such attempt: a retry could crash a server beyond the limit.
@@ -268,7 +234,7 @@
 	c.crashChecks = append(c.crashChecks, o.crashChecked)
 	checks := slices.Clone(c.crashChecks)
 	c.crashMu.Unlock()
-	if len(checks) == 1 && !c.carrier.config.Quarantiner.Suspected(c.fingerprint) {
+	if len(checks) == 1 && !c.carrier.config.Quarantiner.PossiblySuspected(c.fingerprint) {
 		return
 	}
 	for _, checked := range checks {
--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -67,6 +67,9 @@
 	Self verbenastand.HostID
 	// Reachability reports whether this host reaches servers; if nil, it always does.
 	Reachability Reachability
+	// RegistrationAge returns the time since the registrations of servers were last known
+	// to be current; nil if they always are.
+	RegistrationAge func() time.Duration
 	// Delegator selects the hosts that handle requests while this one reaches no server;
 	// if nil, they are refused.
 	Delegator Delegator
@@ -107,6 +110,9 @@
 	if c.Reachability == nil {
 		c.Reachability = alwaysReached{}
 	}
+	if c.RegistrationAge == nil {
+		c.RegistrationAge = func() time.Duration { return 0 }
+	}
 	if c.OnConnectionLost == nil {
 		c.OnConnectionLost = func(quarantiner.Suspect) {}
 	}
@@ -218,6 +224,7 @@
 		return
 	}
 	defer releaseDelegated()
+	incoming.reconsider(ctx)
 	if err := c.config.Quarantiner.Acquire(ctx, incoming.fingerprint); err != nil {
 		if ctx.Err() != nil {
 			incoming.interrupt(ctx, verbenastand.NotRun)
--- a/carrier/crash_test.go
+++ b/carrier/crash_test.go
@@ -118,8 +118,8 @@
 		synctest.Wait()
 		require.Equal(t, 1, h.balancer.Service("svc").Waiting())
 		other := quarantiner.NewQuarantiner(quarantiner.Config{Clock: wallClock{}})
-		other.RecordCrash(fingerprint, "a")
-		other.RecordCrash(fingerprint, "b")
+		recordCrash(other, fingerprint, "a")
+		recordCrash(other, fingerprint, "b")
 		for _, e := range other.Evidence(quarantiner.MaxSuspects) {
 			h.carrier.config.Quarantiner.Merge(e)
 		}
@@ -152,7 +152,7 @@
 			time.Sleep(5 * time.Second)
 			sent = len(h.requests())
 			if crashes > 0 {
-				h.carrier.config.Quarantiner.RecordCrash(h.lastFingerprint(), "gone")
+				recordCrash(h.carrier.config.Quarantiner, h.lastFingerprint(), "gone")
 			}
 			response, _ = h.call("GET", "/x/slow", "")
 			require.Equal(t, http.StatusOK, response.StatusCode)
@@ -255,7 +255,7 @@
 				go func() { _, _ = io.Copy(io.Discard, conn) }()
 				time.Sleep(5 * time.Second)
 				f := h.lastFingerprint()
-				h.carrier.config.Quarantiner.RecordCrash(f, "gone")
+				recordCrash(h.carrier.config.Quarantiner, f, "gone")
 				conn = h.connect()
 				go func() { _, _ = io.Copy(io.Discard, conn) }()
 				_, _ = io.WriteString(conn, "GET /x/1 HTTP/1.1\r\nHost: a.example\r\nX-Id: id1\r\n\r\n")
@@ -291,3 +291,8 @@
 		require.Len(t, h.requests(), quarantiner.CrashLimit)
 	})
 }
+
+// recordCrash records that a server crashed while it ran a request.
+func recordCrash(q *quarantiner.Quarantiner, f quarantiner.Fingerprint, server verbenastand.ServerID) {
+	q.RecordLoss(f, verbenastand.NewLoss(verbenastand.LossConfig{Server: server, At: time.Now()}), verbenastand.ProcessEnded)
+}
--- a/carrier/delegate.go
+++ b/carrier/delegate.go
@@ -37,6 +37,9 @@
 	Failed(server verbenastand.Registration)
 	// ReachesOthers reports whether another server than a failed one responds.
 	ReachesOthers(failed verbenastand.Registration) bool
+	// Replaced reports whether a later process of a server is registered than the one to
+	// which a connection was lost.
+	Replaced(lost verbenastand.Loss) bool
 }
 
 // Delegator selects and connects to hosts that handle requests on behalf of this one.
@@ -54,6 +57,7 @@
 func (alwaysReached) Responded(verbenastand.Registration, bool)                {}
 func (alwaysReached) Failed(verbenastand.Registration)                         {}
 func (alwaysReached) ReachesOthers(verbenastand.Registration) bool             { return true }
+func (alwaysReached) Replaced(verbenastand.Loss) bool                          { return false }
 
 // errCut means that this host reaches no server of the service, and knows no other host
 // that does.
--- /dev/null
+++ b/carrier/examine.go
@@ -0,0 +1,139 @@
+package carrier
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	verbenastand "github.com/verbenastand/verbenastand"
+	"github.com/verbenastand/verbenastand/balancer"
+	"github.com/verbenastand/verbenastand/quarantiner"
+	"github.com/verbenastand/verbenastand/sender"
+)
+
+const (
+	// examinationTimeout bounds the examination of one server: a new connection and a
+	// health check, also to another region.
+	examinationTimeout = 250 * time.Millisecond
+	// replacementDelay is how long after a loss the registration of a later process under
+	// the same ID is looked for.
+	replacementDelay = 2 * time.Second
+	// maxRegistrationAge is the age of the view of registrations above which it says
+	// nothing about a server that may have started again.
+	maxRegistrationAge = time.Second
+	// lossAccuracy bounds by how much the time of a loss may be too late on another host.
+	lossAccuracy = time.Second
+)
+
+// examine finds out what has become of the server process to which a connection was lost.
+// Another process at its address, or a later one under its ID, proves that it has ended, and
+// a connection from before the loss that it is running. If it does not respond, it has ended
+// only if this host reaches another server of the service; reached is set if it does.
+func (c *Carrier) examine(ctx context.Context, lost verbenastand.Loss, reached bool) verbenastand.ProcessState {
+	if c.config.Reachability.Replaced(lost) {
+		return verbenastand.ProcessEnded
+	}
+	examined := registrationOf(lost)
+	opened, err := c.identify(ctx, lost)
+	switch {
+	case errors.Is(err, sender.ErrInstanceMismatch):
+		return verbenastand.ProcessEnded
+	case err == nil && opened.Before(lost.At().Add(-lossAccuracy)):
+		return verbenastand.ProcessRunning
+	case err == nil && c.config.RegistrationAge() <= maxRegistrationAge:
+		return verbenastand.ProcessResponding
+	case err == nil:
+		return verbenastand.ProcessUnknown
+	case reached || c.config.Reachability.ReachesOthers(examined):
+		return verbenastand.ProcessEnded
+	}
+	return verbenastand.ProcessUnknown
+}
+
+func registrationOf(lost verbenastand.Loss) verbenastand.Registration {
+	return verbenastand.NewRegistration(verbenastand.RegistrationConfig{
+		Server: lost.Server(), StartTime: lost.StartTime(), Service: lost.Service(), Address: lost.Address(),
+	})
+}
+
+// identify checks whether a server process responds at its address, and returns when the
+// connection over which it does was opened.
+func (c *Carrier) identify(ctx context.Context, lost verbenastand.Loss) (opened time.Time, err error) {
+	ctx, cancel := context.WithTimeout(ctx, examinationTimeout)
+	defer cancel()
+	path := "/"
+	if s := c.config.Balancer.Service(lost.Service()); s != nil {
+		path = s.HealthPath()
+	}
+	target := targetOf(registrationOf(lost))
+	for {
+		conn, err := c.config.Sender.Connect(ctx, target)
+		if err != nil {
+			return time.Time{}, err
+		}
+		_, _, _, err = conn.Check(ctx, path)
+		c.config.Sender.PutIdle(conn)
+		if err == nil || errors.Is(err, sender.ErrInstanceMismatch) || !conn.Reused() || ctx.Err() != nil {
+			return conn.OpenedAt(), err
+		}
+	}
+}
+
+// reconsider examines the servers because of which the request would be refused.
+func (c *call) reconsider(ctx context.Context) {
+	c.carrier.config.Quarantiner.Reconsider(ctx, c.fingerprint, func(ctx context.Context, lost verbenastand.Loss) verbenastand.ProcessState {
+		return c.carrier.examine(ctx, lost, false)
+	})
+}
+
+// checkEvidence releases the choice and returns an error if the request may have crashed
+// too many servers. The chosen server shows that this host reaches the service.
+func (c *call) checkEvidence(ctx context.Context, choice balancer.Choice) error {
+	responded := choice.Conn != nil || choice.Age > 0
+	err := c.carrier.config.Quarantiner.Confirm(ctx, c.fingerprint, func(ctx context.Context, lost verbenastand.Loss) verbenastand.ProcessState {
+		another := choice.Server.Registration().Server() != lost.Server()
+		return c.carrier.examine(ctx, lost, responded && another)
+	})
+	if err != nil {
+		choice.Release()
+	}
+	return err
+}
+
+// recordLoss finds out what has become of a server whose connection was lost, and reports
+// the request as a suspect unless the server is still running. It returns a channel that is
+// closed when that is done.
+func (c *call) recordLoss(server verbenastand.Registration) <-chan struct{} {
+	lost := verbenastand.NewLoss(verbenastand.LossConfig{
+		Server: server.Server(), Service: server.Service(), Address: server.Address(), StartTime: server.StartTime(),
+		At: c.carrier.config.Clock.Now(),
+	})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.report(lost, c.carrier.examine(context.Background(), lost, false))
+	}()
+	return done
+}
+
+func (c *call) report(lost verbenastand.Loss, state verbenastand.ProcessState) {
+	suspect := quarantiner.Suspect{
+		RequestID: c.id, Fingerprint: c.fingerprint, Server: lost.Server(), State: state,
+		Caller: c.request.Remote(), Method: c.request.Method, Target: c.request.RequestURI,
+	}
+	isNew := false
+	switch state {
+	case verbenastand.ProcessResponding:
+		time.AfterFunc(replacementDelay, func() {
+			if c.carrier.config.Reachability.Replaced(lost) {
+				c.report(lost, verbenastand.ProcessEnded)
+			}
+		})
+	case verbenastand.ProcessEnded, verbenastand.ProcessUnknown:
+		isNew = c.carrier.config.Quarantiner.RecordLoss(c.fingerprint, lost, state)
+	}
+	c.carrier.config.OnConnectionLost(suspect)
+	if isNew && state == verbenastand.ProcessEnded {
+		c.carrier.config.OnCrashSuspected(suspect)
+	}
+}
--- a/carrier/restart_test.go
+++ b/carrier/restart_test.go
@@ -40,7 +40,8 @@
 	id        string
 	startTime int64
 	up        bool
-	conns     map[net.Conn]bool
+	// conns holds the open connections with their hosts.
+	conns map[net.Conn]int
 	// cutFrom holds the hosts that can't reach the server.
 	cutFrom map[int]bool
 }
@@ -133,7 +134,7 @@
 	if server.id == "" || !s.config.sameID {
 		server.id = fmt.Sprintf("%s-%d", server.address, time.Now().UnixMilli())
 	}
-	server.startTime, server.up, server.conns = time.Now().UnixMilli(), true, make(map[net.Conn]bool)
+	server.startTime, server.up, server.conns = time.Now().UnixMilli(), true, make(map[net.Conn]int)
 	r := verbenastand.NewRegistration(verbenastand.RegistrationConfig{
 		Server: verbenastand.ServerID(server.id), StartTime: server.startTime, Service: "svc", Zone: "z", Address: server.address, Slots: 6,
 	})
@@ -204,20 +205,49 @@
 			continue
 		}
 		near, far := net.Pipe()
-		server.conns[far] = true
+		server.conns[far] = host
 		go s.serve(server, far, server.id)
 		return near, nil
 	}
 	return nil, errors.New("connection refused")
 }
 
-// cut cuts a host off from some servers: its connections to them are reset.
-func (s *restartingService) cut(host int, servers ...int) {
+// cut resets the connections of hosts to some servers and refuses new ones, until heal.
+func (s *restartingService) cut(hosts, servers []int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, i := range servers {
-		s.servers[i].cutFrom[host] = true
+		for _, host := range hosts {
+			s.servers[i].cutFrom[host] = true
+		}
+		for c, host := range s.servers[i].conns {
+			if s.servers[i].cutFrom[host] {
+				delete(s.servers[i].conns, c)
+				_ = c.Close()
+			}
+		}
+	}
+}
+
+// heal ends all cuts.
+func (s *restartingService) heal() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, server := range s.servers {
+		clear(server.cutFrom)
+	}
+}
+
+// warm opens connections between all hosts and servers.
+func (s *restartingService) warm() {
+	var calls sync.WaitGroup
+	for range 6 * s.config.servers {
+		for i := range s.fleet.hosts {
+			calls.Go(func() { _, _, _ = s.fleet.send(i, "GET", "warm") })
+		}
+		time.Sleep(20 * time.Millisecond)
 	}
+	calls.Wait()
 }
 
 func (s *restartingService) serve(server *restartingServer, conn net.Conn, id string) {
@@ -237,7 +267,7 @@
 		case strings.HasPrefix(r.URL.Path, "/x/crash"):
 			time.Sleep(delay)
 			s.mu.Lock()
-			if server.conns[conn] {
+			if _, open := server.conns[conn]; open {
 				s.runs[r.URL.Path]++
 				s.crash(server)
 			}
@@ -256,6 +286,20 @@
 	return s.runs[path]
 }
 
+// serves reports whether a host serves a request, or one of its caller's retries.
+func (s *restartingService) serves(host int, path string) bool {
+	const attempts = 4
+	for range attempts {
+		status, header, _ := s.fleet.send(host, "GET", path)
+		if status == http.StatusOK {
+			return true
+		}
+		s.fleet.t.Logf("host %d: %d %s", host, status, header.Get(verbenastand.HeaderReason))
+		time.Sleep(refusedRetryAfter)
+	}
+	return false
+}
+
 // sendCopies sends copies of a crashing request to the hosts in turn.
 func (s *restartingService) sendCopies(path string, count int, interval time.Duration) {
 	for i := range count {
@@ -290,9 +334,90 @@
 			withRestartingService(t, tc.hosts, tc.restartConfig, func(s *restartingService) {
 				s.sendCopies("crash", 12, 3*time.Second)
 				require.LessOrEqual(s.fleet.t, s.crashes("/x/crash"), quarantiner.CrashLimit)
-				status, _, _ := s.fleet.send(0, "GET", "other")
-				require.Equal(s.fleet.t, http.StatusOK, status, "other requests are served")
+				require.True(s.fleet.t, s.serves(0, "other"), "other requests are served")
+			})
+		})
+	}
+}
+
+// Guards against innocent requests that are refused because connections to running servers
+// were lost while they ran (issue 26, RECOVER; issue 29, BUDGET).
+func TestLostConnectionsQuarantineNoInnocentRequest(t *testing.T) {
+	const hosts, servers = 14, 8
+	cases := []struct {
+		name    string
+		hosts   []int
+		servers []int
+		// healed is set if the requests are sent after the cut.
+		healed bool
+		within time.Duration
+	}{
+		{"a zone is cut off from all servers", zoneOf(hosts, 1), hostRange(0, servers), false, 4 * time.Second},
+		{"a zone is cut off from half of the servers", zoneOf(hosts, 1), hostRange(0, servers/2), false, 4 * time.Second},
+		{"a zone is cut off from all servers but one", zoneOf(hosts, 1), hostRange(1, servers), false, 4 * time.Second},
+		{"half of the hosts are cut off from half of the servers", hostRange(0, hosts/2), hostRange(0, servers/2), false, 4 * time.Second},
+		{"all hosts were cut off from all servers", hostRange(0, hosts), hostRange(0, servers), true, 4 * time.Second},
+		{"all hosts were cut off from half of the servers", hostRange(0, hosts), hostRange(0, servers/2), true, 4 * time.Second},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			withRestartingService(t, hosts, restartConfig{servers: servers}, func(s *restartingService) {
+				s.warm()
+				time.Sleep(2 * time.Second)
+				var calls sync.WaitGroup
+				for i := range s.fleet.hosts {
+					for range 3 {
+						calls.Go(func() { _, _, _ = s.fleet.send(i, "GET", "popular") })
+					}
+				}
+				time.Sleep(delay / 2)
+				s.cut(tc.hosts, tc.servers)
+				calls.Wait()
+				if tc.healed {
+					time.Sleep(time.Second)
+					s.heal()
+				}
+				end := time.Now().Add(tc.within)
+				for time.Now().Before(end) {
+					for i := range s.fleet.hosts {
+						calls.Go(func() { _, _, _ = s.fleet.send(i, "GET", "popular") })
+					}
+					time.Sleep(200 * time.Millisecond)
+				}
+				calls.Wait()
+				for i := range s.fleet.hosts {
+					require.True(s.fleet.t, s.serves(i, "popular"), "host %d", i)
+				}
 			})
 		})
 	}
 }
+
+// Guards against crashes that go unproved because hosts are cut off from servers meanwhile
+// (issue 29, BUDGET).
+func TestCrashesBesideCutsAreProved(t *testing.T) {
+	const hosts, servers = 14, 8
+	cases := []struct {
+		name           string
+		hosts, servers []int
+	}{
+		{"a zone is cut off from all servers", zoneOf(hosts, 1), hostRange(0, servers)},
+		{"a zone is cut off from half of the servers", zoneOf(hosts, 1), hostRange(0, servers/2)},
+		{"half of the hosts are cut off from all servers but one", hostRange(0, hosts/2), hostRange(1, servers)},
+		{"one host reaches the servers", hostRange(1, hosts), hostRange(0, servers)},
+	}
+	for _, tc := range cases {
+		for _, restartAfter := range []time.Duration{0, 2500 * time.Millisecond} {
+			t.Run(fmt.Sprint(tc.name, ", back after ", restartAfter), func(t *testing.T) {
+				withRestartingService(t, hosts, restartConfig{servers: servers, restartAfter: restartAfter}, func(s *restartingService) {
+					s.warm()
+					s.cut(tc.hosts, tc.servers)
+					time.Sleep(time.Second)
+					s.sendCopies("crash", 12, 3*time.Second)
+					require.LessOrEqual(s.fleet.t, s.crashes("/x/crash"), quarantiner.SharedCrashLimit)
+					require.True(s.fleet.t, s.serves(0, "other"), "other requests are served")
+				})
+			})
+		}
+	}
+}
--- a/carrier/run.go
+++ b/carrier/run.go
@@ -120,7 +120,7 @@
 		return nil
 	}
 	if err == nil {
-		err = r.checkEvidence(choice)
+		err = r.checkEvidence(r.ctx, choice)
 	}
 	if err != nil {
 		return err
@@ -129,16 +129,6 @@
 	return nil
 }
 
-// checkEvidence releases the choice and returns an error if evidence against the
-// request has arrived while it waited for a server.
-func (c *call) checkEvidence(choice balancer.Choice) error {
-	err := c.carrier.config.Quarantiner.Check(c.fingerprint)
-	if err != nil {
-		choice.Release()
-	}
-	return err
-}
-
 // cancelAttempts ends the attempts whose response is no longer needed. A request
 // that must not run twice is left to complete, since its caller may learn the result
 // in another way.
@@ -259,7 +249,7 @@
 		r.retryDenied = retryNoServer
 		return false
 	}
-	if r.checkEvidence(choice) != nil {
+	if r.checkEvidence(r.ctx, choice) != nil {
 		r.retryDenied = retryQuarantined
 		return false
 	}
@@ -340,12 +330,12 @@
 // hedgeByDelegate lets another host send a request again whose server is no longer
 // reached.
 func (r *runner) hedgeByDelegate() bool {
-	suspected := r.carrier.config.Quarantiner.Suspected(r.fingerprint)
+	suspected := r.carrier.config.Quarantiner.PossiblySuspected(r.fingerprint)
 	return !suspected && !r.delegating && r.mayDelegate(r.ctx) && r.budget.Available() >= hedgeReserve && r.budget.Allow() && r.delegate()
 }
 
 func (r *runner) chooseHedge() (balancer.Choice, bool) {
-	suspected := r.carrier.config.Quarantiner.Suspected(r.fingerprint)
+	suspected := r.carrier.config.Quarantiner.PossiblySuspected(r.fingerprint)
 	if suspected || r.budget.Available() < hedgeReserve || r.service.Waiting() > 0 {
 		return balancer.Choice{}, false
 	}
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -301,6 +301,17 @@
 	return d.probe(servers[:first]) || d.probe(servers[first:])
 }
 
+// Replaced reports whether a later process of a server is registered than the one to which
+// a connection was lost.
+func (d *Detector) Replaced(lost verbenastand.Loss) bool {
+	for _, r := range d.config.View().Servers(lost.Service()) {
+		if r.Server() == lost.Server() {
+			return lost.StartTime() != 0 && r.StartTime() > lost.StartTime()
+		}
+	}
+	return false
+}
+
 func shuffle(servers []verbenastand.Registration) {
 	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
 }
--- a/dispatcher/delegate.go
+++ b/dispatcher/delegate.go
@@ -30,8 +30,11 @@
 	Cut(service verbenastand.ServiceName) bool
 	// Stalled records that a server makes no progress.
 	Stalled(server verbenastand.Server)
-	// ReachesOthers reports whether another server than a failed one responds.
-	ReachesOthers(failed verbenastand.Server) bool
+	// ReachesOthers reports whether another server of a service accepts connections than
+	// the one that failed.
+	ReachesOthers(service verbenastand.ServiceName, failed verbenastand.ServerID) bool
+	// Accepts reports whether a server to which a connection was lost accepts a new one.
+	Accepts(ctx context.Context, lost verbenastand.Loss) bool
 }
 
 // cut reports whether only other hosts may be able to send the request to a server.
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -56,12 +56,17 @@
 	cut atomic.Bool
 	// unreached is set if no other server responds than the one that failed.
 	unreached atomic.Bool
+	// accepting is set if servers accept new connections.
+	accepting atomic.Bool
 }
 
 func (p *proxy) Cut(verbenastand.ServiceName) bool { return p.cut.Load() }
 func (p *proxy) Stalled(verbenastand.Server)       {}
 
-func (p *proxy) ReachesOthers(verbenastand.Server) bool { return !p.unreached.Load() }
+func (p *proxy) ReachesOthers(verbenastand.ServiceName, verbenastand.ServerID) bool {
+	return !p.unreached.Load()
+}
+func (p *proxy) Accepts(context.Context, verbenastand.Loss) bool { return p.accepting.Load() }
 
 func (p *proxy) Self() verbenastand.Host    { return host }
 func (p *proxy) Hosts() []verbenastand.Host { return p.hosts }
--- a/dispatcher/execute.go
+++ b/dispatcher/execute.go
@@ -17,7 +17,6 @@
 	"github.com/verbenastand/verbenastand/connector"
 	"github.com/verbenastand/verbenastand/estimator"
 	"github.com/verbenastand/verbenastand/limiter"
-	"github.com/verbenastand/verbenastand/quarantiner"
 	"github.com/verbenastand/verbenastand/reporter"
 	"github.com/verbenastand/verbenastand/retrier"
 	"github.com/verbenastand/verbenastand/scheduler"
@@ -68,6 +67,7 @@
 
 // sendAttempt sends the request to one server, or to two if it is hedged.
 func (d *Dispatcher) sendAttempt(ctx context.Context, req *proxiedRequest, attempt int, tried []scheduler.Grant) (*serverResponse, scheduler.Grant, error) {
+	d.config.Quarantiner.Reconsider(ctx, req.crashFingerprint, d.examine)
 	if err := d.config.Quarantiner.Acquire(ctx, req.crashFingerprint); err != nil {
 		return nil, scheduler.Grant{}, err
 	}
@@ -77,7 +77,7 @@
 	if err != nil {
 		return nil, grant, err
 	}
-	if err := d.config.Quarantiner.Check(req.crashFingerprint); err != nil {
+	if err := d.config.Quarantiner.Confirm(ctx, req.crashFingerprint, d.examine); err != nil {
 		req.components.Scheduler().Release(grant, estimator.Abandoned, scheduler.NoReport)
 		return nil, grant, err
 	}
@@ -238,28 +238,11 @@
 	}
 	resp.close()
 	if errors.Is(re, connector.ErrConnectionLost) {
-		resp.recordCrash()
+		resp.recordLoss()
 	}
 	return re
 }
 
-// recordCrash adds evidence that the request crashed the server, unless this host reaches
-// no other one either.
-func (resp *serverResponse) recordCrash() {
-	req := resp.request
-	suspect := quarantiner.Suspect{
-		Fingerprint: req.crashFingerprint, Server: resp.grant.Server().ID(), State: verbenastand.ProcessEnded,
-		Caller: req.caller(), Method: req.request.Method, Target: req.request.URL.RequestURI(),
-	}
-	if r := resp.dispatcher.config.Reachability; r != nil && !r.ReachesOthers(resp.grant.Server()) {
-		suspect.State = verbenastand.ProcessUnknown
-	}
-	resp.dispatcher.config.OnConnectionLost(suspect)
-	if suspect.State == verbenastand.ProcessEnded && resp.dispatcher.config.Quarantiner.RecordCrash(req.crashFingerprint, suspect.Server) {
-		resp.dispatcher.config.OnCrashSuspected(req.components.Homes(), suspect)
-	}
-}
-
 func (resp *serverResponse) requestError(ctx context.Context, err error) *verbenastand.RequestError {
 	var re *verbenastand.RequestError
 	if !errors.As(err, &re) {
--- a/dispatcher/hedge.go
+++ b/dispatcher/hedge.go
@@ -73,7 +73,7 @@
 	if h.ctx.Err() != nil || h.won.Load() {
 		return
 	}
-	if h.dispatcher.config.Quarantiner.Suspected(h.request.crashFingerprint) {
+	if h.dispatcher.config.Quarantiner.PossiblySuspected(h.request.crashFingerprint) {
 		return
 	}
 	components := h.request.components
--- a/enums_string.go
+++ b/enums_string.go
@@ -144,13 +144,14 @@
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
 	_ = x[ProcessUnknown-0]
-	_ = x[ProcessEnded-1]
-	_ = x[ProcessRunning-2]
+	_ = x[ProcessResponding-1]
+	_ = x[ProcessEnded-2]
+	_ = x[ProcessRunning-3]
 }
 
-const _ProcessState_name = "unknownendedrunning"
+const _ProcessState_name = "unknownrespondingendedrunning"
 
-var _ProcessState_index = [...]uint8{0, 7, 12, 19}
+var _ProcessState_index = [...]uint8{0, 7, 17, 22, 29}
 
 func (i ProcessState) String() string {
 	idx := int(i) - 0
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -261,7 +261,7 @@
 			for _, n := range nodes[:tc.leaving] {
 				n.Leave(t.Context())
 			}
-			nodes[0].config.Quarantine.RecordCrash(request("/9"), "x")
+			recordCrash(nodes[0].config.Quarantine, request("/9"), "x")
 			nodes[0].PushNeighbours(t.Context())
 			most := 0
 			// Heartbeats are sent twice, and urgent changes passed on nine times, within
@@ -341,7 +341,7 @@
 		net.round(nodes)
 	}
 	nodes[0].notices["s"] = Notice{Service: "a", DrainNotice: scheduler.DrainNotice{Server: "s", Ticket: 3}}
-	nodes[0].config.Quarantine.RecordCrash(request("/9"), "x")
+	recordCrash(nodes[0].config.Quarantine, request("/9"), "x")
 	nodes[0].merger.Merge(merger.Ticket{Number: 4, Services: []merger.ServiceObject{{Name: "a"}}})
 	for range rounds(5 * time.Second) {
 		net.round(nodes)
@@ -365,7 +365,7 @@
 	for i := range 100 {
 		id := verbenastand.ServerID(fmt.Sprint("server-with-a-long-name-", i))
 		nodes[0].notices[id] = Notice{Service: "service", DrainNotice: scheduler.DrainNotice{Server: id, Ticket: 3}}
-		nodes[0].config.Quarantine.RecordCrash(request(fmt.Sprint("/", i)), id)
+		recordCrash(nodes[0].config.Quarantine, request(fmt.Sprint("/", i)), id)
 	}
 	data, err := nodes[0].encode()
 	require.NoError(t, err)
@@ -412,3 +412,8 @@
 		})
 	}
 }
+
+// recordCrash records that a server crashed while it ran a request.
+func recordCrash(q *quarantiner.Quarantiner, f quarantiner.Fingerprint, server verbenastand.ServerID) {
+	q.RecordLoss(f, verbenastand.NewLoss(verbenastand.LossConfig{Server: server, At: time.Now()}), verbenastand.ProcessEnded)
+}
--- a/launcher/event.go
+++ b/launcher/event.go
@@ -131,6 +131,23 @@
 	h.gossiper.Push(context.Background(), slices.Concat(homes, h.gossiper.Unreachable()))
 }
 
+// onEvidenceChange tells other hosts of what this one has found out about evidence.
+func (h *Host) onEvidenceChange(c quarantiner.Change) {
+	h.recorder.EvidenceChanged(c)
+	if c.Kind == quarantiner.Confirmed || c.Kind == quarantiner.Refuted {
+		h.gossiper.SpreadChanges()
+	}
+}
+
+// onConnectionLost sends the home hosts a loss that may be a crash, since this host can't
+// tell.
+func (h *Host) onConnectionLost(homes []verbenastand.Host, s quarantiner.Suspect) {
+	h.recorder.ConnectionLost(s)
+	if s.State == verbenastand.ProcessUnknown {
+		h.gossiper.Push(context.Background(), homes)
+	}
+}
+
 // limitedHosts returns the home hosts of the server's service, which share its limit.
 // Silent hosts are among those they are selected from: they may be on the other side of
 // a partition, and use their shares.
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -204,10 +204,11 @@
 	g.carrier = carrier.NewCarrier(carrier.Config{
 		Clock: g.timer, Names: g.config.HeaderFormat.Names(), HeaderFormat: g.config.HeaderFormat, Router: g.router,
 		Balancer: g.balancer, Sender: g.sender, Quarantiner: g.quarantiner, Limiter: g.limiter, Observer: g.recorder,
-		Self: g.self.ID(), Reachability: g.reach.detector, Delegator: delegator.NewDelegator(delegator.Config{
+		RegistrationAge: g.follower.Staleness,
+		Self:            g.self.ID(), Reachability: g.reach.detector, Delegator: delegator.NewDelegator(delegator.Config{
 			Self: g.self, Membership: g.gossiper, Tunnel: g.forwarder.Tunnel,
 		}),
-		Tracer: g.requestTracer, OnCrashSuspected: g.onCrashSuspected, OnConnectionLost: g.recorder.ConnectionLost, MaxConcurrent: s.MaxConcurrent,
+		Tracer: g.requestTracer, OnCrashSuspected: g.onCrashSuspected, OnConnectionLost: g.onConnectionLost, MaxConcurrent: s.MaxConcurrent,
 		NewBudget: func(verbenastand.ServiceName) *retrier.WindowBudget {
 			return retrier.NewWindowBudget(retrier.WindowBudgetConfig{
 				Clock: g.timer, Duration: s.RetryWindow, Ratio: s.RetryRatio, Allowance: s.RetryAllowance, Hosts: g.hostCount,
@@ -295,11 +296,11 @@
 	}
 }
 
-// onEvidenceChange tells other hosts of cleared evidence, so that they stop refusing a
-// request that did not crash its servers.
+// onEvidenceChange tells other hosts of what this one has found out about evidence, so that
+// they refuse a request that crashes servers, and no other.
 func (g *Gateway) onEvidenceChange(c quarantiner.Change) {
 	g.recorder.EvidenceChanged(c)
-	if c.Kind == quarantiner.Cleared {
+	if c.Kind != quarantiner.Recorded && c.Kind != quarantiner.Learned {
 		g.gossiper.SpreadChanges()
 	}
 }
@@ -311,6 +312,15 @@
 	g.gossiper.PushNeighbours(context.Background())
 }
 
+// onConnectionLost sends the neighbours a loss that may be a crash, since this host can't
+// tell.
+func (g *Gateway) onConnectionLost(s quarantiner.Suspect) {
+	g.recorder.ConnectionLost(s)
+	if s.State == verbenastand.ProcessUnknown {
+		g.gossiper.PushNeighbours(context.Background())
+	}
+}
+
 func (g *Gateway) limits() verbenastand.CallerLimits {
 	if t := g.router.Table(); t != nil {
 		return t.Limits()
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -135,7 +135,7 @@
 	h.reader = reader.NewReader(reader.Config{URL: h.settings.Platform})
 	h.watcher = watcher.NewWatcher(watcher.Config{Platform: h.reader, Merger: h.merger, OnError: h.onReadError})
 	h.recorder = recorder.NewRecorder(recorder.Config{Log: h.log, Meter: h.meter})
-	h.quarantiner = quarantiner.NewQuarantiner(quarantiner.Config{Clock: h.timer, OnChange: h.recorder.EvidenceChanged})
+	h.quarantiner = quarantiner.NewQuarantiner(quarantiner.Config{Clock: h.timer, OnChange: h.onEvidenceChange})
 	h.limiter = limiter.NewLimiter(limiter.Config{
 		Clock: h.timer, Self: h.self.ID(), Hosts: h.limitedHosts, OnChange: h.recorder.LimitChanged,
 	})
@@ -182,7 +182,7 @@
 		Servers: h.connector, Meter: h.meter, Tracer: requestTracer, MaxBody: h.settings.MaxBody,
 		MaxConcurrent: h.settings.MaxConcurrent, StallTimeout: h.settings.StallTimeout,
 		OnDrainNotice: h.onDrainNotice, OnCrashSuspected: h.onCrashSuspected,
-		OnConnectionLost: h.recorder.ConnectionLost,
+		OnConnectionLost: h.onConnectionLost,
 	})
 	h.prober = prober.NewProber(prober.Config{
 		Timer: h.timer, Registrar: h.registrar, MaxHosts: h.settings.Fleet,
--- a/launcher/reach.go
+++ b/launcher/reach.go
@@ -17,6 +17,10 @@
 // reachPeriod is the time between two looks at which services are reached.
 const reachPeriod = 100 * time.Millisecond
 
+// acceptTimeout bounds the time in which a server accepts a connection, also in another
+// region.
+const acceptTimeout = 250 * time.Millisecond
+
 // reach tells the other hosts whether this one reaches any service: callers are directed
 // elsewhere if not, and no requests are delegated to it.
 type reach struct {
@@ -82,8 +86,15 @@
 func (h *Host) Stalled(s verbenastand.Server) { h.reach.detector.Failed(registrationOf(s)) }
 
 // ReachesOthers implements dispatcher.Reachability.
-func (h *Host) ReachesOthers(s verbenastand.Server) bool {
-	return h.reach.detector.ReachesOthers(registrationOf(s))
+func (h *Host) ReachesOthers(n verbenastand.ServiceName, failed verbenastand.ServerID) bool {
+	return h.reach.detector.ReachesOthers(verbenastand.NewRegistration(verbenastand.RegistrationConfig{Server: failed, Service: n}))
+}
+
+// Accepts implements dispatcher.Reachability.
+func (h *Host) Accepts(ctx context.Context, lost verbenastand.Loss) bool {
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	return dialServer(ctx, verbenastand.NewRegistration(verbenastand.RegistrationConfig{Address: lost.Address()})) == nil
 }
 
 // observeServer records whether a server has responded to a request.
--- a/quarantiner/change.go
+++ b/quarantiner/change.go
@@ -16,6 +16,10 @@
 	Learned // learned
 	// Cleared evidence was dropped because the request succeeded.
 	Cleared // cleared
+	// Confirmed evidence is about a server that this host has found to have ended.
+	Confirmed // confirmed
+	// Refuted evidence is about a server that this host has found running.
+	Refuted // refuted
 )
 
 // Change describes a change of the evidence about a request.
@@ -25,8 +29,8 @@
 	Scope       Scope
 	Fingerprint string
 	// Crashes is the number of crashed servers known after the change, or before
-	// the evidence was dropped.
-	Crashes int
+	// the evidence was dropped. PossibleCrashes also counts those that may be running.
+	Crashes, PossibleCrashes int
 }
 
 // Suspect describes a request that was in flight on a server when the connection to it
--- a/quarantiner/changekind_string.go
+++ b/quarantiner/changekind_string.go
@@ -11,11 +11,13 @@
 	_ = x[Recorded-0]
 	_ = x[Learned-1]
 	_ = x[Cleared-2]
+	_ = x[Confirmed-3]
+	_ = x[Refuted-4]
 }
 
-const _ChangeKind_name = "recordedlearnedcleared"
+const _ChangeKind_name = "recordedlearnedclearedconfirmedrefuted"
 
-var _ChangeKind_index = [...]uint8{0, 8, 15, 22}
+var _ChangeKind_index = [...]uint8{0, 8, 15, 22, 31, 38}
 
 func (i ChangeKind) String() string {
 	idx := int(i) - 0
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -1,8 +1,11 @@
 // Package quarantiner detects requests that crash backend servers and refuses to
-// send them to further servers. Evidence is the set of crashed servers per request
-// fingerprint. A success of the request clears it and begins a new generation. Hosts
-// exchange evidence: the higher generation wins, and sets of one generation are merged
-// by union, so the order in which evidence arrives does not matter.
+// send them to further servers. Evidence is the set of lost connections to servers per
+// request fingerprint, with what is known about each server's process. A host that can't
+// tell whether a process has ended leaves that to the hosts that are about to send the
+// request again. A success of the request clears the evidence and begins a new generation.
+// Hosts exchange evidence: the higher generation wins, and sets of one generation are
+// merged by union and their findings by order, so it does not matter in which order
+// evidence arrives.
 package quarantiner
 
 import (
@@ -23,13 +26,14 @@
 	MaxSuspects = 4096
 )
 
-// Evidence lists the servers that crashed while they ran a request.
+// Evidence lists the servers whose connections were lost while they ran a request.
 type Evidence struct {
 	// Fingerprint is the part of the request's fingerprint for the scope.
 	Fingerprint uint64 `cbor:"f"`
 	Scope       Scope  `cbor:"c,omitempty"`
-	// Servers are the IDs of the crashed servers.
+	// Servers names the crashed processes for hosts of earlier versions.
 	Servers []verbenastand.ServerID `cbor:"s"`
+	Losses  []LossRecord            `cbor:"l,omitempty"`
 	// Generation counts the successes that have cleared earlier evidence.
 	Generation uint32 `cbor:"g,omitempty"`
 	// Remaining is the time after which the evidence expires. Zero means the whole
@@ -39,8 +43,8 @@
 
 type suspect struct {
 	scope Scope
-	// servers is empty after evidence has been cleared.
-	servers    []verbenastand.ServerID
+	// losses is empty after evidence has been cleared.
+	losses     []*loss
 	generation uint32
 	expiry     time.Time
 	changedAt  time.Time
@@ -106,7 +110,7 @@
 		return nil, err
 	}
 	s := q.findLocked(f.perCaller)
-	if s == nil || len(s.servers) == 0 {
+	if s == nil || s.crashes() == 0 {
 		return nil, nil
 	}
 	if s.attemptDone != nil {
@@ -128,13 +132,15 @@
 
 // refusalLocked returns the error of a request that has reached a limit of crashes.
 func (q *Quarantiner) refusalLocked(f Fingerprint) error {
-	for _, k := range []key{f.perCaller, f.allCallers} {
-		s := q.findLocked(k)
-		if s == nil || len(s.servers) < s.scope.crashLimit() {
+	for _, s := range q.suspectsLocked(f) {
+		if s.crashes() < s.scope.crashLimit() {
 			continue
 		}
-		refusal := verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonQuarantined, nil)
-		return refusal.WithRetryAfter(s.expiry.Sub(q.config.Clock.Now()))
+		retryAfter := s.expiry.Sub(q.config.Clock.Now())
+		if s.mayBeRefuted() {
+			retryAfter = min(retryAfter, confirmationRetryAfter)
+		}
+		return verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonQuarantined, nil).WithRetryAfter(retryAfter)
 	}
 	return nil
 }
@@ -158,12 +164,28 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	return slices.ContainsFunc(q.suspectsLocked(f), func(s *suspect) bool { return s.crashes() > 0 })
+}
+
+// PossiblySuspected reports whether a server may have crashed while it ran the request.
+func (q *Quarantiner) PossiblySuspected(f Fingerprint) bool {
+	if q.suspectCount.Load() == 0 {
+		return false
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return slices.ContainsFunc(q.suspectsLocked(f), func(s *suspect) bool { return s.possibleCrashes() > 0 })
+}
+
+// suspectsLocked returns the evidence about a request for each scope.
+func (q *Quarantiner) suspectsLocked(f Fingerprint) []*suspect {
+	var list []*suspect
 	for _, k := range []key{f.perCaller, f.allCallers} {
-		if s := q.findLocked(k); s != nil && len(s.servers) > 0 {
-			return true
+		if s := q.findLocked(k); s != nil {
+			list = append(list, s)
 		}
 	}
-	return false
+	return list
 }
 
 // Release ends an attempt that Acquire allowed. A request that succeeded is no longer
@@ -194,11 +216,11 @@
 // the limit stays refused.
 func (q *Quarantiner) clearLocked(k key) (Change, bool) {
 	s := q.findLocked(k)
-	if s == nil || len(s.servers) == 0 || (s.scope == PerCaller && len(s.servers) >= CrashLimit) {
+	if s == nil || len(s.losses) == 0 || (s.scope == PerCaller && s.crashes() >= CrashLimit) {
 		return Change{}, false
 	}
-	c := Change{Kind: Cleared, Scope: s.scope, Fingerprint: formatHash(k), Crashes: len(s.servers)}
-	s.servers = nil
+	c := Change{Kind: Cleared, Scope: s.scope, Fingerprint: formatHash(k), Crashes: s.crashes(), PossibleCrashes: s.possibleCrashes()}
+	s.losses = nil
 	s.generation++
 	s.changedAt = q.config.Clock.Now()
 	s.expiry = s.changedAt.Add(q.config.Lifetime)
@@ -213,74 +235,109 @@
 	q.suspectCount.Store(int64(len(q.suspects)))
 }
 
-// RecordCrash records that a server crashed while it ran the request. It reports
-// whether this was not known before.
-func (q *Quarantiner) RecordCrash(f Fingerprint, server verbenastand.ServerID) bool {
-	ofCaller := q.record(f.perCaller, PerCaller, server)
-	ofAll := q.record(f.allCallers, AllCallers, server)
+// RecordLoss records that the connection to a server was lost while it ran the request,
+// and what is known about the server. It reports whether this may be a further crash.
+func (q *Quarantiner) RecordLoss(f Fingerprint, lost verbenastand.Loss, state verbenastand.ProcessState) bool {
+	l := newLoss(lost, state)
+	ofCaller := q.record(f.perCaller, PerCaller, l)
+	ofAll := q.record(f.allCallers, AllCallers, l)
 	return ofCaller || ofAll
 }
 
-func (q *Quarantiner) record(k key, scope Scope, server verbenastand.ServerID) bool {
+func (q *Quarantiner) record(k key, scope Scope, l loss) bool {
 	q.mu.Lock()
-	e := Evidence{Fingerprint: k, Scope: scope, Servers: []verbenastand.ServerID{server}}
-	if s := q.findLocked(k); s != nil {
+	e := Evidence{Fingerprint: k, Scope: scope}
+	s := q.findLocked(k)
+	if s != nil {
 		e.Generation = s.generation
 	}
+	if s != nil && s.includes(&l) {
+		q.mu.Unlock()
+		return false
+	}
+	c, changed := q.insertLocked(e, []loss{l})
 	q.mu.Unlock()
-	return q.add(e, Recorded)
+	if changed {
+		c.Kind = Recorded
+		q.notify(c)
+	}
+	return changed
 }
 
 // Merge adds evidence of another host and reports whether any of it was new.
-func (q *Quarantiner) Merge(e Evidence) bool { return q.add(e, Learned) }
-
-func (q *Quarantiner) add(e Evidence, kind ChangeKind) bool {
-	crashes, changed := q.insert(e)
+func (q *Quarantiner) Merge(e Evidence) bool {
+	q.mu.Lock()
+	c, changed := q.insertLocked(e, e.losses(q.config.Clock.Now()))
+	q.mu.Unlock()
 	if changed {
-		q.notify(Change{Kind: kind, Scope: e.Scope, Fingerprint: formatHash(e.Fingerprint), Crashes: crashes})
+		c.Kind = Learned
+		q.notify(c)
 	}
 	return changed
 }
 
-// insert returns the number of known crashes and whether the evidence has changed.
-func (q *Quarantiner) insert(e Evidence) (crashes int, changed bool) {
+// losses returns the losses, or those of the servers that a host of an earlier version
+// names.
+func (e Evidence) losses(now time.Time) []loss {
+	var list []loss
+	for _, r := range e.Losses[:min(len(e.Losses), maxLosses)] {
+		if r.State != verbenastand.ProcessEnded && r.State != verbenastand.ProcessRunning {
+			r.State = verbenastand.ProcessUnknown
+		}
+		list = append(list, loss{LossRecord: r, at: now.Add(-max(0, r.Age))})
+	}
+	if len(list) > 0 {
+		return list
+	}
+	for _, server := range e.Servers[:min(len(e.Servers), maxLosses)] {
+		list = append(list, newUnnumberedLoss(server, now))
+	}
+	return list
+}
+
+// insertLocked returns the crashes known after evidence was added, and whether it has
+// changed.
+func (q *Quarantiner) insertLocked(e Evidence, losses []loss) (c Change, changed bool) {
 	remaining := q.config.Lifetime
 	if e.Remaining > 0 {
 		remaining = min(e.Remaining, q.config.Lifetime)
 	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
 	now := q.config.Clock.Now()
 	s := q.findLocked(e.Fingerprint)
 	if s == nil {
-		if len(q.suspects) >= MaxSuspects {
-			return 0, false
+		if len(q.suspects) >= q.room(losses) {
+			return Change{}, false
 		}
 		s = &suspect{scope: e.Scope, generation: e.Generation}
 		q.suspects[e.Fingerprint] = s
 		q.suspectCount.Store(int64(len(q.suspects)))
 		changed = true
 	}
-	if e.Generation < s.generation {
-		return len(s.servers), changed
-	}
 	if e.Generation > s.generation {
-		s.generation, s.servers = e.Generation, nil
+		s.generation, s.losses = e.Generation, nil
 		changed = true
 	}
-	for _, id := range e.Servers {
-		if len(s.servers) < s.scope.crashLimit() && !slices.Contains(s.servers, id) {
-			s.servers = append(s.servers, id)
-			changed = true
+	if e.Generation == s.generation {
+		for _, l := range losses {
+			changed = s.merge(l, now) || changed
+		}
+		if expiry := now.Add(remaining); expiry.After(s.expiry) {
+			s.expiry = expiry
 		}
 	}
 	if changed {
 		s.changedAt = now
 	}
-	if expiry := now.Add(remaining); expiry.After(s.expiry) {
-		s.expiry = expiry
+	return Change{Scope: s.scope, Fingerprint: formatHash(e.Fingerprint), Crashes: s.crashes(), PossibleCrashes: s.possibleCrashes()}, changed
+}
+
+// room returns the number of fingerprints up to which new losses are kept. Those of
+// processes that may be running leave half of it to crashes.
+func (q *Quarantiner) room(losses []loss) int {
+	if len(losses) == 0 || slices.ContainsFunc(losses, func(l loss) bool { return l.State == verbenastand.ProcessEnded }) {
+		return MaxSuspects
 	}
-	return len(s.servers), changed
+	return MaxSuspects / 2
 }
 
 // Evidence returns up to limit entries: half of them are those that changed last, so
@@ -302,9 +359,13 @@
 	var evidence []Evidence
 	for _, f := range fingerprints[:min(limit, len(fingerprints))] {
 		s := q.suspects[f]
-		evidence = append(evidence, Evidence{
-			Fingerprint: f, Scope: s.scope, Servers: slices.Clone(s.servers), Generation: s.generation, Remaining: s.expiry.Sub(now),
-		})
+		e := Evidence{
+			Fingerprint: f, Scope: s.scope, Servers: s.crashedProcesses(), Generation: s.generation, Remaining: s.expiry.Sub(now),
+		}
+		for _, l := range s.sample(maxSentLosses) {
+			e.Losses = append(e.Losses, l.record(now))
+		}
+		evidence = append(evidence, e)
 	}
 	return evidence
 }
@@ -326,7 +387,7 @@
 	defer q.mu.Unlock()
 	n := 0
 	for _, s := range q.suspects {
-		if len(s.servers) >= s.scope.crashLimit() {
+		if s.crashes() >= s.scope.crashLimit() {
 			n++
 		}
 	}
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -31,7 +31,7 @@
 		first, second := NewQuarantiner(Config{Clock: clock}), NewQuarantiner(Config{Clock: clock})
 		crashes := rapid.SliceOfN(rapid.IntRange(0, 15), 0, 12).Draw(t, "crashes")
 		for _, c := range crashes {
-			first.RecordCrash(request(c%4), verbenastand.ServerID(fmt.Sprint(c/4)))
+			recordCrash(first, request(c%4), verbenastand.ServerID(fmt.Sprint(c/4)))
 		}
 		for _, c := range rapid.Permutation(append(crashes, crashes...)).Draw(t, "order") {
 			server := []verbenastand.ServerID{verbenastand.ServerID(fmt.Sprint(c / 4))}
@@ -66,8 +66,8 @@
 func TestEvidenceExpiresOnAllHosts(t *testing.T) {
 	clock := fake.NewClock()
 	first, second := NewQuarantiner(Config{Clock: clock}), NewQuarantiner(Config{Clock: clock})
-	first.RecordCrash(request(1), "server-a")
-	first.RecordCrash(request(1), "server-b")
+	recordCrash(first, request(1), "server-a")
+	recordCrash(first, request(1), "server-b")
 	clock.Advance(time.Second)
 	exchange(first, second)
 	require.Error(t, second.Acquire(context.Background(), request(1)))
@@ -89,7 +89,7 @@
 func TestClearedEvidenceDoesNotReturn(t *testing.T) {
 	clock := fake.NewClock()
 	first, second := NewQuarantiner(Config{Clock: clock}), NewQuarantiner(Config{Clock: clock})
-	first.RecordCrash(request(1), "server-a")
+	recordCrash(first, request(1), "server-a")
 	exchange(first, second)
 	require.NoError(t, first.Acquire(context.Background(), request(1)))
 	first.Release(request(1), true)
@@ -97,10 +97,10 @@
 	require.False(t, first.Suspected(request(1)), "the other host had not learned of the response")
 	exchange(first, second)
 	require.False(t, second.Suspected(request(1)))
-	second.RecordCrash(request(1), "server-b")
+	recordCrash(second, request(1), "server-b")
 	exchange(second, first)
 	require.NoError(t, first.Check(request(1)), "one crash since the response")
-	first.RecordCrash(request(1), "server-c")
+	recordCrash(first, request(1), "server-c")
 	require.Error(t, first.Check(request(1)))
 }
 
@@ -114,7 +114,7 @@
 			host := rapid.SampledFrom(hosts).Draw(t, "host")
 			switch rapid.IntRange(0, 2).Draw(t, "step") {
 			case 0:
-				host.RecordCrash(request(1), verbenastand.ServerID(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "server")))
+				recordCrash(host, request(1), verbenastand.ServerID(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "server")))
 			case 1:
 				if host.Check(request(1)) == nil && host.Acquire(context.Background(), request(1)) == nil {
 					host.Release(request(1), rapid.Bool().Draw(t, "responded"))
@@ -144,12 +144,12 @@
 	clock := fake.NewClock()
 	q := NewQuarantiner(Config{Clock: clock})
 	for f := range known {
-		q.RecordCrash(request(f), "server-a")
-		q.RecordCrash(request(f), "server-b")
+		recordCrash(q, request(f), "server-a")
+		recordCrash(q, request(f), "server-b")
 		clock.Advance(10 * time.Millisecond)
 	}
 	for f := range recent {
-		q.RecordCrash(request(known+f), "server-a")
+		recordCrash(q, request(known+f), "server-a")
 		clock.Advance(10 * time.Millisecond)
 	}
 	sent := make(map[uint64]int)
@@ -175,7 +175,7 @@
 			continue
 		}
 		crashed++
-		q.RecordCrash(request(1), verbenastand.ServerID(fmt.Sprint("server-", i)))
+		recordCrash(q, request(1), verbenastand.ServerID(fmt.Sprint("server-", i)))
 		q.Release(request(1), false)
 	}
 	require.Equal(t, CrashLimit, crashed)
@@ -184,13 +184,13 @@
 func TestRequestWithResponseIsNoLongerSuspected(t *testing.T) {
 	clock := fake.NewClock()
 	q := NewQuarantiner(Config{Clock: clock})
-	q.RecordCrash(request(1), "server-a")
+	recordCrash(q, request(1), "server-a")
 	require.NoError(t, q.Acquire(context.Background(), request(1)))
 	q.Release(request(1), true)
-	q.RecordCrash(request(1), "server-b")
+	recordCrash(q, request(1), "server-b")
 	require.NoError(t, q.Acquire(context.Background(), request(1)), "one crash since the response")
 	q.Release(request(1), false)
-	q.RecordCrash(request(1), "server-c")
+	recordCrash(q, request(1), "server-c")
 	err := q.Acquire(context.Background(), request(1))
 	require.Equal(t, verbenastand.NotRun, verbenastand.VerdictOf(err))
 	clock.Advance(DefaultLifetime + time.Second)
@@ -199,7 +199,7 @@
 
 func TestAttemptsOfASuspectRunOneAtATime(t *testing.T) {
 	q := NewQuarantiner(Config{Clock: fake.NewClock()})
-	q.RecordCrash(request(1), "server-a")
+	recordCrash(q, request(1), "server-a")
 	require.NoError(t, q.Acquire(context.Background(), request(1)))
 	acquired := make(chan error)
 	go func() { acquired <- q.Acquire(context.Background(), request(1)) }()
@@ -211,3 +211,8 @@
 	q.Release(request(1), true)
 	require.NoError(t, <-acquired)
 }
+
+// recordCrash records that a server crashed while it ran a request.
+func recordCrash(q *Quarantiner, f Fingerprint, server verbenastand.ServerID) {
+	q.RecordLoss(f, verbenastand.NewLoss(verbenastand.LossConfig{Server: server, At: q.config.Clock.Now()}), verbenastand.ProcessEnded)
+}
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -147,6 +147,7 @@
 func (r *Recorder) EvidenceChanged(c quarantiner.Change) {
 	r.config.Log.WithFields(log.Fields{
 		"change": c.Kind.String(), "scope": c.Scope.String(), "fingerprint": c.Fingerprint, "crashes": c.Crashes,
+		"possibleCrashes": c.PossibleCrashes,
 	}).Info(eventEvidence)
 }
 
@@ -161,7 +162,7 @@
 // RequestSuspected logs that a server crashed while it ran a request.
 func (r *Recorder) RequestSuspected(s quarantiner.Suspect) {
 	r.config.Log.WithFields(log.Fields{
-		"id": s.RequestID, "fingerprint": s.Fingerprint.String(), "server": string(s.Server),
+		"id": s.RequestID, "fingerprint": s.Fingerprint.String(), "server": string(s.Server), "state": s.State.String(),
 		"caller": s.Caller, "method": s.Method, "target": loggedTarget(s.Target),
 	}).Warn(eventSuspected)
 }
--- a/registration.go
+++ b/registration.go
@@ -2,19 +2,6 @@
 
 import "time"
 
-// ProcessState tells whether the process of a backend server is still the one to which a
-// connection was lost.
-type ProcessState int
-
-const (
-	// ProcessUnknown means that nothing proves either of the others.
-	ProcessUnknown ProcessState = iota // unknown
-	// ProcessEnded means that the process has ended.
-	ProcessEnded // ended
-	// ProcessRunning means that the process is running.
-	ProcessRunning // running
-)
-
 // Registration is the entry of a backend server in the configuration store,
 // written by the server itself.
 type Registration struct{ c RegistrationConfig }
--- a/scheduler/grant.go
+++ b/scheduler/grant.go
@@ -14,7 +14,9 @@
 	server *server
 	// config is the configuration of the server when the slot was granted. A
 	// ticket may change it at any time.
-	config    verbenastand.Server
+	config verbenastand.Server
+	// instance identifies the server process when the slot was granted, empty if unknown.
+	instance  string
 	size      verbenastand.Size
 	expected  time.Duration
 	grantedAt time.Time
@@ -23,6 +25,9 @@
 // Server returns the server that the slot belongs to.
 func (g Grant) Server() verbenastand.Server { return g.config }
 
+// Instance returns what identifies the server process, empty if unknown.
+func (g Grant) Instance() string { return g.instance }
+
 // GrantedAt returns when the slot was granted.
 func (g Grant) GrantedAt() time.Time { return g.grantedAt }
 
@@ -167,7 +172,7 @@
 	verifier.Assert(!entry.draining(), "a draining server gets no new requests")
 	verifier.Assert(entry.total() <= 2*entry.Slots(), "a host has at most twice as many requests in flight at a server as it has slots")
 	verifier.Assert(w.Size == verbenastand.Short || entry.inFlight[verbenastand.Long] <= max(1, entry.longSlots), "long requests stay within their slots")
-	w.grant = Grant{server: entry, config: entry.Server, size: w.Size, expected: w.Expected, grantedAt: now}
+	w.grant = Grant{server: entry, config: entry.Server, instance: entry.instance, size: w.Size, expected: w.Expected, grantedAt: now}
 	s.updateScore(entry, now)
 	return true
 }
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -31,6 +31,24 @@
 	s.updateScore(g.server, now)
 }
 
+// reportTransit bounds the time between the sending of a response and its receipt.
+const reportTransit = time.Second
+
+// ProcessState returns what the responses of a server tell of the process to which a
+// connection was lost.
+func (s *Scheduler) ProcessState(lost verbenastand.Loss) verbenastand.ProcessState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	entry := s.byID[lost.Server()]
+	if entry == nil || entry.instance == "" || lost.Instance() == "" || !entry.respondedAt.After(lost.At().Add(reportTransit)) {
+		return verbenastand.ProcessUnknown
+	}
+	if entry.instance != lost.Instance() {
+		return verbenastand.ProcessEnded
+	}
+	return verbenastand.ProcessRunning
+}
+
 // HasServer reports whether the server belongs to the service.
 func (s *Scheduler) HasServer(id verbenastand.ServerID) bool {
 	s.mu.Lock()
--- a/sender/connection.go
+++ b/sender/connection.go
@@ -83,6 +83,7 @@
 	limit  *bounder.Reader
 	reader *bufio.Reader
 
+	openedAt    time.Time
 	idleUntil   time.Time
 	idleTimeout time.Duration
 	reused      bool
@@ -96,13 +97,16 @@
 	limit := bounder.NewReader(conn, maxHeaderBytes)
 	return &Connection{
 		sender: s, target: t, conn: conn, limit: limit, reader: bufio.NewReaderSize(limit, readBuffer),
-		idleTimeout: s.config.IdleTimeout, reusable: true,
+		idleTimeout: s.config.IdleTimeout, reusable: true, openedAt: time.Now(),
 	}
 }
 
 // Reused reports whether the connection carried an exchange before.
 func (c *Connection) Reused() bool { return c.reused }
 
+// OpenedAt returns when the connection was opened.
+func (c *Connection) OpenedAt() time.Time { return c.openedAt }
+
 // Target returns the server process to which the connection was opened.
 func (c *Connection) Target() Target { return c.target }
 
