--- a/carrier/attempt.go
+++ b/carrier/attempt.go
@@ -98,7 +98,7 @@
 		o.err = c.validate(response)
 	}
 	if o.err == nil {
-		c.observeLimit(registration, response, event.At)
+		c.observeServer(registration, response, event.At)
 	}
 	if o.err == nil {
 		o.err = c.readBody(o)
@@ -178,12 +178,13 @@
 	return verbenastand.NewRequestError(verbenastand.MayHaveRun, verbenastand.ReasonInvalidResponse, sender.ErrUnexpectedResponse)
 }
 
-// observeLimit passes on what the response tells about the server's limit, unless it is
-// that of another process at the server's address.
-func (c *call) observeLimit(server verbenastand.Registration, r *sender.Response, sentAt time.Time) {
+// observeServer passes on what the response says of its server, unless it is that of
+// another process at the server's address.
+func (c *call) observeServer(server verbenastand.Registration, r *sender.Response, sentAt time.Time) {
 	if r.Status == http.StatusMisdirectedRequest {
 		return
 	}
+	c.carrier.config.Excluder.Observe(exclusionResponse(c.carrier.config.Names, server, r.Status, r.Header))
 	named := r.Header.Values(c.carrier.config.Names.Limit)
 	c.carrier.config.Limiter.Observe(limiter.Response{
 		Process: server.Process(), Named: len(named) > 0, Text: strings.Join(named, ", "),
--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -21,6 +21,7 @@
 	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/acceptor"
 	"github.com/verbenastand/verbenastand/balancer"
+	"github.com/verbenastand/verbenastand/excluder"
 	"github.com/verbenastand/verbenastand/internal/bounder"
 	"github.com/verbenastand/verbenastand/limiter"
 	"github.com/verbenastand/verbenastand/quarantiner"
@@ -63,6 +64,7 @@
 	Sender       *sender.Sender
 	Quarantiner  *quarantiner.Quarantiner
 	Limiter      *limiter.Limiter
+	Excluder     *excluder.Excluder
 	// Self is the name of this host.
 	Self verbenastand.HostID
 	// Reachability reports whether this host reaches servers; if nil, it always does.
--- a/carrier/check.go
+++ b/carrier/check.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 
 	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/balancer"
+	"github.com/verbenastand/verbenastand/excluder"
 	"github.com/verbenastand/verbenastand/sender"
 )
 
@@ -15,6 +17,10 @@
 	Sender *sender.Sender
 	// Reachability learns which servers respond; nil for none.
 	Reachability Reachability
+	// Names are the names of header fields. Excluder learns what responses say of their
+	// server; nil for none.
+	Names    verbenastand.HeaderNames
+	Excluder *excluder.Excluder
 	// OnCheck is called after each health check.
 	OnCheck func(service verbenastand.ServiceName, ok bool)
 }
@@ -30,12 +36,29 @@
 	}
 }
 
+// observeExclusion passes on what a response says of its server. The header is nil if there
+// was none.
+func (h *HealthChecker) observeExclusion(server verbenastand.Registration, health sender.Health) {
+	if h.Excluder != nil && health.Header != nil {
+		h.Excluder.Observe(exclusionResponse(h.Names, server, health.Status, health.Header))
+	}
+}
+
+// exclusionResponse returns what a response says of its server.
+func exclusionResponse(names verbenastand.HeaderNames, server verbenastand.Registration, status int, header http.Header) excluder.Response {
+	return excluder.Response{
+		Process: server.Process(), Status: status, Leaving: header.Values(names.Leaving), RetryAfter: header.Values("Retry-After"),
+	}
+}
+
 // Probe checks the health of a server over a new connection. The error is nil if any
 // process has responded at its address.
 func (h *HealthChecker) Probe(ctx context.Context, r verbenastand.Registration, healthPath string) error {
 	c, err := h.Sender.ConnectNew(ctx, targetOf(r))
 	if err == nil {
-		_, _, _, err = c.Check(ctx, healthPath)
+		var health sender.Health
+		health, err = c.Check(ctx, healthPath)
+		h.observeExclusion(r, health)
 		defer h.Sender.PutIdle(c)
 	}
 	if errors.Is(err, sender.ErrInstanceMismatch) {
@@ -74,11 +97,12 @@
 			h.OnCheck(registration.Service(), false)
 			return balancer.CheckResult{}, err
 		}
-		report, reported, healthy, err := c.Check(ctx, healthPath)
+		health, err := c.Check(ctx, healthPath)
+		h.observeExclusion(registration, health)
 		h.observe(ctx, registration, c, err)
 		h.OnCheck(registration.Service(), err == nil)
 		if err == nil {
-			return balancer.CheckResult{Report: report, Reported: reported, Healthy: healthy, Conn: &checkConn{sender: h.Sender, connection: c}}, nil
+			return balancer.CheckResult{Report: health.Report, Reported: health.Reported, Healthy: health.Healthy, Conn: &checkConn{sender: h.Sender, connection: c}}, nil
 		}
 		c.Close()
 		if errors.Is(err, sender.ErrInstanceMismatch) {
--- a/carrier/examine.go
+++ b/carrier/examine.go
@@ -71,7 +71,7 @@
 		if err != nil {
 			return time.Time{}, err
 		}
-		_, _, _, err = conn.Check(ctx, path)
+		_, err = conn.Check(ctx, path)
 		c.config.Sender.PutIdle(conn)
 		if err == nil || errors.Is(err, sender.ErrInstanceMismatch) || !conn.Reused() || ctx.Err() != nil {
 			return conn.OpenedAt(), err
--- a/carrier/harness_test.go
+++ b/carrier/harness_test.go
@@ -22,6 +22,7 @@
 	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/acceptor"
 	"github.com/verbenastand/verbenastand/balancer"
+	"github.com/verbenastand/verbenastand/excluder"
 	"github.com/verbenastand/verbenastand/limiter"
 	"github.com/verbenastand/verbenastand/quarantiner"
 	"github.com/verbenastand/verbenastand/retrier"
@@ -35,7 +36,7 @@
 func (testHeaderFormat) Names() verbenastand.HeaderNames {
 	return verbenastand.HeaderNames{
 		RequestID: "X-Id", Deadline: "X-Deadline", Signature: "X-Signature",
-		ExpectedInstance: "X-Expected", Instance: "X-Instance", NotRun: "X-Not-Run", Load: "X-Load", Limit: "X-Limit",
+		ExpectedInstance: "X-Expected", Instance: "X-Instance", NotRun: "X-Not-Run", Load: "X-Load", Limit: "X-Limit", Leaving: "X-Leaving",
 	}
 }
 
@@ -81,6 +82,7 @@
 	acceptor    *acceptor.Acceptor
 	balancer    *balancer.Balancer
 	limiter     *limiter.Limiter
+	excluder    *excluder.Excluder
 	events      []Event
 	hostCount   int
 	// callerAddress is the network address of the connections that connect opens.
@@ -206,7 +208,8 @@
 	routes := router.NewRouter()
 	routes.Update(table)
 	s := sender.NewSender(sender.Config{HeaderFormat: testHeaderFormat{}, Dial: h.dial})
-	checker := &HealthChecker{Sender: s, OnCheck: func(verbenastand.ServiceName, bool) {}}
+	h.excluder = excluder.NewExcluder(excluder.Config{Clock: wallClock{}})
+	checker := &HealthChecker{Sender: s, Names: testHeaderFormat{}.Names(), Excluder: h.excluder, OnCheck: func(verbenastand.ServiceName, bool) {}}
 	h.limiter = limiter.NewLimiter(limiter.Config{Clock: wallClock{}, Self: self.ID(), Hosts: func(verbenastand.ServerProcess) []verbenastand.Host {
 		return []verbenastand.Host{self}
 	}})
@@ -219,8 +222,8 @@
 	h.carrier = NewCarrier(Config{
 		Clock: wallClock{}, Names: testHeaderFormat{}.Names(), HeaderFormat: testHeaderFormat{}, Router: routes, Balancer: h.balancer, Sender: s,
 		Quarantiner: quarantiner.NewQuarantiner(quarantiner.Config{Clock: wallClock{}}), Observer: h,
-		Limiter: h.limiter,
-		Tracer:  noop.NewTracerProvider().Tracer(""), OnCrashSuspected: func(quarantiner.Suspect) {}, MaxConcurrent: 100,
+		Limiter: h.limiter, Excluder: h.excluder,
+		Tracer: noop.NewTracerProvider().Tracer(""), OnCrashSuspected: func(quarantiner.Suspect) {}, MaxConcurrent: 100,
 		NewBudget: func(verbenastand.ServiceName) *retrier.WindowBudget {
 			return retrier.NewWindowBudget(retrier.WindowBudgetConfig{
 				Clock: wallClock{}, Duration: 10 * time.Second, Ratio: 0.2, Allowance: 50, Hosts: func() int { return h.hostCount },
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -15,6 +15,7 @@
 
 	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/deduplicator"
+	"github.com/verbenastand/verbenastand/excluder"
 	"github.com/verbenastand/verbenastand/limiter"
 	"github.com/verbenastand/verbenastand/meter"
 	"github.com/verbenastand/verbenastand/quarantiner"
@@ -31,6 +32,7 @@
 	Deduplicator *deduplicator.Deduplicator
 	Quarantiner  *quarantiner.Quarantiner
 	Limiter      *limiter.Limiter
+	Excluder     *excluder.Excluder
 	// Reachability tells which services this host reaches; if nil, it reaches all.
 	Reachability Reachability
 	Peers        verbenastand.PeerTransport
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -21,6 +21,7 @@
 	"github.com/verbenastand/verbenastand/connector"
 	"github.com/verbenastand/verbenastand/deduplicator"
 	"github.com/verbenastand/verbenastand/dispatcher"
+	"github.com/verbenastand/verbenastand/excluder"
 	"github.com/verbenastand/verbenastand/internal/fake"
 	"github.com/verbenastand/verbenastand/limiter"
 	"github.com/verbenastand/verbenastand/merger"
@@ -46,6 +47,7 @@
 	registrar   *registrar.Registrar
 	quarantiner *quarantiner.Quarantiner
 	limiter     *limiter.Limiter
+	excluder    *excluder.Excluder
 	keys        *deduplicator.Deduplicator
 	hosts       []verbenastand.Host
 	server      func(verbenastand.Server, *http.Request) (*http.Response, error)
@@ -110,11 +112,12 @@
 	})
 	serviceRegistrar = registrar.NewRegistrar(registrar.Config{Clock: p.clock, Self: host, Configuration: p.merger, Hosts: p.Hosts, Limiter: p.limiter})
 	p.registrar = serviceRegistrar
+	p.excluder = excluder.NewExcluder(excluder.Config{Clock: p.clock})
 	p.quarantiner = quarantiner.NewQuarantiner(quarantiner.Config{Clock: p.clock})
 	p.keys = deduplicator.NewDeduplicator(deduplicator.Config{Clock: p.clock, Instance: host.Instance()})
 	p.Dispatcher = dispatcher.NewDispatcher(dispatcher.Config{
 		Timer: p.clock, Self: host, Membership: p, Registrar: serviceRegistrar, Deduplicator: p.keys,
-		Quarantiner: p.quarantiner, Limiter: p.limiter, Reachability: p,
+		Quarantiner: p.quarantiner, Limiter: p.limiter, Excluder: p.excluder, Reachability: p,
 		Peers: p, Servers: p, Meter: meter.NewMeter(), Tracer: noop.NewTracerProvider().Tracer(""),
 		MaxBody: 1 << 20, MaxConcurrent: 1000, StallTimeout: time.Second,
 		OnDrainNotice:    func(verbenastand.ServiceName, scheduler.DrainNotice) {},
--- a/dispatcher/execute.go
+++ b/dispatcher/execute.go
@@ -16,6 +16,7 @@
 	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/connector"
 	"github.com/verbenastand/verbenastand/estimator"
+	"github.com/verbenastand/verbenastand/excluder"
 	"github.com/verbenastand/verbenastand/limiter"
 	"github.com/verbenastand/verbenastand/reporter"
 	"github.com/verbenastand/verbenastand/retrier"
@@ -125,7 +126,7 @@
 	}
 	resp.report = reporter.Read(response.Header, grant.Server().Slots())
 	refused := response.Header.Get(verbenastand.HeaderVerdict) == verbenastand.NotRun.String()
-	d.observeLimit(grant, response, !refused && response.StatusCode < http.StatusInternalServerError)
+	d.observeServer(grant, response, !refused && response.StatusCode < http.StatusInternalServerError)
 	if refused {
 		resp.result = estimator.Shed
 		resp.close()
@@ -143,8 +144,11 @@
 	return resp, nil
 }
 
-// observeLimit passes on what the response tells about the server's limit.
-func (d *Dispatcher) observeLimit(g scheduler.Grant, r *http.Response, succeeded bool) {
+// observeServer passes on what the response says of its server.
+func (d *Dispatcher) observeServer(g scheduler.Grant, r *http.Response, succeeded bool) {
+	d.config.Excluder.Observe(excluder.Response{
+		Process: g.Server().Process(), Status: r.StatusCode, RetryAfter: r.Header.Values("Retry-After"),
+	})
 	named := r.Header.Values(verbenastand.HeaderServerLimit)
 	d.config.Limiter.Observe(limiter.Response{
 		Process: g.Server().Process(), Named: len(named) > 0, Text: strings.Join(named, ", "),
--- a/launcher/event.go
+++ b/launcher/event.go
@@ -30,6 +30,8 @@
 	h.timer.Every(reachPeriod, h.reach.update)
 	h.timer.Every(sweepPeriod, h.quarantiner.Sweep)
 	h.timer.Every(sweepPeriod, h.limiter.Sweep)
+	// Leaving servers are kept by the schedulers.
+	h.timer.Every(sweepPeriod, func(time.Time) { h.excluder.Sweep(func(verbenastand.ServerProcess) bool { return false }) })
 	h.timer.Every(certificatePeriod, func(time.Time) { h.reloadCertificates() })
 	h.timer.Every(hostListPeriod, func(time.Time) { h.background.Go(h.readHostList) })
 	h.timer.OnPause(func(gap time.Duration) {
@@ -58,6 +60,10 @@
 	h.meter.Gauge("hosts", "Hosts believed alive.", func() float64 { return float64(len(h.gossiper.Hosts())) })
 	h.meter.Gauge("keys", "Idempotency keys remembered.", func() float64 { return float64(h.deduplicator.Len()) })
 	h.meter.Gauge("quarantined", "Request fingerprints that are refused.", func() float64 { return float64(h.quarantiner.Quarantined()) })
+	h.meter.Gauge("paused_servers", "Servers that have asked this host for a pause.", func() float64 {
+		_, paused := h.excluder.Counts()
+		return float64(paused)
+	})
 	h.meter.Gauge("limited_servers", "Servers that name a limit of requests per second.", func() float64 { return float64(h.limiter.Limited()) })
 	h.meter.Gauge("requests_in_flight", "Requests on this host.", func() float64 { return float64(h.dispatcher.InFlight()) })
 }
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/verbenastand/verbenastand/configurer"
 	"github.com/verbenastand/verbenastand/delegator"
 	"github.com/verbenastand/verbenastand/detector"
+	"github.com/verbenastand/verbenastand/excluder"
 	"github.com/verbenastand/verbenastand/follower"
 	"github.com/verbenastand/verbenastand/forwarder"
 	"github.com/verbenastand/verbenastand/gossiper"
@@ -99,6 +100,7 @@
 	gossiper      *gossiper.Gossiper
 	quarantiner   *quarantiner.Quarantiner
 	limiter       *limiter.Limiter
+	excluder      *excluder.Excluder
 	follower      *follower.Follower
 	router        *router.Router
 	balancer      *balancer.Balancer
@@ -145,6 +147,7 @@
 	g.limiter = limiter.NewLimiter(limiter.Config{
 		Clock: g.timer, Self: g.self.ID(), Hosts: g.limitedHosts, OnChange: g.onLimitChange,
 	})
+	g.excluder = excluder.NewExcluder(excluder.Config{Clock: g.timer, OnChange: g.recorder.ExclusionChanged})
 	g.buildGossip(certificates)
 	g.requestTracer, g.stopTracer, err = tracer.NewTracer(ctx, tracer.Config{Endpoint: s.TraceEndpoint, SampleRatio: s.TraceShare, Instance: instance})
 	if err != nil {
@@ -196,14 +199,17 @@
 	g.reach.detector = detector.NewDetector(detector.Config{
 		Clock: g.timer, View: g.follower.View, Probe: g.probe, OnChange: g.onReachChange,
 	})
-	g.healthChecker = &carrier.HealthChecker{Sender: g.sender, Reachability: g.reach.detector, OnCheck: g.meter.Probed}
+	g.healthChecker = &carrier.HealthChecker{
+		Sender: g.sender, Reachability: g.reach.detector, OnCheck: g.meter.Probed,
+		Names: g.config.HeaderFormat.Names(), Excluder: g.excluder,
+	}
 	g.balancer = balancer.NewBalancer(balancer.Config{
 		Clock: g.timer, Zone: g.self.Zone(), Limiter: g.limiter, OnServerChange: g.recorder.ServerChanged,
 		HealthChecker: g.healthChecker,
 	})
 	g.carrier = carrier.NewCarrier(carrier.Config{
 		Clock: g.timer, Names: g.config.HeaderFormat.Names(), HeaderFormat: g.config.HeaderFormat, Router: g.router,
-		Balancer: g.balancer, Sender: g.sender, Quarantiner: g.quarantiner, Limiter: g.limiter, Observer: g.recorder,
+		Balancer: g.balancer, Sender: g.sender, Quarantiner: g.quarantiner, Limiter: g.limiter, Excluder: g.excluder, Observer: g.recorder,
 		RegistrationAge: g.follower.Staleness,
 		Self:            g.self.ID(), Reachability: g.reach.detector, Delegator: delegator.NewDelegator(delegator.Config{
 			Self: g.self, Membership: g.gossiper, Tunnel: g.forwarder.Tunnel,
@@ -342,6 +348,14 @@
 	g.meter.Gauge("hosts", "Hosts believed alive.", func() float64 { return float64(len(g.gossiper.Hosts())) })
 	g.meter.Gauge("quarantined", "Request fingerprints that are refused.", func() float64 { return float64(g.quarantiner.Quarantined()) })
 	g.meter.Gauge("limited_servers", "Servers that name a limit of requests per second.", func() float64 { return float64(g.limiter.Limited()) })
+	g.meter.Gauge("leaving_servers", "Servers that have said that they are leaving.", func() float64 {
+		leaving, _ := g.excluder.Counts()
+		return float64(leaving)
+	})
+	g.meter.Gauge("paused_servers", "Servers that have asked this host for a pause.", func() float64 {
+		_, paused := g.excluder.Counts()
+		return float64(paused)
+	})
 	g.meter.Gauge("detached", "1 while no server is reached.", func() float64 {
 		if g.reach.detector.Detached() {
 			return 1
--- a/launcher/gateway_run.go
+++ b/launcher/gateway_run.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -104,6 +105,7 @@
 	g.timer.Every(reachPeriod, g.reach.update)
 	g.timer.Every(sweepPeriod, g.quarantiner.Sweep)
 	g.timer.Every(sweepPeriod, g.limiter.Sweep)
+	g.timer.Every(sweepPeriod, func(time.Time) { g.excluder.Sweep(g.registered) })
 	g.timer.Every(sweepPeriod, func(time.Time) { g.sender.Sweep(g.knownTargets()) })
 	g.timer.OnPause(func(gap time.Duration) {
 		g.meter.Paused()
@@ -118,6 +120,13 @@
 	})
 }
 
+// registered reports whether a server process is in the current view.
+func (g *Gateway) registered(p verbenastand.ServerProcess) bool {
+	return slices.ContainsFunc(g.follower.View().Servers(p.Service), func(r verbenastand.Registration) bool {
+		return r.Server() == p.Server && r.StartTime() == p.StartTime
+	})
+}
+
 // knownTargets returns a function that reports whether a server process is in the
 // current view. Idle connections to other targets are closed.
 func (g *Gateway) knownTargets() func(sender.Target) bool {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -22,6 +22,7 @@
 	"github.com/verbenastand/verbenastand/deduplicator"
 	"github.com/verbenastand/verbenastand/detector"
 	"github.com/verbenastand/verbenastand/dispatcher"
+	"github.com/verbenastand/verbenastand/excluder"
 	"github.com/verbenastand/verbenastand/forwarder"
 	"github.com/verbenastand/verbenastand/gossiper"
 	"github.com/verbenastand/verbenastand/limiter"
@@ -80,6 +81,7 @@
 	recorder     *recorder.Recorder
 	quarantiner  *quarantiner.Quarantiner
 	limiter      *limiter.Limiter
+	excluder     *excluder.Excluder
 	started      time.Time
 	deduplicator *deduplicator.Deduplicator
 	forwarder    *forwarder.Forwarder
@@ -136,6 +138,7 @@
 	h.watcher = watcher.NewWatcher(watcher.Config{Platform: h.reader, Merger: h.merger, OnError: h.onReadError})
 	h.recorder = recorder.NewRecorder(recorder.Config{Log: h.log, Meter: h.meter})
 	h.quarantiner = quarantiner.NewQuarantiner(quarantiner.Config{Clock: h.timer, OnChange: h.onEvidenceChange})
+	h.excluder = excluder.NewExcluder(excluder.Config{Clock: h.timer, OnChange: h.recorder.ExclusionChanged})
 	h.limiter = limiter.NewLimiter(limiter.Config{
 		Clock: h.timer, Self: h.self.ID(), Hosts: h.limitedHosts, OnChange: h.recorder.LimitChanged,
 	})
@@ -178,7 +181,7 @@
 	})
 	h.dispatcher = dispatcher.NewDispatcher(dispatcher.Config{
 		Timer: h.timer, Self: h.self, Membership: h.gossiper, Registrar: h.registrar,
-		Deduplicator: h.deduplicator, Quarantiner: h.quarantiner, Limiter: h.limiter, Peers: h.forwarder, Reachability: h,
+		Deduplicator: h.deduplicator, Quarantiner: h.quarantiner, Limiter: h.limiter, Excluder: h.excluder, Peers: h.forwarder, Reachability: h,
 		Servers: h.connector, Meter: h.meter, Tracer: requestTracer, MaxBody: h.settings.MaxBody,
 		MaxConcurrent: h.settings.MaxConcurrent, StallTimeout: h.settings.StallTimeout,
 		OnDrainNotice: h.onDrainNotice, OnCrashSuspected: h.onCrashSuspected,
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -10,6 +10,7 @@
 	"github.com/verbenastand/verbenastand/balancer"
 	"github.com/verbenastand/verbenastand/carrier"
 	"github.com/verbenastand/verbenastand/detector"
+	"github.com/verbenastand/verbenastand/excluder"
 	"github.com/verbenastand/verbenastand/follower"
 	"github.com/verbenastand/verbenastand/limiter"
 	"github.com/verbenastand/verbenastand/meter"
@@ -29,6 +30,7 @@
 	eventDelegated   = "delegated"
 	eventReach       = "serviceReached"
 	eventLost        = "connectionLost"
+	eventExclusion   = "serverExcluded"
 )
 
 // maxLoggedTarget bounds the bytes of a request target in a log line.
@@ -159,6 +161,14 @@
 	}).Info(eventLimit)
 }
 
+// ExclusionChanged logs what a server has said of itself.
+func (r *Recorder) ExclusionChanged(c excluder.Change) {
+	r.config.Log.WithFields(log.Fields{
+		"change": c.Kind.String(), "server": string(c.Process.Server), "startTime": c.Process.StartTime, "service": string(c.Process.Service),
+		"pauseMs": milliseconds(c.Pause), "learned": c.Learned, "text": loggedTarget(c.Text),
+	}).Info(eventExclusion)
+}
+
 // RequestSuspected logs that a server crashed while it ran a request.
 func (r *Recorder) RequestSuspected(s quarantiner.Suspect) {
 	r.config.Log.WithFields(log.Fields{
--- a/sender/connection.go
+++ b/sender/connection.go
@@ -151,9 +151,19 @@
 	return context.AfterFunc(ctx, func() { _ = c.conn.SetDeadline(time.Unix(1, 0)) })
 }
 
-// Check asks the server for its health and load. healthy is the status that the
-// server reported.
-func (c *Connection) Check(ctx context.Context, path string) (report verbenastand.LoadReport, reported, healthy bool, err error) {
+// Health is the response to a health check.
+type Health struct {
+	// Report is valid if Reported is set.
+	Report   verbenastand.LoadReport
+	Reported bool
+	// Healthy is the health status that the server reported.
+	Healthy bool
+	Status  int
+	Header  http.Header
+}
+
+// Check asks the server for its health and load.
+func (c *Connection) Check(ctx context.Context, path string) (health Health, err error) {
 	release := c.bindContext(ctx)
 	defer func() {
 		if release() {
@@ -169,28 +179,29 @@
 	c.reusable = false
 	head := "GET " + path + " HTTP/1.1\r\nHost: " + c.target.Address + "\r\n\r\n"
 	if _, err := io.WriteString(c.conn, head); err != nil {
-		return report, false, false, classifyError(ctx, err)
+		return Health{}, classifyError(ctx, err)
 	}
 	c.limit.Allow(maxHeaderBytes)
 	response, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
-		return report, false, false, classifyError(ctx, err)
+		return Health{}, classifyError(ctx, err)
 	}
 	if response.StatusCode < http.StatusOK || response.Header.Get(c.sender.names.RequestID) != "" {
 		// A late response to an earlier request of the connection.
-		return report, false, false, ErrUnexpectedResponse
+		return Health{}, ErrUnexpectedResponse
 	}
 	c.limit.Allow(maxCheckBody)
 	// Closing the body would read all of it.
 	if _, err = io.Copy(io.Discard, response.Body); err != nil {
-		return report, false, false, classifyError(ctx, err)
+		return Health{}, classifyError(ctx, err)
 	}
 	if id := response.Header.Get(c.sender.names.Instance); id != "" && id != string(c.target.Server) {
-		return report, false, false, ErrInstanceMismatch
+		return Health{}, ErrInstanceMismatch
 	}
-	report, reported = c.sender.config.HeaderFormat.ParseLoad(response.Header.Get(c.sender.names.Load))
+	health = Health{Healthy: response.StatusCode == http.StatusOK, Status: response.StatusCode, Header: response.Header}
+	health.Report, health.Reported = c.sender.config.HeaderFormat.ParseLoad(response.Header.Get(c.sender.names.Load))
 	c.updateReuse(response)
-	return report, reported, response.StatusCode == http.StatusOK, nil
+	return health, nil
 }
 
 // updateReuse decides whether the connection can carry another exchange.
--- a/sender/sender_test.go
+++ b/sender/sender_test.go
@@ -271,15 +271,15 @@
 			s := NewSender(Config{HeaderFormat: testHeaderFormat{}})
 			c, err := s.Connect(t.Context(), server.target)
 			require.NoError(t, err)
-			report, reported, healthy, err := c.Check(t.Context(), "/health")
+			health, err := c.Check(t.Context(), "/health")
 			if tc.err != nil {
 				require.ErrorIs(t, err, tc.err)
 				return
 			}
 			require.NoError(t, err)
-			require.True(t, reported)
-			require.Equal(t, 4, report.Running)
-			require.Equal(t, tc.healthy, healthy)
+			require.True(t, health.Reported)
+			require.Equal(t, 4, health.Report.Running)
+			require.Equal(t, tc.healthy, health.Healthy)
 		})
 	}
 }
@@ -322,7 +322,7 @@
 	}})
 	c, err := s.Connect(t.Context(), server.target)
 	require.NoError(t, err)
-	_, _, _, err = c.Check(ctx, "/health")
+	_, err = c.Check(ctx, "/health")
 	require.ErrorIs(t, err, context.Canceled)
 }
 
--- a/store.go
+++ b/store.go
@@ -98,6 +98,8 @@
 	// Limit is the number of requests per second that a server takes from all hosts
 	// together; absent if there is no limit.
 	Limit string
+	// Leaving is the field in which a server says that it is leaving.
+	Leaving string
 }
 
 // LoadReport is the load that a backend server reports.
