--- a/carrier/delegate.go
+++ b/carrier/delegate.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"strconv"
 	"time"
 
 	verbenastand "github.com/verbenastand/verbenastand"
@@ -188,9 +187,8 @@
 		v = verbenastand.NotRun
 	}
 	refusal := verbenastand.NewRequestError(v, reason, errDelegateRefused)
-	seconds, err := strconv.ParseFloat(r.Header.Get("Retry-After"), 64)
-	if err == nil && seconds > 0 {
-		refusal = refusal.WithRetryAfter(time.Duration(seconds * float64(time.Second)))
+	if delay, err := verbenastand.ParseRetryAfter(r.Header.Get("Retry-After")); err == nil {
+		refusal = refusal.WithRetryAfter(delay)
 	}
 	return refusal
 }
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -59,6 +59,9 @@
 	// Probe requests the health of a server over a new connection. Any response proves
 	// that the service is reached.
 	Probe func(context.Context, verbenastand.Registration) error
+	// Excluder keeps which servers get no requests; nil for none. They are probed only if
+	// there are no others.
+	Excluder verbenastand.ServerExcluder
 	// OnChange is called when a result changes. It must not block.
 	OnChange func(Change)
 }
@@ -91,6 +94,9 @@
 
 // NewDetector returns a detector that considers all services reached.
 func NewDetector(c Config) *Detector {
+	if c.Excluder == nil {
+		c.Excluder = verbenastand.NoExclusions{}
+	}
 	return &Detector{config: c, services: make(map[verbenastand.ServiceName]*service)}
 }
 
@@ -163,6 +169,18 @@
 	return false
 }
 
+// preferIncluded returns the servers that take requests, or all if there are none.
+func (d *Detector) preferIncluded(servers []verbenastand.Registration) []verbenastand.Registration {
+	included := slices.DeleteFunc(slices.Clone(servers), func(r verbenastand.Registration) bool {
+		_, excluded := d.config.Excluder.Exclusion(r.Process())
+		return excluded
+	})
+	if len(included) == 0 {
+		return servers
+	}
+	return included
+}
+
 // active returns the servers of a service that accept requests.
 func active(v *verbenastand.View, n verbenastand.ServiceName) []verbenastand.Registration {
 	return slices.DeleteFunc(slices.Clone(v.Servers(n)), func(r verbenastand.Registration) bool {
@@ -221,7 +239,7 @@
 		return
 	}
 	s.verification = make(chan struct{})
-	go d.verify(n, s, s.sample(servers), s.connections)
+	go d.verify(n, s, s.sample(d.preferIncluded(servers)), s.connections)
 }
 
 // sample returns the servers to probe in a random order, those first that have not
@@ -284,6 +302,7 @@
 	servers := active(v, failed.Service())
 	small := len(servers) <= smallService
 	servers = slices.DeleteFunc(servers, func(r verbenastand.Registration) bool { return r.Server() == failed.Server() })
+	servers = d.preferIncluded(servers)
 	shuffle(servers)
 	if small {
 		for _, n := range v.ServiceNames() {
@@ -348,6 +367,7 @@
 		}
 		s.retry = min(2*s.retry, maxRetry)
 		s.retryAt = now.Add(s.retry + probeTimeout)
+		servers = d.preferIncluded(servers)
 		shuffle(servers)
 		go d.retry(n, s, servers[:min(firstProbes, len(servers))])
 	}
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -223,3 +223,42 @@
 		})
 	}
 }
+
+// excludes is a ServerExcluder that excludes some servers.
+type excludes map[verbenastand.ServerID]bool
+
+// Exclusion implements verbenastand.ServerExcluder.
+func (e excludes) Exclusion(p verbenastand.ServerProcess) (verbenastand.Exclusion, bool) {
+	return verbenastand.Exclusion{Leaving: true}, e[p.Server]
+}
+
+// Checks that servers that want no requests are not probed while there are others.
+func TestExcludedServersAreNotProbed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newFakeNetwork(map[verbenastand.ServiceName]int{"a": 4})
+		excluded := excludes{}
+		probed := make(map[verbenastand.ServerID]bool)
+		var mu sync.Mutex
+		d := NewDetector(Config{
+			Clock: wallClock{}, View: func() *verbenastand.View { return n.view }, OnChange: func(Change) {}, Excluder: excluded,
+			Probe: func(_ context.Context, r verbenastand.Registration) error {
+				mu.Lock()
+				defer mu.Unlock()
+				probed[r.Server()] = true
+				return nil
+			},
+		})
+		for i := range 3 {
+			excluded[n.server("a", i).Server()] = true
+		}
+		for range 20 {
+			require.True(t, d.ReachesOthers(n.server("a", 0)))
+			d.Failed(n.server("a", 0))
+			d.Failed(n.server("a", 1))
+			time.Sleep(2 * time.Second)
+		}
+		require.Equal(t, map[verbenastand.ServerID]bool{n.server("a", 3).Server(): true}, probed)
+		excluded[n.server("a", 3).Server()] = true
+		require.True(t, d.ReachesOthers(n.server("a", 0)), "there are no others")
+	})
+}
--- a/dispatcher/delegate.go
+++ b/dispatcher/delegate.go
@@ -111,8 +111,8 @@
 		v = verbenastand.NotRun
 	}
 	refusal := verbenastand.NewRequestError(v, verbenastand.ParseRefusalReason(r.Header.Get(verbenastand.HeaderReason)), nil)
-	if seconds, err := time.ParseDuration(r.Header.Get("Retry-After") + "s"); err == nil {
-		refusal = refusal.WithRetryAfter(seconds)
+	if delay, err := verbenastand.ParseRetryAfter(r.Header.Get("Retry-After")); err == nil {
+		refusal = refusal.WithRetryAfter(delay)
 	}
 	return refusal
 }
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,6 +33,7 @@
 	"github.com/verbenastand/verbenastand/resolver"
 	"github.com/verbenastand/verbenastand/retrier"
 	"github.com/verbenastand/verbenastand/router"
+	"github.com/verbenastand/verbenastand/scheduler"
 	"github.com/verbenastand/verbenastand/sender"
 	"github.com/verbenastand/verbenastand/timer"
 	"github.com/verbenastand/verbenastand/tracer"
@@ -147,7 +149,7 @@
 	g.limiter = limiter.NewLimiter(limiter.Config{
 		Clock: g.timer, Self: g.self.ID(), Hosts: g.limitedHosts, OnChange: g.onLimitChange,
 	})
-	g.excluder = excluder.NewExcluder(excluder.Config{Clock: g.timer, OnChange: g.recorder.ExclusionChanged})
+	g.excluder = excluder.NewExcluder(excluder.Config{Clock: g.timer, OnChange: g.onExclusionChange})
 	g.buildGossip(certificates)
 	g.requestTracer, g.stopTracer, err = tracer.NewTracer(ctx, tracer.Config{Endpoint: s.TraceEndpoint, SampleRatio: s.TraceShare, Instance: instance})
 	if err != nil {
@@ -167,8 +169,8 @@
 		Configuration:      emptyConfiguration{verbenastand.NewConfiguration(verbenastand.ConfigurationConfig{})},
 		Quarantine:         g.quarantiner,
 		Limits:             g.limiter,
-		Notices:            func() []gossiper.Notice { return nil },
-		OnNotice:           func(gossiper.Notice) bool { return false },
+		Notices:            g.leavingNotices,
+		OnNotice:           g.applyLeavingNotice,
 		OnMembershipChange: g.onMembershipChange,
 		OnNewerTickets:     func(verbenastand.Host, verbenastand.TicketNumber) {},
 	})
@@ -197,7 +199,7 @@
 	g.sender = sender.NewSender(sender.Config{HeaderFormat: g.config.HeaderFormat})
 	g.reach = &reach{gossiper: g.gossiper, log: g.log}
 	g.reach.detector = detector.NewDetector(detector.Config{
-		Clock: g.timer, View: g.follower.View, Probe: g.probe, OnChange: g.onReachChange,
+		Clock: g.timer, View: g.follower.View, Probe: g.probe, Excluder: g.excluder, OnChange: g.onReachChange,
 	})
 	g.healthChecker = &carrier.HealthChecker{
 		Sender: g.sender, Reachability: g.reach.detector, OnCheck: g.meter.Probed,
@@ -302,6 +304,39 @@
 	}
 }
 
+// leavingNotices returns the servers that have said that they are leaving. The start time of
+// the process is sent as its instance.
+func (g *Gateway) leavingNotices() []gossiper.Notice {
+	var notices []gossiper.Notice
+	for _, p := range g.excluder.LeavingServers() {
+		notices = append(notices, gossiper.Notice{Service: p.Service, DrainNotice: scheduler.DrainNotice{
+			Server: p.Server, Instance: strconv.FormatInt(p.StartTime, 10),
+		}})
+	}
+	return notices
+}
+
+// applyLeavingNotice applies another host's notice that a server is leaving, and reports
+// whether this one did not know it. The other host may have sent a request of this one's
+// caller to the server.
+func (g *Gateway) applyLeavingNotice(n gossiper.Notice) bool {
+	startTime, err := strconv.ParseInt(n.Instance, 10, 64)
+	if err != nil {
+		g.log.WithError(err).WithField("server", string(n.Server)).Warn("noticeUnreadable")
+		return false
+	}
+	return g.excluder.Learn(verbenastand.ServerProcess{Server: n.Server, StartTime: startTime, Service: n.Service})
+}
+
+// onExclusionChange tells other hosts of a server that is leaving. A pause concerns the host
+// that was asked for it.
+func (g *Gateway) onExclusionChange(c excluder.Change) {
+	g.recorder.ExclusionChanged(c)
+	if c.Kind == excluder.Leaving {
+		g.gossiper.SpreadChanges()
+	}
+}
+
 // onEvidenceChange tells other hosts of what this one has found out about evidence, so that
 // they refuse a request that crashes servers, and no other.
 func (g *Gateway) onEvidenceChange(c quarantiner.Change) {
