--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -257,6 +257,7 @@
 			d.Failed(n.server("a", 1))
 			time.Sleep(2 * time.Second)
 		}
+		synctest.Wait()
 		require.Equal(t, map[verbenastand.ServerID]bool{n.server("a", 3).Server(): true}, probed)
 		excluded[n.server("a", 3).Server()] = true
 		require.True(t, d.ReachesOthers(n.server("a", 0)), "there are no others")
