Take no busy server for crashed, and spread unproved losses in batches

Found by reading: an examination took a health check that timed out for a server that does not respond, and so a busy server that had closed a connection for crashed if others responded. Only an address that accepts no new connection says so now; TestABusyServerIsNotTakenForCrashed failed before (one loss). Open connections that hang are not asked alone any more. A loss that may be a crash is passed on with the other urgent changes, since a host that is cut off has many at once; the entry host passes them on too.

--- a/carrier/examine.go
+++ b/carrier/examine.go
@@ -27,27 +27,28 @@
 
 // examine finds out what has become of the server process to which a connection was lost.
 // Another process at its address, or a later one under its ID, proves that it has ended, and
-// a connection from before the loss that it is running. If it does not respond, it has ended
-// only if this host reaches another server of the service; reached is set if it does.
+// a connection from before the loss that it is running. If the address accepts no connection,
+// the process has ended only if this host reaches another server of the service; reached is
+// set if it does.
 func (c *Carrier) examine(ctx context.Context, lost verbenastand.Loss, reached bool) verbenastand.ProcessState {
 	if c.config.Reachability.Replaced(lost) {
 		return verbenastand.ProcessEnded
 	}
-	examined := registrationOf(lost)
 	opened, err := c.identify(ctx, lost)
 	switch {
 	case errors.Is(err, sender.ErrInstanceMismatch):
 		return verbenastand.ProcessEnded
 	case err == nil && opened.Before(lost.At().Add(-lossAccuracy)):
 		return verbenastand.ProcessRunning
-	case err == nil && c.config.RegistrationAge() <= maxRegistrationAge:
-		return verbenastand.ProcessResponding
-	case err == nil:
+	case errors.Is(err, sender.ErrUnreachable):
+		if reached || c.config.Reachability.ReachesOthers(registrationOf(lost)) {
+			return verbenastand.ProcessEnded
+		}
+		return verbenastand.ProcessUnknown
+	case c.config.RegistrationAge() > maxRegistrationAge:
 		return verbenastand.ProcessUnknown
-	case reached || c.config.Reachability.ReachesOthers(examined):
-		return verbenastand.ProcessEnded
 	}
-	return verbenastand.ProcessUnknown
+	return verbenastand.ProcessResponding
 }
 
 func registrationOf(lost verbenastand.Loss) verbenastand.Registration {
@@ -56,27 +57,38 @@
 	})
 }
 
-// identify checks whether a server process responds at its address, and returns when the
-// connection over which it does was opened.
+// identify checks which server process responds at an address, and returns when the
+// connection was opened over which it does. The error is ErrUnreachable only if no new
+// connection is accepted: connections that are open may hang, and a busy server responds late.
 func (c *Carrier) identify(ctx context.Context, lost verbenastand.Loss) (opened time.Time, err error) {
-	ctx, cancel := context.WithTimeout(ctx, examinationTimeout)
-	defer cancel()
 	path := "/"
 	if s := c.config.Balancer.Service(lost.Service()); s != nil {
 		path = s.HealthPath()
 	}
 	target := targetOf(registrationOf(lost))
-	for {
-		conn, err := c.config.Sender.Connect(ctx, target)
-		if err != nil {
-			return time.Time{}, err
-		}
-		_, err = conn.Check(ctx, path)
-		c.config.Sender.PutIdle(conn)
-		if err == nil || errors.Is(err, sender.ErrInstanceMismatch) || !conn.Reused() || ctx.Err() != nil {
-			return conn.OpenedAt(), err
+	for c.config.Sender.HasIdle(target) {
+		opened, err = c.identifyOver(ctx, path, func(ctx context.Context) (*sender.Connection, error) {
+			return c.config.Sender.Connect(ctx, target)
+		})
+		if err == nil || errors.Is(err, sender.ErrInstanceMismatch) || ctx.Err() != nil {
+			return opened, err
 		}
 	}
+	return c.identifyOver(ctx, path, func(ctx context.Context) (*sender.Connection, error) {
+		return c.config.Sender.ConnectNew(ctx, target)
+	})
+}
+
+func (c *Carrier) identifyOver(ctx context.Context, path string, connect func(context.Context) (*sender.Connection, error)) (opened time.Time, err error) {
+	ctx, cancel := context.WithTimeout(ctx, examinationTimeout)
+	defer cancel()
+	conn, err := connect(ctx)
+	if err != nil {
+		return time.Time{}, err
+	}
+	defer c.config.Sender.PutIdle(conn)
+	_, err = conn.Check(ctx, path)
+	return conn.OpenedAt(), err
 }
 
 // reconsider examines the servers because of which the request would be refused.
@@ -108,32 +120,35 @@
 		Server: server.Server(), Service: server.Service(), Address: server.Address(), StartTime: server.StartTime(),
 		At: c.carrier.config.Clock.Now(),
 	})
+	suspect := quarantiner.Suspect{
+		RequestID: c.id, Fingerprint: c.fingerprint, Server: lost.Server(),
+		Caller: c.request.Remote(), Method: c.request.Method, Target: c.request.RequestURI,
+	}
+	carrier := c.carrier
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		c.report(lost, c.carrier.examine(context.Background(), lost, false))
+		suspect.State = carrier.examine(context.Background(), lost, false)
+		carrier.reportLoss(suspect, lost)
 	}()
 	return done
 }
 
-func (c *call) report(lost verbenastand.Loss, state verbenastand.ProcessState) {
-	suspect := quarantiner.Suspect{
-		RequestID: c.id, Fingerprint: c.fingerprint, Server: lost.Server(), State: state,
-		Caller: c.request.Remote(), Method: c.request.Method, Target: c.request.RequestURI,
-	}
+func (c *Carrier) reportLoss(suspect quarantiner.Suspect, lost verbenastand.Loss) {
 	isNew := false
-	switch state {
+	switch suspect.State {
 	case verbenastand.ProcessResponding:
 		time.AfterFunc(replacementDelay, func() {
-			if c.carrier.config.Reachability.Replaced(lost) {
-				c.report(lost, verbenastand.ProcessEnded)
+			if c.config.Reachability.Replaced(lost) {
+				suspect.State = verbenastand.ProcessEnded
+				c.reportLoss(suspect, lost)
 			}
 		})
 	case verbenastand.ProcessEnded, verbenastand.ProcessUnknown:
-		isNew = c.carrier.config.Quarantiner.RecordLoss(c.fingerprint, lost, state)
+		isNew = c.config.Quarantiner.RecordLoss(suspect.Fingerprint, lost, suspect.State)
 	}
-	c.carrier.config.OnConnectionLost(suspect)
-	if isNew && state == verbenastand.ProcessEnded {
-		c.carrier.config.OnCrashSuspected(suspect)
+	c.config.OnConnectionLost(suspect)
+	if isNew && suspect.State == verbenastand.ProcessEnded {
+		c.config.OnCrashSuspected(suspect)
 	}
 }
--- a/carrier/restart_test.go
+++ b/carrier/restart_test.go
@@ -67,6 +67,8 @@
 	mu            sync.Mutex
 	servers       []*restartingServer
 	registrations map[string]verbenastand.Registration
+	// slow is set while health checks take longer than an examination.
+	slow bool
 	// runs counts the runs that crashed a server, by path.
 	runs map[string]int
 }
@@ -261,9 +263,17 @@
 		_, _ = io.Copy(io.Discard, r.Body)
 		switch {
 		case r.URL.Path == "/health":
+			if s.isSlow() {
+				time.Sleep(2 * examinationTimeout)
+			}
 			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Instance: %s\r\nX-Load: 1,0,6,1\r\nContent-Length: 0\r\n\r\n", id)
 		case r.Header.Get("X-Expected") != id:
 			_, _ = io.WriteString(conn, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
+		case strings.HasPrefix(r.URL.Path, "/x/reset"):
+			s.mu.Lock()
+			s.slow = true
+			s.mu.Unlock()
+			return
 		case strings.HasPrefix(r.URL.Path, "/x/crash"):
 			time.Sleep(delay)
 			s.mu.Lock()
@@ -279,6 +289,12 @@
 	}
 }
 
+func (s *restartingService) isSlow() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.slow
+}
+
 // crashes returns how many servers have crashed under the requests to a path.
 func (s *restartingService) crashes(path string) int {
 	s.mu.Lock()
@@ -421,3 +437,17 @@
 		}
 	}
 }
+
+// Guards against a server that is taken for crashed because it closes a connection and then
+// responds late, as it does while it is busy.
+func TestABusyServerIsNotTakenForCrashed(t *testing.T) {
+	withRestartingService(t, 2, restartConfig{servers: 4}, func(s *restartingService) {
+		s.warm()
+		_, _, _ = s.fleet.send(0, "GET", "reset")
+		time.Sleep(3 * time.Second)
+		require.True(s.fleet.t, s.isSlow())
+		for _, e := range s.evidence[0].Evidence(quarantiner.MaxSuspects) {
+			require.Empty(s.fleet.t, e.Losses)
+		}
+	})
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -53,8 +53,8 @@
 	// server, before its response is written. It notifies the other home hosts.
 	OnCrashSuspected func(homes []verbenastand.Host, s quarantiner.Suspect)
 	// OnConnectionLost is called with what is known about a server after the connection
-	// to it was lost, and with the home hosts of its service.
-	OnConnectionLost func(homes []verbenastand.Host, s quarantiner.Suspect)
+	// to it was lost.
+	OnConnectionLost func(quarantiner.Suspect)
 }
 
 // Dispatcher serves requests of callers and requests forwarded by peers.
@@ -67,7 +67,7 @@
 // NewDispatcher returns a dispatcher.
 func NewDispatcher(c Config) *Dispatcher {
 	if c.OnConnectionLost == nil {
-		c.OnConnectionLost = func([]verbenastand.Host, quarantiner.Suspect) {}
+		c.OnConnectionLost = func(quarantiner.Suspect) {}
 	}
 	return &Dispatcher{config: c}
 }
--- a/dispatcher/examine.go
+++ b/dispatcher/examine.go
@@ -40,7 +40,7 @@
 		Server: server.ID(), Service: server.Service(), Address: server.Address(), Instance: resp.grant.Instance(), At: d.config.Timer.Now(),
 	})
 	isNew := d.config.Quarantiner.RecordLoss(req.crashFingerprint, lost, suspect.State)
-	d.config.OnConnectionLost(req.components.Homes(), suspect)
+	d.config.OnConnectionLost(suspect)
 	if isNew && suspect.State == verbenastand.ProcessEnded {
 		d.config.OnCrashSuspected(req.components.Homes(), suspect)
 	}
--- a/launcher/event.go
+++ b/launcher/event.go
@@ -28,6 +28,7 @@
 		h.gossiper.SetImportedFrom(h.deduplicator.ImportedFrom())
 	})
 	h.timer.Every(reachPeriod, h.reach.update)
+	h.timer.Every(urgentPeriod, h.gossiper.PassOn)
 	h.timer.Every(sweepPeriod, h.quarantiner.Sweep)
 	h.timer.Every(sweepPeriod, h.limiter.Sweep)
 	// Leaving servers are kept by the schedulers.
@@ -145,12 +146,12 @@
 	}
 }
 
-// onConnectionLost sends the home hosts a loss that may be a crash, since this host can't
-// tell.
-func (h *Host) onConnectionLost(homes []verbenastand.Host, s quarantiner.Suspect) {
+// onConnectionLost tells other hosts of a loss that may be a crash, since this host can't tell.
+// A host that is cut off loses many connections at once.
+func (h *Host) onConnectionLost(s quarantiner.Suspect) {
 	h.recorder.ConnectionLost(s)
 	if s.State == verbenastand.ProcessUnknown {
-		h.gossiper.Push(context.Background(), homes)
+		h.gossiper.SpreadChanges()
 	}
 }
 
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -353,12 +353,12 @@
 	g.gossiper.PushNeighbours(context.Background())
 }
 
-// onConnectionLost sends the neighbours a loss that may be a crash, since this host can't
-// tell.
+// onConnectionLost tells other hosts of a loss that may be a crash, since this host can't tell.
+// A host that is cut off loses many connections at once.
 func (g *Gateway) onConnectionLost(s quarantiner.Suspect) {
 	g.recorder.ConnectionLost(s)
 	if s.State == verbenastand.ProcessUnknown {
-		g.gossiper.PushNeighbours(context.Background())
+		g.gossiper.SpreadChanges()
 	}
 }
 
