Probe the servers of an unreached service in turn

Cause: a detector that takes a service for unreached probed two servers at random each 1.25 s, among them those that had just failed, and a server that came back with a new registration had no precedence.

Those that have not failed since the last round go first, so that all are probed in turn and new registrations at once.

--- a/carrier/restart_test.go
+++ b/carrier/restart_test.go
@@ -350,9 +350,7 @@
 			withRestartingService(t, tc.hosts, tc.restartConfig, func(s *restartingService) {
 				s.sendCopies("crash", 12, 3*time.Second)
 				require.LessOrEqual(s.fleet.t, s.crashes("/x/crash"), quarantiner.CrashLimit)
-				if tc.hosts > 1 {
-					require.True(s.fleet.t, s.serves(0, "other"), "other requests are served")
-				}
+				require.True(s.fleet.t, s.serves(0, "other"), "other requests are served")
 			})
 		})
 	}
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -239,12 +239,12 @@
 		return
 	}
 	s.verification = make(chan struct{})
-	go d.verify(n, s, s.sample(d.preferIncluded(servers)), s.connections)
+	go d.verify(n, s, s.sample(d.preferIncluded(servers), maxProbes), s.connections)
 }
 
 // sample returns the servers to probe in a random order, those first that have not
-// failed.
-func (s *service) sample(servers []verbenastand.Registration) []verbenastand.Registration {
+// failed: one of them may be new.
+func (s *service) sample(servers []verbenastand.Registration, limit int) []verbenastand.Registration {
 	shuffle(servers)
 	var sample, failed []verbenastand.Registration
 	for _, r := range servers {
@@ -255,7 +255,15 @@
 		sample = append(sample, r)
 	}
 	sample = append(sample, failed...)
-	return sample[:min(maxProbes, len(sample))]
+	return sample[:min(limit, len(sample))]
+}
+
+// anyUntried reports whether a server has not failed.
+func (s *service) anyUntried(servers []verbenastand.Registration) bool {
+	return slices.ContainsFunc(servers, func(r verbenastand.Registration) bool {
+		_, failed := s.failed[r.Server()]
+		return !failed
+	})
 }
 
 // verify probes servers of a service that may not be reached.
@@ -368,18 +376,26 @@
 		s.retry = min(2*s.retry, maxRetry)
 		s.retryAt = now.Add(s.retry + probeTimeout)
 		servers = d.preferIncluded(servers)
-		shuffle(servers)
-		go d.retry(n, s, servers[:min(firstProbes, len(servers))])
+		if !s.anyUntried(servers) {
+			clear(s.failed)
+		}
+		go d.retry(n, s, s.sample(servers, firstProbes))
 	}
 }
 
+// retry probes servers of a service that is not reached. Those that do not respond come last
+// in the next samples, so that all are probed in turn.
 func (d *Detector) retry(n verbenastand.ServiceName, s *service, servers []verbenastand.Registration) {
-	if !d.probe(servers) {
-		return
-	}
+	reached := d.probe(servers)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.respondedLocked(n, s, true)
+	if reached {
+		d.respondedLocked(n, s, true)
+		return
+	}
+	for _, r := range servers {
+		s.failed[r.Server()] = struct{}{}
+	}
 }
 
 // Forget discards the failures. It is called after the process was paused.
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -263,3 +263,29 @@
 		require.True(t, d.ReachesOthers(n.server("a", 0)), "there are no others")
 	})
 }
+
+// Guards against a host that takes a service for unreached although a server is up, because it
+// probes the same servers again (issue 29, BUDGET).
+func TestAllServersOfAnUnreachedServiceAreProbedInTurn(t *testing.T) {
+	const servers = 12
+	for range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			n := newFakeNetwork(map[verbenastand.ServiceName]int{"a": servers})
+			d := n.detector()
+			n.cut("a", true)
+			d.Failed(n.server("a", 0))
+			d.Failed(n.server("a", 1))
+			time.Sleep(3 * probeTimeout)
+			require.True(t, d.Cut("a"))
+			n.reached[n.server("a", 7).Server()] = true
+			const rounds = 2
+			for range rounds * servers / firstProbes {
+				for range (maxRetry + probeTimeout) / (100 * time.Millisecond) {
+					d.Tick(time.Now())
+					time.Sleep(100 * time.Millisecond)
+				}
+			}
+			require.False(t, d.Unreached(t.Context(), "a"))
+		})
+	}
+}
