Identify server processes through the health checker

Found by reading the change: the examination of a lost connection had a loop of its own over idle connections beside that of the health checker, and its checks were missing from the counted probes and from what responses say of a server.

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -65,6 +65,8 @@
 	Quarantiner  *quarantiner.Quarantiner
 	Limiter      *limiter.Limiter
 	Excluder     *excluder.Excluder
+	// HealthChecker identifies the processes of servers whose connections were lost.
+	HealthChecker *HealthChecker
 	// Self is the name of this host.
 	Self verbenastand.HostID
 	// Reachability reports whether this host reaches servers; if nil, it always does.
--- a/carrier/check.go
+++ b/carrier/check.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"time"
 
 	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/balancer"
@@ -12,6 +13,10 @@
 	"github.com/verbenastand/verbenastand/sender"
 )
 
+// identificationTimeout bounds the check which process responds: a new connection and a
+// health check, also to another region.
+const identificationTimeout = 250 * time.Millisecond
+
 // HealthChecker makes health checks over the connections that requests use.
 type HealthChecker struct {
 	Sender *sender.Sender
@@ -68,6 +73,36 @@
 	return err
 }
 
+// Identify checks whether a server process responds at its address, and returns when the
+// connection was opened over which it does. The error is ErrUnreachable only if no new
+// connection is accepted: connections that are open may hang, and a busy server responds late.
+func (h *HealthChecker) Identify(ctx context.Context, r verbenastand.Registration, healthPath string) (opened time.Time, err error) {
+	for h.Sender.HasIdle(targetOf(r)) {
+		opened, err = h.identifyOver(ctx, r, healthPath, h.Sender.Connect)
+		if err == nil || errors.Is(err, sender.ErrInstanceMismatch) || ctx.Err() != nil {
+			return opened, err
+		}
+	}
+	return h.identifyOver(ctx, r, healthPath, h.Sender.ConnectNew)
+}
+
+func (h *HealthChecker) identifyOver(
+	ctx context.Context, r verbenastand.Registration, healthPath string, connect func(context.Context, sender.Target) (*sender.Connection, error),
+) (opened time.Time, err error) {
+	ctx, cancel := context.WithTimeout(ctx, identificationTimeout)
+	defer cancel()
+	c, err := connect(ctx, targetOf(r))
+	if err != nil {
+		h.OnCheck(r.Service(), false)
+		return time.Time{}, err
+	}
+	defer h.Sender.PutIdle(c)
+	health, err := c.Check(ctx, healthPath)
+	h.observeExclusion(r, health)
+	h.OnCheck(r.Service(), err == nil)
+	return c.OpenedAt(), err
+}
+
 // checkConn holds the connection of a health check for the request that may follow.
 type checkConn struct {
 	sender     *sender.Sender
--- a/carrier/examine.go
+++ b/carrier/examine.go
@@ -12,9 +12,6 @@
 )
 
 const (
-	// examinationTimeout bounds the examination of one server: a new connection and a
-	// health check, also to another region.
-	examinationTimeout = 250 * time.Millisecond
 	// replacementDelay is how long after a loss the registration of a later process under
 	// the same ID is looked for.
 	replacementDelay = 2 * time.Second
@@ -34,7 +31,7 @@
 	if c.config.Reachability.Replaced(lost) {
 		return verbenastand.ProcessEnded
 	}
-	opened, err := c.identify(ctx, lost)
+	opened, err := c.config.HealthChecker.Identify(ctx, registrationOf(lost), c.healthPath(lost.Service()))
 	switch {
 	case errors.Is(err, sender.ErrInstanceMismatch):
 		return verbenastand.ProcessEnded
@@ -57,38 +54,12 @@
 	})
 }
 
-// identify checks which server process responds at an address, and returns when the
-// connection was opened over which it does. The error is ErrUnreachable only if no new
-// connection is accepted: connections that are open may hang, and a busy server responds late.
-func (c *Carrier) identify(ctx context.Context, lost verbenastand.Loss) (opened time.Time, err error) {
-	path := "/"
-	if s := c.config.Balancer.Service(lost.Service()); s != nil {
-		path = s.HealthPath()
+// healthPath returns the path of a service's health checks.
+func (c *Carrier) healthPath(n verbenastand.ServiceName) string {
+	if s := c.config.Balancer.Service(n); s != nil {
+		return s.HealthPath()
 	}
-	target := targetOf(registrationOf(lost))
-	for c.config.Sender.HasIdle(target) {
-		opened, err = c.identifyOver(ctx, path, func(ctx context.Context) (*sender.Connection, error) {
-			return c.config.Sender.Connect(ctx, target)
-		})
-		if err == nil || errors.Is(err, sender.ErrInstanceMismatch) || ctx.Err() != nil {
-			return opened, err
-		}
-	}
-	return c.identifyOver(ctx, path, func(ctx context.Context) (*sender.Connection, error) {
-		return c.config.Sender.ConnectNew(ctx, target)
-	})
-}
-
-func (c *Carrier) identifyOver(ctx context.Context, path string, connect func(context.Context) (*sender.Connection, error)) (opened time.Time, err error) {
-	ctx, cancel := context.WithTimeout(ctx, examinationTimeout)
-	defer cancel()
-	conn, err := connect(ctx)
-	if err != nil {
-		return time.Time{}, err
-	}
-	defer c.config.Sender.PutIdle(conn)
-	_, err = conn.Check(ctx, path)
-	return conn.OpenedAt(), err
+	return "/"
 }
 
 // reconsider examines the servers because of which the request would be refused.
--- a/carrier/harness_test.go
+++ b/carrier/harness_test.go
@@ -229,7 +229,7 @@
 	h.carrier = NewCarrier(Config{
 		Clock: wallClock{}, Names: testHeaderFormat{}.Names(), HeaderFormat: testHeaderFormat{}, Router: routes, Balancer: h.balancer, Sender: s,
 		Quarantiner: quarantiner.NewQuarantiner(quarantiner.Config{Clock: wallClock{}}), Observer: h,
-		Limiter: h.limiter, Excluder: h.excluder,
+		Limiter: h.limiter, Excluder: h.excluder, HealthChecker: checker,
 		Tracer: noop.NewTracerProvider().Tracer(""), OnCrashSuspected: func(quarantiner.Suspect) {}, MaxConcurrent: 100,
 		NewBudget: func(verbenastand.ServiceName) *retrier.WindowBudget {
 			return retrier.NewWindowBudget(retrier.WindowBudgetConfig{
--- a/carrier/restart_test.go
+++ b/carrier/restart_test.go
@@ -264,7 +264,7 @@
 		switch {
 		case r.URL.Path == "/health":
 			if s.isSlow() {
-				time.Sleep(2 * examinationTimeout)
+				time.Sleep(2 * identificationTimeout)
 			}
 			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Instance: %s\r\nX-Load: 1,0,6,1\r\nContent-Length: 0\r\n\r\n", id)
 		case r.Header.Get("X-Expected") != id:
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -211,7 +211,8 @@
 	})
 	g.carrier = carrier.NewCarrier(carrier.Config{
 		Clock: g.timer, Names: g.config.HeaderFormat.Names(), HeaderFormat: g.config.HeaderFormat, Router: g.router,
-		Balancer: g.balancer, Sender: g.sender, Quarantiner: g.quarantiner, Limiter: g.limiter, Excluder: g.excluder, Observer: g.recorder,
+		Balancer: g.balancer, Sender: g.sender, Quarantiner: g.quarantiner, Limiter: g.limiter, Excluder: g.excluder, HealthChecker: g.healthChecker,
+		Observer:        g.recorder,
 		RegistrationAge: g.follower.Staleness,
 		Self:            g.self.ID(), Reachability: g.reach.detector, Delegator: delegator.NewDelegator(delegator.Config{
 			Self: g.self, Membership: g.gossiper, Tunnel: g.forwarder.Tunnel,
