Take from the settings how long a server takes to register

Found by reading the change: whether a process that responds under its ID may be a later one was decided after 2 s, a figure of deployments whose servers renew their registration each 1.5 s. With longer heartbeats a server that had started again would have counted as running, and its crash not at all. The time is now half the lifetime of a registration, which the settings name (2.25 s instead of 2 s at 4.5 s). TestAProcessThatGoesOnRespondingIsRunning plays 0.5, 2 and 20 s; 20 s failed before. The looked-up exclusions no longer exclude each other's readers on the path of a request.

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -74,6 +74,9 @@
 	// RegistrationAge returns the time since the registrations of servers were last known
 	// to be current; nil if they always are.
 	RegistrationAge func() time.Duration
+	// RegistrationTime is the time within which a server process is registered after its
+	// start.
+	RegistrationTime time.Duration
 	// Delegator selects the hosts that handle requests while this one reaches no server;
 	// if nil, they are refused.
 	Delegator Delegator
@@ -117,6 +120,9 @@
 	if c.RegistrationAge == nil {
 		c.RegistrationAge = func() time.Duration { return 0 }
 	}
+	if c.RegistrationTime == 0 {
+		c.RegistrationTime = quarantiner.DefaultRegistrationTime
+	}
 	if c.OnConnectionLost == nil {
 		c.OnConnectionLost = func(quarantiner.Suspect) {}
 	}
--- a/carrier/examine.go
+++ b/carrier/examine.go
@@ -12,9 +12,6 @@
 )
 
 const (
-	// replacementDelay is how long after a loss the registration of a later process under
-	// the same ID is looked for.
-	replacementDelay = 2 * time.Second
 	// maxRegistrationAge is the age of the view of registrations above which it says
 	// nothing about a server that may have started again.
 	maxRegistrationAge = time.Second
@@ -109,7 +106,7 @@
 	isNew := false
 	switch suspect.State {
 	case verbenastand.ProcessResponding:
-		time.AfterFunc(replacementDelay, func() {
+		time.AfterFunc(c.config.RegistrationTime, func() {
 			if c.config.Reachability.Replaced(lost) {
 				suspect.State = verbenastand.ProcessEnded
 				c.reportLoss(suspect, lost)
--- a/excluder/excluder.go
+++ b/excluder/excluder.go
@@ -63,7 +63,7 @@
 	// count lets requests skip the lock while no server is excluded.
 	count atomic.Int64
 
-	mu      sync.Mutex
+	mu      sync.RWMutex
 	servers map[key]*exclusion
 	// malformed holds the last text of each server that could not be read.
 	malformed map[key]string
@@ -164,8 +164,8 @@
 	if e.count.Load() == 0 {
 		return verbenastand.Exclusion{}, false
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	e.mu.RLock()
+	defer e.mu.RUnlock()
 	known := e.servers[keyOf(p)]
 	switch {
 	case known == nil:
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -145,7 +145,9 @@
 		}),
 	}
 	g.recorder = recorder.NewRecorder(recorder.Config{Log: c.Log, Meter: g.meter, Share: s.LogShare})
-	g.quarantiner = quarantiner.NewQuarantiner(quarantiner.Config{Clock: g.timer, OnChange: g.onEvidenceChange})
+	g.quarantiner = quarantiner.NewQuarantiner(quarantiner.Config{
+		Clock: g.timer, RegistrationTime: g.registrationTime(), OnChange: g.onEvidenceChange,
+	})
 	g.limiter = limiter.NewLimiter(limiter.Config{
 		Clock: g.timer, Self: g.self.ID(), Hosts: g.limitedHosts, OnChange: g.onLimitChange,
 	})
@@ -213,8 +215,8 @@
 		Clock: g.timer, Names: g.config.HeaderFormat.Names(), HeaderFormat: g.config.HeaderFormat, Router: g.router,
 		Balancer: g.balancer, Sender: g.sender, Quarantiner: g.quarantiner, Limiter: g.limiter, Excluder: g.excluder, HealthChecker: g.healthChecker,
 		Observer:        g.recorder,
-		RegistrationAge: g.follower.Staleness,
-		Self:            g.self.ID(), Reachability: g.reach.detector, Delegator: delegator.NewDelegator(delegator.Config{
+		RegistrationAge: g.follower.Staleness, RegistrationTime: g.registrationTime(),
+		Self: g.self.ID(), Reachability: g.reach.detector, Delegator: delegator.NewDelegator(delegator.Config{
 			Self: g.self, Membership: g.gossiper, Tunnel: g.forwarder.Tunnel,
 		}),
 		Tracer: g.requestTracer, OnCrashSuspected: g.onCrashSuspected, OnConnectionLost: g.onConnectionLost, MaxConcurrent: s.MaxConcurrent,
@@ -230,6 +232,10 @@
 	})
 }
 
+// registrationTime returns the time within which a server is registered after its start: it
+// renews its registration several times in the lifetime of one.
+func (g *Gateway) registrationTime() time.Duration { return g.config.Settings.RegistrationLifetime / 2 }
+
 // hostCount returns the largest number of hosts seen so far. It returns zero during
 // the discovery period, while hosts that started together find each other.
 func (g *Gateway) hostCount() int {
--- a/quarantiner/loss.go
+++ b/quarantiner/loss.go
@@ -19,8 +19,9 @@
 	// examinationInterval is the minimum time between two examinations of a loss by which
 	// a request is refused.
 	examinationInterval = 2 * time.Second
-	// registrationTime is how long after its start a server process is registered.
-	registrationTime = 2 * time.Second
+	// DefaultRegistrationTime is the time within which a server process is registered after
+	// its start.
+	DefaultRegistrationTime = 2 * time.Second
 	// restartTime is the time within which losses of connections to one process come from one
 	// crash. The server may have started again before a later one without being registered yet.
 	restartTime = time.Second
@@ -95,16 +96,22 @@
 
 // resolve stores a finding about the process and reports whether that is a change. A
 // process that responds for longer than a new one takes to register has not ended.
-func (l *loss) resolve(state verbenastand.ProcessState, now time.Time) bool {
+func (l *loss) resolve(state verbenastand.ProcessState, now time.Time, registrationTime time.Duration) bool {
 	if state == verbenastand.ProcessResponding {
 		if l.respondingSince.IsZero() {
 			l.respondingSince = now
 		}
-		if !l.responds(now) {
+		if !l.responds(now, registrationTime) {
 			return false
 		}
 		state = verbenastand.ProcessRunning
 	}
+	return l.advance(state)
+}
+
+// advance stores a finding unless a greater one is known, and reports whether that is a
+// change.
+func (l *loss) advance(state verbenastand.ProcessState) bool {
 	if state <= l.State {
 		return false
 	}
@@ -114,7 +121,7 @@
 
 // responds reports whether the process was found responding long enough ago for a new one
 // to be registered since.
-func (l *loss) responds(now time.Time) bool {
+func (l *loss) responds(now time.Time, registrationTime time.Duration) bool {
 	return !l.respondingSince.IsZero() && now.Sub(l.respondingSince) >= registrationTime
 }
 
@@ -146,7 +153,7 @@
 
 // merge adds a loss or what another host has found about it, and reports whether that
 // is a change.
-func (s *suspect) merge(added loss, now time.Time) bool {
+func (s *suspect) merge(added loss) bool {
 	for _, known := range s.losses {
 		switch {
 		case known.Number == added.Number || known.sameCrash(&added):
@@ -154,7 +161,7 @@
 			if added.at.Before(known.at) {
 				known.at = added.at
 			}
-			return known.resolve(added.State, now)
+			return known.advance(added.State)
 		case added.unnumbered && (known.process() == added.Server || known.Server == added.Server):
 			return false
 		case known.unnumbered && (added.process() == known.Server || added.Server == known.Server):
--- a/quarantiner/loss_test.go
+++ b/quarantiner/loss_test.go
@@ -100,20 +100,25 @@
 }
 
 // Checks that a process that goes on responding under its ID counts as running once a later
-// one would be registered, and that its callers are told to come back by then.
+// one would be registered, however long that takes in a deployment, and that its callers are
+// told to come back by then.
 func TestAProcessThatGoesOnRespondingIsRunning(t *testing.T) {
-	clock := fake.NewClock()
-	q := NewQuarantiner(Config{Clock: clock})
-	lose(q, request(1), "server-a", 1, verbenastand.ProcessEnded)
-	lose(q, request(1), "server-b", 1, verbenastand.ProcessEnded)
-	clock.Advance(examinationInterval)
-	q.Reconsider(context.Background(), request(1), finding(verbenastand.ProcessResponding))
-	var refusal *verbenastand.RequestError
-	require.ErrorAs(t, q.Check(request(1)), &refusal)
-	require.Equal(t, registrationTime, refusal.RetryAfter())
-	clock.Advance(registrationTime)
-	q.Reconsider(context.Background(), request(1), finding(verbenastand.ProcessResponding))
-	require.NoError(t, q.Check(request(1)))
+	for _, registrationTime := range []time.Duration{500 * time.Millisecond, DefaultRegistrationTime, 20 * time.Second} {
+		clock := fake.NewClock()
+		q := NewQuarantiner(Config{Clock: clock, RegistrationTime: registrationTime})
+		lose(q, request(1), "server-a", 1, verbenastand.ProcessEnded)
+		lose(q, request(1), "server-b", 1, verbenastand.ProcessEnded)
+		clock.Advance(examinationInterval)
+		for waited := time.Duration(0); waited < registrationTime; waited += 100 * time.Millisecond {
+			q.Reconsider(context.Background(), request(1), finding(verbenastand.ProcessResponding))
+			var refusal *verbenastand.RequestError
+			require.ErrorAs(t, q.Check(request(1)), &refusal)
+			require.Equal(t, registrationTime, refusal.RetryAfter())
+			clock.Advance(100 * time.Millisecond)
+		}
+		q.Reconsider(context.Background(), request(1), finding(verbenastand.ProcessResponding))
+		require.NoError(t, q.Check(request(1)))
+	}
 }
 
 // Checks that many copies of a request cause one examination of each server at a time, whose
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -56,6 +56,10 @@
 type Config struct {
 	Clock    verbenastand.Clock
 	Lifetime time.Duration
+	// RegistrationTime is the time within which a server process is registered after its
+	// start. A process that responds for longer under the ID of one that may have ended is
+	// that process, unless a later one is registered.
+	RegistrationTime time.Duration
 	// OnChange is called after evidence has changed; nil if nobody is interested.
 	OnChange func(Change)
 }
@@ -78,6 +82,9 @@
 	if c.Lifetime == 0 {
 		c.Lifetime = DefaultLifetime
 	}
+	if c.RegistrationTime == 0 {
+		c.RegistrationTime = DefaultRegistrationTime
+	}
 	return &Quarantiner{config: c, suspects: make(map[key]*suspect)}
 }
 
@@ -138,7 +145,7 @@
 		}
 		retryAfter := s.expiry.Sub(q.config.Clock.Now())
 		if s.mayBeRefuted() {
-			retryAfter = min(retryAfter, confirmationRetryAfter)
+			retryAfter = min(retryAfter, q.config.RegistrationTime)
 		}
 		return verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonQuarantined, nil).WithRetryAfter(retryAfter)
 	}
@@ -179,7 +186,7 @@
 
 // suspectsLocked returns the evidence about a request for each scope.
 func (q *Quarantiner) suspectsLocked(f Fingerprint) []*suspect {
-	var list []*suspect
+	list := make([]*suspect, 0, scopeCount)
 	for _, k := range []key{f.perCaller, f.allCallers} {
 		if s := q.findLocked(k); s != nil {
 			list = append(list, s)
@@ -319,7 +326,7 @@
 	}
 	if e.Generation == s.generation {
 		for _, l := range losses {
-			changed = s.merge(l, now) || changed
+			changed = s.merge(l) || changed
 		}
 		if expiry := now.Add(remaining); expiry.After(s.expiry) {
 			s.expiry = expiry
--- a/quarantiner/scope.go
+++ b/quarantiner/scope.go
@@ -15,6 +15,9 @@
 	AllCallers // allCallers
 )
 
+// scopeCount is the number of scopes.
+const scopeCount = 2
+
 const (
 	// CrashLimit is the number of crashed servers at which the requests of a caller
 	// are refused.
--- a/quarantiner/settle.go
+++ b/quarantiner/settle.go
@@ -11,17 +11,13 @@
 // Examine finds out what has become of a server process to which a connection was lost.
 type Examine func(ctx context.Context, lost verbenastand.Loss) verbenastand.ProcessState
 
-// confirmationRetryAfter is the Retry-After delay of requests that are refused because of
-// crashes that are not proved.
-const confirmationRetryAfter = registrationTime
-
 // Reconsider examines the servers because of which the request would be refused, unless this
 // host has done so recently: a host that was cut off from them may have taken them for
 // crashed.
 func (q *Quarantiner) Reconsider(ctx context.Context, f Fingerprint, examine Examine) {
 	q.settle(ctx, f, examine, func(s *suspect, l *loss, now time.Time) bool {
 		refused := s.crashes() >= s.scope.crashLimit()
-		return refused && l.State != verbenastand.ProcessRunning && (now.Sub(l.examinedAt) >= examinationInterval || l.responds(now))
+		return refused && l.State != verbenastand.ProcessRunning && (now.Sub(l.examinedAt) >= examinationInterval || l.responds(now, q.config.RegistrationTime))
 	})
 }
 
@@ -43,7 +39,7 @@
 	for _, s := range q.suspectsLocked(f) {
 		if s.possibleCrashes() >= s.scope.crashLimit() {
 			refusal := verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonQuarantined, nil)
-			return refusal.WithRetryAfter(confirmationRetryAfter)
+			return refusal.WithRetryAfter(q.config.RegistrationTime)
 		}
 	}
 	return nil
@@ -134,7 +130,7 @@
 				continue
 			}
 			l.examined = nil
-			if !l.resolve(states[l.process()], now) {
+			if !l.resolve(states[l.process()], now, q.config.RegistrationTime) {
 				continue
 			}
 			changed = true
