Refuse queued requests at once when no server takes them in time

Cause: only a request that found an empty queue was told that all servers are excluded.

The queue counts the time until a server takes requests, and ends the waiting of those for which that is too late, or for which there is no server. Both are refused with the true delay. TestQueuedRequestsAreRefusedOnceAllServersPauseOrLeave failed before (990 ms, now within a round of checks).

--- a/balancer/queue.go
+++ b/balancer/queue.go
@@ -32,6 +32,7 @@
 	// startBy is the latest time at which sending the request is still useful.
 	startBy time.Time
 	arrived time.Time
+	// granted receives the choice, or an empty one if no server takes the request in time.
 	granted chan Choice
 }
 
@@ -75,7 +76,7 @@
 	var err error
 	select {
 	case choice := <-w.granted:
-		return choice, nil
+		return choice.orNoCapacity()
 	case <-timer.C:
 		err = ErrNoCapacity
 	case <-ctx.Done():
@@ -84,7 +85,15 @@
 	if s.dequeue(w) {
 		return Choice{}, err
 	}
-	return <-w.granted, nil
+	return (<-w.granted).orNoCapacity()
+}
+
+// orNoCapacity returns ErrNoCapacity for an empty choice.
+func (c Choice) orNoCapacity() (Choice, error) {
+	if c.Server == nil {
+		return c, ErrNoCapacity
+	}
+	return c, nil
 }
 
 // Waiting returns the number of requests that wait.
@@ -108,7 +117,7 @@
 	if len(q.waiters) > 0 {
 		grantInterval = max(grantInterval, w.arrived.Sub(q.lastGrant))
 	}
-	expectedGrant := w.arrived.Add(time.Duration(position+1) * grantInterval)
+	expectedGrant := w.arrived.Add(max(s.Wait(), time.Duration(position+1)*grantInterval))
 	if len(q.waiters) >= maxQueue || expectedGrant.After(w.startBy) {
 		return false
 	}
@@ -174,7 +183,10 @@
 		}
 		query := s.queue.waiters[0].query
 		s.mu.Unlock()
-		candidates, _ := s.candidates(query)
+		candidates, err := s.candidates(query)
+		if len(candidates) == 0 {
+			s.refuseHopeless(err)
+		}
 		for _, crossZone := range []bool{false, true} {
 			if server := stalestCandidate(candidates, crossZone, round%exploreEvery != 0); server != nil {
 				s.checkAndGrant(query, server)
@@ -184,6 +196,21 @@
 	}
 }
 
+// refuseHopeless ends the waiting of the requests that no server takes in time, while all
+// servers are excluded for the reason given.
+func (s *Service) refuseHopeless(reason error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	possible := s.clock.Now().Add(s.Wait())
+	s.queue.waiters = slices.DeleteFunc(s.queue.waiters, func(w *waiter) bool {
+		hopeless := errors.Is(reason, ErrNoServer) || possible.After(w.startBy)
+		if hopeless {
+			w.granted <- Choice{}
+		}
+		return hopeless
+	})
+}
+
 // stalestCandidate returns the preferred candidate with the oldest report, inside or
 // outside of the local availability zone. If connectedFirst is set, candidates with
 // an idle connection go first.
--- a/carrier/exclusion_test.go
+++ b/carrier/exclusion_test.go
@@ -10,11 +10,13 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	verbenastand "github.com/verbenastand/verbenastand"
+	"github.com/verbenastand/verbenastand/excluder"
 )
 
 const (
@@ -80,6 +82,16 @@
 	return n
 }
 
+// askEach sends each of the first servers one request, so that all of them have spoken.
+func (h *harness) askEach(count int) {
+	all := h.currentView().Servers("svc")
+	for i := range count {
+		h.setServers(all[i : i+1])
+		_, _ = h.call("GET", "/x/first", "")
+	}
+	h.setServers(all)
+}
+
 // callAll sends requests at a steady rate and returns how many were served.
 func (h *harness) callAll(perSecond int, length time.Duration) (sent, served int) {
 	var calls sync.WaitGroup
@@ -115,6 +127,7 @@
 				for _, s := range servers[:2] {
 					s.say(true, "Retry-After: "+tc.text)
 				}
+				h.askEach(2)
 				sent, served := h.callAll(200, 15*time.Second)
 				for i, s := range servers[:2] {
 					require.LessOrEqual(h.t, s.since(h, pauseStart, tc.pauses), 2, "server %d", i)
@@ -154,14 +167,10 @@
 				for _, s := range servers[:2] {
 					s.say(tc.refuses, "X-Leaving: 1")
 				}
-				all := h.currentView().Servers("svc")
-				for i := range servers[:2] {
-					h.setServers(all[i : i+1])
-					_, _ = h.call("GET", "/x/first", "")
-				}
-				h.setServers(all)
+				h.askEach(2)
 				sent, served := h.callAll(200, 3*time.Second)
 				if tc.relist {
+					all := h.currentView().Servers("svc")
 					h.setServers(all[2:])
 					time.Sleep(5 * time.Second)
 					h.setServers(all)
@@ -242,3 +251,50 @@
 		})
 	}
 }
+
+// Guards against requests that wait in the queue until it is too late, although all servers
+// have begun to pause or leave (issue 29, DRAIN).
+func TestQueuedRequestsAreRefusedOnceAllServersPauseOrLeave(t *testing.T) {
+	cases := []struct {
+		name string
+		says excluder.Response
+	}{
+		{"pause", excluder.Response{Status: http.StatusServiceUnavailable, RetryAfter: []string{"3"}}},
+		{"leave", excluder.Response{Status: http.StatusOK, Leaving: []string{"1"}}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			_, backends := newSpeakingBackends(3)
+			for _, b := range backends {
+				b.report = func() string { return "6,9,6,1" }
+			}
+			change := func(c *verbenastand.RouteConfig) { c.Target, c.Timeout = 2*time.Second, 3*time.Second }
+			withHarness(t, change, backends, func(h *harness) {
+				call := func() (status int, took time.Duration) {
+					began := time.Now()
+					response, _ := h.call("GET", "/x/1", "")
+					return response.StatusCode, time.Since(began)
+				}
+				var calls sync.WaitGroup
+				calls.Go(func() {
+					status, took := call()
+					require.Equal(h.t, http.StatusServiceUnavailable, status)
+					require.Less(h.t, took, 200*time.Millisecond)
+				})
+				time.Sleep(100 * time.Millisecond)
+				synctest.Wait()
+				require.Equal(h.t, 1, h.balancer.Service("svc").Waiting())
+				for _, r := range h.currentView().Servers("svc") {
+					says := tc.says
+					says.Process = r.Process()
+					h.excluder.Observe(says)
+				}
+				status, took := call()
+				require.Equal(h.t, http.StatusServiceUnavailable, status)
+				require.Less(h.t, took, 50*time.Millisecond, "while others wait")
+				calls.Wait()
+				require.Empty(h.t, h.requests())
+			})
+		})
+	}
+}
