--- a/carrier/exclusion_test.go
+++ b/carrier/exclusion_test.go
@@ -298,3 +298,58 @@
 		})
 	}
 }
+
+// Guards against a retry, a hedge or a health check that reaches a server which wants no
+// requests (issue 29, DRAIN).
+func TestNoPathLeadsToAnExcludedServer(t *testing.T) {
+	says := []struct {
+		name     string
+		response excluder.Response
+	}{
+		{"pause", excluder.Response{Status: http.StatusServiceUnavailable, RetryAfter: []string{"60"}}},
+		{"leave", excluder.Response{Status: http.StatusOK, Leaving: []string{"1"}}},
+	}
+	paths := []struct {
+		name  string
+		serve func(net.Conn, *http.Request)
+	}{
+		{"retry of a failure", replyRaw("HTTP/1.1 500 X\r\nX-Id: ID\r\nContent-Length: 0\r\n\r\n")},
+		{"retry of a refusal", replyRaw("HTTP/1.1 503 X\r\nX-Id: ID\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")},
+		{"retry of a lost connection", func(conn net.Conn, _ *http.Request) { _ = conn.Close() }},
+		{"hedge", reply(700 * time.Millisecond)},
+	}
+	for _, say := range says {
+		for _, path := range paths {
+			for _, excluded := range []int{0, 3} {
+				t.Run(fmt.Sprintf("%s, %s, %d servers", say.name, path.name, excluded), func(t *testing.T) {
+					backends := make([]*backend, 4)
+					for i := range backends {
+						backends[i] = &backend{serve: path.serve}
+					}
+					withHarness(t, nil, backends, func(h *harness) {
+						for _, r := range h.currentView().Servers("svc")[:excluded] {
+							response := say.response
+							response.Process = r.Process()
+							h.excluder.Observe(response)
+						}
+						for i := range 8 {
+							_, _ = h.call("GET", fmt.Sprint("/x/", i), "")
+							time.Sleep(300 * time.Millisecond)
+						}
+						reached := make(map[string]bool)
+						for _, r := range h.requests() {
+							reached[r.server] = true
+						}
+						for i, b := range backends[:excluded] {
+							require.False(h.t, reached[b.name], "server %d", i)
+							require.Zero(h.t, h.checks[b.name], "server %d", i)
+						}
+						if excluded == 0 {
+							require.Greater(h.t, len(reached), 1, "other servers are reached otherwise")
+						}
+					})
+				})
+			}
+		}
+	}
+}
--- a/carrier/harness_test.go
+++ b/carrier/harness_test.go
@@ -73,10 +73,12 @@
 // harness runs a carrier with an acceptor, a balancer and a sender over in-memory
 // connections.
 type harness struct {
-	t           *testing.T
-	mu          sync.Mutex
-	servers     map[string]*backend
-	received    []receivedRequest
+	t        *testing.T
+	mu       sync.Mutex
+	servers  map[string]*backend
+	received []receivedRequest
+	// checks counts the health checks of each server.
+	checks      map[string]int
 	disconnects int
 	carrier     *Carrier
 	acceptor    *acceptor.Acceptor
@@ -189,7 +191,7 @@
 const target = 250 * time.Millisecond
 
 func newHarness(t *testing.T, change func(*verbenastand.RouteConfig), servers ...*backend) *harness {
-	h := &harness{t: t, servers: make(map[string]*backend), hostCount: 1, callerAddress: &net.TCPAddr{IP: net.IPv4(10, 0, 0, 1), Port: 40000}}
+	h := &harness{t: t, servers: make(map[string]*backend), checks: make(map[string]int), hostCount: 1, callerAddress: &net.TCPAddr{IP: net.IPv4(10, 0, 0, 1), Port: 40000}}
 	var registrations []verbenastand.Registration
 	for i, s := range servers {
 		s.name = fmt.Sprintf("s%d", i)
@@ -276,6 +278,9 @@
 			return
 		}
 		if r.URL.Path == "/health" {
+			h.mu.Lock()
+			h.checks[s.name]++
+			h.mu.Unlock()
 			load := "1,0,6,1"
 			if s.report != nil {
 				load = s.report()
--- a/carrier/restart_test.go
+++ b/carrier/restart_test.go
@@ -27,6 +27,8 @@
 	registrationDelay = 300 * time.Millisecond
 	// registrationLifetime is how long the registration of a crashed server remains.
 	registrationLifetime = 4500 * time.Millisecond
+	// cutTime is how long a host is cut off at the moment of a crash.
+	cutTime = 2 * time.Second
 	// gossipInterval is the time between two exchanges of evidence.
 	gossipInterval = 50 * time.Millisecond
 )
@@ -55,6 +57,9 @@
 	restartAfter time.Duration
 	// sameID is set if a server keeps its ID.
 	sameID bool
+	// cutAtCrash is set if the host whose request crashes a server is cut off from all servers
+	// at that moment, for cutTime.
+	cutAtCrash bool
 }
 
 // restartingService is a set of servers that a fleet of hosts shares.
@@ -95,9 +100,8 @@
 		ctx, cancel := context.WithCancel(f.t.Context())
 		for i, h := range f.hosts {
 			h.open = func(address string) (net.Conn, error) { return s.open(i, address) }
-			q := quarantiner.NewQuarantiner(quarantiner.Config{Clock: wallClock{}})
-			h.carrier.config.Quarantiner = q
-			s.evidence = append(s.evidence, q)
+			s.evidence = append(s.evidence, nil)
+			s.restartHost(i)
 			f.watches[i]()
 		}
 		defer s.stop()
@@ -108,6 +112,14 @@
 	})
 }
 
+// restartHost discards what a host knows of evidence.
+func (s *restartingService) restartHost(i int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evidence[i] = quarantiner.NewQuarantiner(quarantiner.Config{Clock: wallClock{}})
+	s.fleet.hosts[i].carrier.config.Quarantiner = s.evidence[i]
+}
+
 func (s *restartingService) stop() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -120,8 +132,11 @@
 func (s *restartingService) gossip(ctx context.Context) {
 	for round := 0; ctx.Err() == nil; round++ {
 		time.Sleep(gossipInterval)
-		for i, from := range s.evidence {
-			to := s.evidence[(i+1+5*round)%len(s.evidence)]
+		s.mu.Lock()
+		evidence := slices.Clone(s.evidence)
+		s.mu.Unlock()
+		for i, from := range evidence {
+			to := evidence[(i+1+5*round)%len(evidence)]
 			for _, pair := range [][2]*quarantiner.Quarantiner{{from, to}, {to, from}} {
 				for _, e := range pair[0].Evidence(quarantiner.MaxSuspects) {
 					pair[1].Merge(e)
@@ -277,11 +292,16 @@
 		case strings.HasPrefix(r.URL.Path, "/x/crash"):
 			time.Sleep(delay)
 			s.mu.Lock()
-			if _, open := server.conns[conn]; open {
+			host, open := server.conns[conn]
+			if open {
 				s.runs[r.URL.Path]++
 				s.crash(server)
 			}
 			s.mu.Unlock()
+			if open && s.config.cutAtCrash {
+				s.cut([]int{host}, hostRange(0, s.config.servers))
+				time.AfterFunc(cutTime, s.heal)
+			}
 			return
 		default:
 			reply(delay)(conn, r)
@@ -465,3 +485,43 @@
 		}
 	})
 }
+
+// Guards against crashes that go unproved because the host that ran the request is cut off at
+// that moment, or because hosts restart and forget them (issue 29, BUDGET).
+func TestCrashesAreProvedBesideRestartsAndCutsOfTheirHosts(t *testing.T) {
+	const hosts = 14
+	cases := []struct {
+		name string
+		restartConfig
+		// restarts is set if another host restarts after each copy.
+		restarts bool
+	}{
+		{"the host is cut off at the moment of the crash", restartConfig{servers: 8, restartAfter: 2500 * time.Millisecond, cutAtCrash: true}, false},
+		{"the same, servers back at once", restartConfig{servers: 8, cutAtCrash: true}, false},
+		{"the same, under their IDs", restartConfig{servers: 8, cutAtCrash: true, sameID: true}, false},
+		{"the same, six of eight down", restartConfig{servers: 8, down: 6, restartAfter: 2500 * time.Millisecond, cutAtCrash: true}, false},
+		{"hosts restart", restartConfig{servers: 8, restartAfter: 2500 * time.Millisecond}, true},
+		{"hosts restart, six of eight down", restartConfig{servers: 8, down: 6, restartAfter: 2500 * time.Millisecond}, true},
+		{"hosts restart, servers back at once", restartConfig{servers: 8}, true},
+		{"hosts restart, the host is cut off", restartConfig{servers: 8, cutAtCrash: true, restartAfter: 2500 * time.Millisecond}, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			withRestartingService(t, hosts, tc.restartConfig, func(s *restartingService) {
+				s.warm()
+				for i := range 12 {
+					host := i * 5 % hosts
+					status, header, _ := s.fleet.send(host, "GET", "crash")
+					s.fleet.t.Logf("copy %d: %d %s, %d servers crashed", i, status, header.Get(verbenastand.HeaderReason), s.crashes("/x/crash"))
+					time.Sleep(time.Second)
+					if tc.restarts {
+						s.restartHost(host)
+					}
+					time.Sleep(2 * time.Second)
+				}
+				require.LessOrEqual(s.fleet.t, s.crashes("/x/crash"), quarantiner.SharedCrashLimit)
+				require.True(s.fleet.t, s.serves(0, "other"), "other requests are served")
+			})
+		})
+	}
+}
