--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,7 +32,6 @@
 	"github.com/verbenastand/verbenastand/resolver"
 	"github.com/verbenastand/verbenastand/retrier"
 	"github.com/verbenastand/verbenastand/router"
-	"github.com/verbenastand/verbenastand/scheduler"
 	"github.com/verbenastand/verbenastand/sender"
 	"github.com/verbenastand/verbenastand/timer"
 	"github.com/verbenastand/verbenastand/tracer"
@@ -303,72 +301,6 @@
 	return slices.DeleteFunc(hosts, func(h verbenastand.Host) bool { return h.Leaving() })
 }
 
-// onLimitChange tells other hosts of a limit that this one has seen.
-func (g *Gateway) onLimitChange(c limiter.Change) {
-	g.recorder.LimitChanged(c)
-	if !c.Learned && c.Kind != limiter.Malformed {
-		g.gossiper.SpreadChanges()
-	}
-}
-
-// leavingNotices returns the servers that have said that they are leaving. The start time of
-// the process is sent as its instance.
-func (g *Gateway) leavingNotices() []gossiper.Notice {
-	var notices []gossiper.Notice
-	for _, p := range g.excluder.LeavingServers() {
-		notices = append(notices, gossiper.Notice{Service: p.Service, DrainNotice: scheduler.DrainNotice{
-			Server: p.Server, Instance: strconv.FormatInt(p.StartTime, 10),
-		}})
-	}
-	return notices
-}
-
-// applyLeavingNotice applies another host's notice that a server is leaving, and reports
-// whether this one did not know it. The other host may have sent a request of this one's
-// caller to the server.
-func (g *Gateway) applyLeavingNotice(n gossiper.Notice) bool {
-	startTime, err := strconv.ParseInt(n.Instance, 10, 64)
-	if err != nil {
-		g.log.WithError(err).WithField("server", string(n.Server)).Warn("noticeUnreadable")
-		return false
-	}
-	return g.excluder.Learn(verbenastand.ServerProcess{Server: n.Server, StartTime: startTime, Service: n.Service})
-}
-
-// onExclusionChange tells other hosts of a server that is leaving. A pause concerns the host
-// that was asked for it.
-func (g *Gateway) onExclusionChange(c excluder.Change) {
-	g.recorder.ExclusionChanged(c)
-	if c.Kind == excluder.Leaving {
-		g.gossiper.SpreadChanges()
-	}
-}
-
-// onEvidenceChange tells other hosts of what this one has found out about evidence, so that
-// they refuse a request that crashes servers, and no other.
-func (g *Gateway) onEvidenceChange(c quarantiner.Change) {
-	g.recorder.EvidenceChanged(c)
-	if c.Kind != quarantiner.Recorded && c.Kind != quarantiner.Learned {
-		g.gossiper.SpreadChanges()
-	}
-}
-
-// onCrashSuspected sends new evidence about a request that crashes servers to the
-// neighbours, which pass it on.
-func (g *Gateway) onCrashSuspected(s quarantiner.Suspect) {
-	g.recorder.RequestSuspected(s)
-	g.gossiper.PushNeighbours(context.Background())
-}
-
-// onConnectionLost tells other hosts of a loss that may be a crash, since this host can't tell.
-// A host that is cut off loses many connections at once.
-func (g *Gateway) onConnectionLost(s quarantiner.Suspect) {
-	g.recorder.ConnectionLost(s)
-	if s.State == verbenastand.ProcessUnknown {
-		g.gossiper.SpreadChanges()
-	}
-}
-
 func (g *Gateway) limits() verbenastand.CallerLimits {
 	if t := g.router.Table(); t != nil {
 		return t.Limits()
