Make the entry host's test of pauses independent of the machine's speed

Its requests ran in goroutines beside a fake clock, 1 ms of real time for 50 ms: a goroutine delayed by load could count as a request late in a pause, and few were sent. In a bubble each step waits until all are blocked.

--- a/dispatcher/exclusion_test.go
+++ b/dispatcher/exclusion_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -38,49 +39,48 @@
 	}
 	for _, tc := range cases {
 		t.Run(tc.text, func(t *testing.T) {
-			p := newProxy(1, false)
-			var mu sync.Mutex
-			var askedAt time.Time
-			late := 0
-			p.server = func(verbenastand.Server, *http.Request) (*http.Response, error) {
-				mu.Lock()
-				defer mu.Unlock()
-				after := p.clock.Now().Sub(askedAt)
-				if askedAt.IsZero() || after > tc.pauses {
-					askedAt, late = p.clock.Now(), 0
-				} else if after > pauseStart {
-					late++
-				}
-				h := http.Header{"Retry-After": {tc.text}, verbenastand.HeaderVerdict: {verbenastand.NotRun.String()}}
-				return newResponse(http.StatusServiceUnavailable, h, strings.NewReader(""), 0), nil
-			}
-			var calls sync.WaitGroup
-			for i := range 200 {
-				calls.Go(func() { p.do(newRequest(http.MethodGet, fmt.Sprint("/tins/", i), "", "")) })
-				time.Sleep(time.Millisecond)
-				p.tick(50 * time.Millisecond)
-				mu.Lock()
-				require.LessOrEqual(t, late, 2, "requests during the pause")
-				mu.Unlock()
-			}
-			done := make(chan struct{})
-			go func() {
-				calls.Wait()
-				close(done)
-			}()
-			for {
-				select {
-				case <-done:
-					return
-				default:
-					time.Sleep(time.Millisecond)
-					p.tick(50 * time.Millisecond)
-				}
-			}
+			synctest.Test(t, func(t *testing.T) {
+				late := requestsDuringPauses(t, tc.text, tc.pauses)
+				require.LessOrEqual(t, late, 2, "requests during a pause")
+			})
 		})
 	}
 }
 
+// requestsDuringPauses sends requests for ten seconds to a server that asks for a pause in each
+// response, and returns the largest number that it got in one pause, after its start.
+func requestsDuringPauses(t *testing.T, retryAfter string, pause time.Duration) (most int) {
+	p := newProxy(1, false)
+	var mu sync.Mutex
+	var askedAt time.Time
+	late := 0
+	p.server = func(verbenastand.Server, *http.Request) (*http.Response, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		after := p.clock.Now().Sub(askedAt)
+		if askedAt.IsZero() || after > pause {
+			askedAt, late = p.clock.Now(), 0
+		} else if after > pauseStart {
+			late++
+		}
+		most = max(most, late)
+		h := http.Header{"Retry-After": {retryAfter}, verbenastand.HeaderVerdict: {verbenastand.NotRun.String()}}
+		return newResponse(http.StatusServiceUnavailable, h, strings.NewReader(""), 0), nil
+	}
+	var calls sync.WaitGroup
+	for i := range 200 {
+		calls.Go(func() { p.do(newRequest(http.MethodGet, fmt.Sprint("/tins/", i), "", "")) })
+		synctest.Wait()
+		p.tick(50 * time.Millisecond)
+	}
+	for synctest.Wait(); p.InFlight() > 0; synctest.Wait() {
+		p.tick(50 * time.Millisecond)
+	}
+	calls.Wait()
+	require.False(t, askedAt.IsZero())
+	return most
+}
+
 // Checks that requests are refused at once while all servers pause or leave.
 func TestRequestsAreRefusedAtOnceWhileAllServersPauseOrLeave(t *testing.T) {
 	cases := []struct {
