--- a/review/standin/caller.go
+++ b/review/standin/caller.go
@@ -10,14 +10,9 @@
 	"time"
 )
 
-// call sends a request on a new connection and waits for the answer until the time limit. The
-// caller's address is chosen by the system if ip is empty.
-func call(r *record, q *request, ip, body string) {
-	dialer := net.Dialer{Timeout: time.Second}
-	if ip != "" {
-		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(ip)}
-	}
-	conn, err := dialer.Dial("tcp", q.host)
+// call sends a request on a new connection and waits for the answer until the time limit.
+func call(r *record, q *request, body string) {
+	conn, err := net.DialTimeout("tcp", q.host, time.Second)
 	if err != nil {
 		return
 	}
--- a/review/standin/copies.go
+++ b/review/standin/copies.go
@@ -75,7 +75,7 @@
 			id: fmt.Sprintf("%06d-%04x", n, o.seed&0xffff), host: d.gateways[random.IntN(len(d.gateways))].frontend(),
 			method: "POST", path: fmt.Sprintf("/reserve/%d", n), timeLimit: reserveLimit,
 		}
-		calls.Go(func() { call(o.record, q, "", strings.Repeat("b", 300)) })
+		calls.Go(func() { call(o.record, q, strings.Repeat("b", 300)) })
 	}
 }
 
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -43,6 +43,8 @@
 
 	mu      sync.Mutex
 	servers []*server
+	// graceS replaces gracePeriodS of the bounds, if it is not zero.
+	graceS int
 	// addresses counts the addresses given to servers.
 	addresses int
 }
@@ -128,23 +130,6 @@
 	return slices.Clone(d.servers)
 }
 
-// crash crashes a server, whose registration is removed after three heartbeats of silence. It
-// starts again with another ID.
-func (d *deployment) crash(s *server, down time.Duration) error {
-	d.mu.Lock()
-	d.servers = slices.DeleteFunc(d.servers, func(other *server) bool { return other == s })
-	d.mu.Unlock()
-	s.crash()
-	time.AfterFunc(3*heartbeatInterval, func() { d.store.remove("servers/" + s.id) })
-	time.Sleep(down)
-	c := s.serverConfig
-	c.id += "-again"
-	if err := d.addServer(c); err != nil {
-		return err
-	}
-	return d.list()[len(d.list())-1].heartbeat(d.store)
-}
-
 // start writes the route table and the registrations, and starts the gateways.
 func (d *deployment) start(table map[string]any, zones []string) error {
 	for _, s := range d.list() {
@@ -201,6 +186,10 @@
 	for _, other := range d.gateways {
 		seeds = append(seeds, other.address(controlPort))
 	}
+	bounds := bounds()
+	if d.graceS != 0 {
+		bounds["gracePeriodS"] = d.graceS
+	}
 	settings := map[string]any{
 		"nodeName": g.name, "role": "gateway", "machineClass": "front", "serves": []string{"front", "control", "directory"},
 		"ipAddress": g.ip, "zone": g.zone, "region": "region", "zones": zoneRegions,
@@ -211,7 +200,7 @@
 		"initialStart": true, "heartbeatIntervalMs": heartbeatInterval.Milliseconds(),
 		"limits":    map[string]any{"cpuShare": 0.32, "cpuCores": 1, "memoryMb": 284, "maxFileDescriptors": 4100},
 		"contracts": []string{"base", "drain", "config", "cost", "retry", "recover", "health", "platform"},
-		"bounds":    bounds(),
+		"bounds":    bounds,
 		"platform":  map[string]any{"address": d.store.address, "form": "read", "readsPerS": 2000, "historyS": 20, "valueBytes": 1 << 20},
 	}
 	data, err := json.Marshal(settings)
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -45,10 +45,6 @@
 	// copies is the share of the answers that are followed by a second copy.
 	copies func() float64
 	random *rand.Rand
-	// slower holds the time that requests for some paths take, and onSlow is called when the
-	// server begins to run one.
-	slower map[string]time.Duration
-	onSlow func(*server)
 	record *record
 }
 
@@ -73,7 +69,6 @@
 	running     int
 	waiting     int
 	connections map[net.Conn]bool
-	crashed     bool
 	answers     int
 	copied      int
 	sheds       int
@@ -109,7 +104,7 @@
 			return
 		}
 		s.mu.Lock()
-		full := s.crashed || len(s.connections) >= maxConnections
+		full := len(s.connections) >= maxConnections
 		if !full {
 			s.connections[conn] = true
 		}
@@ -184,18 +179,6 @@
 	}
 }
 
-// crash ends the server: its address accepts no connection, and those that are open are reset.
-func (s *server) crash() {
-	_ = s.listener.Close()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.crashed = true
-	for conn := range s.connections {
-		_ = conn.(*net.TCPConn).SetLinger(0)
-		_ = conn.Close()
-	}
-}
-
 // copy counts an answer and reports whether a second copy of it follows.
 func (s *server) copy() bool {
 	s.mu.Lock()
@@ -231,13 +214,8 @@
 	}
 	defer s.release()
 	run := s.record.began(id, s.id)
-	duration := s.work.of(id)
-	if d, found := s.slower[r.URL.Path]; found {
-		duration = d
-		s.onSlow(s)
-	}
 	select {
-	case <-time.After(duration):
+	case <-time.After(s.work.of(id)):
 	case <-ctx.Done():
 	}
 	switch {
--- a/review/standin/stop.go
+++ b/review/standin/stop.go
@@ -79,25 +79,84 @@
 		case <-time.After(gracePeriod):
 		}
 	}
-	return judgeStop(o, stopped, stoppedAt), nil
+	return judgeStop(o, stopped, stoppedAt, gracePeriod, archiveTimeout), nil
+}
+
+// The grace period and the timeout of history in qalib-gw-large, with the rate of the variant.
+const (
+	largeGrace   = 10 * time.Second
+	largeTimeout = 10 * time.Second
+	largeLimit   = 20 * time.Second
+	largeRate    = 60
+)
+
+// runStopFresh stops one of two hosts that have the grace period of a large deployment, while
+// callers that looked it up shortly before send each request on a new connection.
+func runStopFresh(o *options) (int, error) {
+	d, err := newDeployment(o)
+	if err != nil {
+		return couldNotRun, err
+	}
+	defer d.end()
+	d.graceS = int(largeGrace.Seconds())
+	zones := []string{"cairo", "giza"}
+	for i := range 24 {
+		err := d.addServer(serverConfig{
+			id: fmt.Sprintf("i-%d", i), service: "ledger", zone: zones[i%2], slots: 6, queue: 12, tellsLoad: true,
+			work: work{mean: 1400 * time.Millisecond, longest: 15 * time.Second, spread: 0.3, tail: 0.03, tailTime: 7},
+		})
+		if err != nil {
+			return couldNotRun, err
+		}
+	}
+	table := routeTable("/history/", "safe", "ledger", int(largeTimeout.Milliseconds()), 4000, 2)
+	if err := d.start(table, zones); err != nil {
+		return couldNotRun, err
+	}
+	time.Sleep(4 * time.Second)
+	stopped := d.gateways[0]
+	_, validity, err := lookUp(stopped, stopped.zone)
+	if err != nil {
+		return couldNotRun, err
+	}
+	until := time.Now().Add(lookupUse * validity)
+	stoppedAt := time.Now()
+	if o.trouble {
+		o.record.say("SIGTERM to %s", stopped.name)
+		if err := stopped.command.Process.Signal(syscall.SIGTERM); err != nil {
+			return couldNotRun, err
+		}
+	}
+	random := rand.New(rand.NewPCG(o.seed, 7))
+	var calls sync.WaitGroup
+	for n := 0; time.Now().Before(until); n++ {
+		time.Sleep(time.Duration(random.ExpFloat64() / largeRate * float64(time.Second)))
+		q := &request{
+			id: fmt.Sprintf("%05d-%04x", n, o.seed&0xffff), host: stopped.frontend(), method: "GET",
+			path: fmt.Sprintf("/history/%d", n), timeLimit: largeLimit,
+		}
+		calls.Go(func() { call(o.record, q, "") })
+	}
+	calls.Wait()
+	return judgeStop(o, stopped, stoppedAt, largeGrace, largeTimeout), nil
 }
 
 // judgeStop applies the rule LOST to the requests that were sent to the stopped host.
-func judgeStop(o *options, stopped *gateway, stoppedAt time.Time) int {
+func judgeStop(o *options, stopped *gateway, stoppedAt time.Time, grace, timeout time.Duration) int {
 	o.record.writeAll()
 	lost, late, answered := 0, 0, 0
 	for _, q := range o.record.sorted() {
 		if q.status != 0 && q.signed {
 			answered++
 		}
-		if q.host != stopped.frontend() || !q.sentAt.After(stoppedAt.Add(lateSend)) || q.sentAt.After(stoppedAt.Add(gracePeriod+time.Second)) {
+		if q.host != stopped.frontend() || !q.sentAt.After(stoppedAt.Add(lateSend)) || q.sentAt.After(stoppedAt.Add(grace+time.Second)) {
 			continue
 		}
 		if len(q.runs) == 0 {
 			continue
 		}
 		late++
-		inTime := q.answeredAt.Before(q.sentAt.Add(archiveTimeout))
+		inTime := q.answeredAt.Before(q.sentAt.Add(timeout))
 		if !q.signed && atWorkAt(q) && inTime {
 			lost++
 			o.record.say("LOST: %s; sent %.3f s after the SIGTERM, broken off %.3f s after it", o.record.describe(q),
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -74,20 +74,6 @@
 	return nil
 }
 
-// remove removes an item, for example a registration that is no longer renewed.
-func (s *store) remove(key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if _, found := s.items[key]; !found {
-		return
-	}
-	s.revision++
-	delete(s.items, key)
-	s.events = append(s.events, item{Key: key, Revision: s.revision, Deleted: true})
-	close(s.updated)
-	s.updated = make(chan struct{})
-}
-
 func (s *store) serveRange(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
