Show that requests behind a download that breaks off are lost

Safe requests that a caller sends behind a download are passed on while the download is delivered. If its server breaks off after the first 1 MB, the host ends the connection and drops all of them, also those that sound servers have answered.

--- a/review/standin/caller.go
+++ b/review/standin/caller.go
@@ -23,7 +23,7 @@
 		r.answered(q, 0, false, "the connection ended: "+kindOf(err))
 		return
 	}
-	readAnswer(r, q, bufio.NewReader(conn), body)
+	readAnswer(r, q, bufio.NewReader(conn), bodyOf(q.id, q.method, q.path, body))
 }
 
 // head returns the header of a request.
@@ -35,8 +35,9 @@
 	return h + "\r\n"
 }
 
-// readAnswer reads the answer to a request and reports whether the connection stays open.
-func readAnswer(r *record, q *request, reader *bufio.Reader, body string) (open bool) {
+// readAnswer reads the answer to a request, which is to be as expected if it is a success, and
+// reports whether the connection stays open.
+func readAnswer(r *record, q *request, reader *bufio.Reader, expected string) (open bool) {
 	response, err := http.ReadResponse(reader, &http.Request{Method: q.method})
 	if err != nil {
 		r.answered(q, 0, false, "the connection ended: "+kindOf(err))
@@ -47,7 +48,7 @@
 	switch {
 	case err != nil:
 		fault = "incomplete"
-	case response.StatusCode == http.StatusOK && string(data) != bodyOf(q.id, q.method, q.path, body):
+	case response.StatusCode == http.StatusOK && string(data) != expected:
 		fault = "wrong body"
 	}
 	r.answered(q, response.StatusCode, response.Header.Get("Response-Signature") != "", fault)
--- a/review/standin/copies.go
+++ b/review/standin/copies.go
@@ -51,7 +51,7 @@
 			return couldNotRun, err
 		}
 	}
-	table := routeTable("/reserve/", "unsafe", "bookings", int(reserveTimeout.Milliseconds()), 300, 2)
+	table := routeTable(route{"/reserve/", "unsafe", "bookings", int(reserveTimeout.Milliseconds()), 300, 2})
 	if err := d.start(table, zones); err != nil {
 		return couldNotRun, err
 	}
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -295,15 +295,24 @@
 // hostName is the host of all routes.
 const hostName = "hulo84.example"
 
-// routeTable returns the desired state with one route.
-func routeTable(prefix, kind, service string, timeoutMs, targetMs, maxAttempts int) map[string]any {
+// route is a route of the desired state, with the service that it leads to.
+type route struct {
+	prefix, kind, service            string
+	timeoutMs, targetMs, maxAttempts int
+}
+
+// routeTable returns a desired state.
+func routeTable(routes ...route) map[string]any {
+	table, services := make(map[string]any), make(map[string]any)
+	for i, r := range routes {
+		table[fmt.Sprintf("r-%d", i)] = map[string]any{
+			"hostname": hostName, "pathPrefix": r.prefix, "kind": r.kind, "timeoutMs": r.timeoutMs, "targetLatencyMs": r.targetMs,
+			"priority": 1, "service": r.service, "maxAttempts": r.maxAttempts,
+		}
+		services[r.service] = map[string]any{"healthCheckPath": "/health", "maxConnections": maxConnections}
+	}
 	return map[string]any{
-		"version": "r7",
-		"routes": map[string]any{"r-1": map[string]any{
-			"hostname": hostName, "pathPrefix": prefix, "kind": kind, "timeoutMs": timeoutMs, "targetLatencyMs": targetMs,
-			"priority": 1, "service": service, "maxAttempts": maxAttempts,
-		}},
-		"services": map[string]any{service: map[string]any{"healthCheckPath": "/health", "maxConnections": maxConnections}},
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 26, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"version": "r7", "routes": table, "services": services,
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 26, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	}
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -35,7 +35,7 @@
 }
 
 func run() int {
-	cases := map[string]func(*options) (int, error){"stop": runStop, "stop-fresh": runStopFresh, "copies": runCopies}
+	cases := map[string]func(*options) (int, error){"stop": runStop, "stop-fresh": runStopFresh, "copies": runCopies, "behind": runBehind}
 	var o options
 	path := flag.String("record", "record.txt", "file that the record is written to")
 	flag.BoolVar(&o.trouble, "trouble", true, "play the disruption")
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -42,6 +42,10 @@
 	// tellsLoad is set if responses name the server's load. Health checks then take no slot.
 	tellsLoad bool
 	work      work
+	// size is the size of the answers' bodies, as short as possible if zero.
+	size int
+	// breaks is the share of the answers that break off.
+	breaks func() float64
 	// copies is the share of the answers that are followed by a second copy.
 	copies func() float64
 	random *rand.Rand
@@ -71,6 +75,7 @@
 	connections map[net.Conn]bool
 	answers     int
 	copied      int
+	broken      int
 	sheds       int
 }
 
@@ -170,6 +175,10 @@
 		if answer == "" || ctx.Err() != nil {
 			return
 		}
+		if s.breaks != nil && m.request.Header.Get("Request-Id") != "" && s.draw(s.breaks()) {
+			_, _ = io.WriteString(conn, answer[:s.position(len(answer))])
+			return
+		}
 		if _, err := io.WriteString(conn, answer); err != nil {
 			return
 		}
@@ -179,6 +188,21 @@
 	}
 }
 
+// draw reports whether something with the given probability happens.
+func (s *server) draw(probability float64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.random.Float64() < probability
+}
+
+// position returns where an answer breaks off.
+func (s *server) position(length int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.broken++
+	return s.random.IntN(length)
+}
+
 // copy counts an answer and reports whether a second copy of it follows.
 func (s *server) copy() bool {
 	s.mu.Lock()
@@ -227,7 +251,7 @@
 		return ""
 	}
 	s.record.ended(run, "200")
-	return s.response("200 OK", id, bodyOf(id, r.Method, r.URL.RequestURI(), string(body)))
+	return s.response("200 OK", id, pad(bodyOf(id, r.Method, r.URL.RequestURI(), string(body)), s.size))
 }
 
 // bodyOf returns the body of the answer to a request.
@@ -235,6 +259,11 @@
 	return strings.Join([]string{id, method, uri, body}, " ")
 }
 
+// pad extends a body to a size.
+func pad(body string, size int) string {
+	return body + strings.Repeat(".", max(0, size-len(body)))
+}
+
 func (s *server) response(status, id, body string) string {
 	return fmt.Sprintf("HTTP/1.1 %s\r\nRequest-Id: %s\r\nResponse-Signature: sig.%s\r\n%sKeep-Alive: timeout=10\r\nContent-Length: %d\r\n\r\n%s", status, id, id, s.load(), len(body), body)
 }
--- a/review/standin/stop.go
+++ b/review/standin/stop.go
@@ -47,7 +47,7 @@
 			return couldNotRun, err
 		}
 	}
-	table := routeTable("/archive/", "safe", "condarchive", int(archiveTimeout.Milliseconds()), 2000, 2)
+	table := routeTable(route{"/archive/", "safe", "condarchive", int(archiveTimeout.Milliseconds()), 2000, 2})
 	if err := d.start(table, zones); err != nil {
 		return couldNotRun, err
 	}
@@ -109,7 +109,7 @@
 			return couldNotRun, err
 		}
 	}
-	table := routeTable("/history/", "safe", "ledger", int(largeTimeout.Milliseconds()), 4000, 2)
+	table := routeTable(route{"/history/", "safe", "ledger", int(largeTimeout.Milliseconds()), 4000, 2})
 	if err := d.start(table, zones); err != nil {
 		return couldNotRun, err
 	}
@@ -226,7 +226,7 @@
 				continue
 			}
 			_ = conn.SetReadDeadline(q.sentAt.Add(archiveLimit + 500*time.Millisecond))
-			if open = readAnswer(r, q, reader, ""); !open {
+			if open = readAnswer(r, q, reader, bodyOf(q.id, q.method, q.path, "")); !open {
 				_ = conn.Close()
 			}
 		}
