--- a/review/standin/copies.go
+++ b/review/standin/copies.go
@@ -39,6 +39,12 @@
 	for i := range bookingServers {
 		err := d.addServer(serverConfig{
 			id: fmt.Sprintf("i-%d", i), service: "bookings", zone: zones[i%2], slots: 6, queue: 2, tellsLoad: o.load,
+			turnsAway: func() float64 {
+				if len(*copying.Load()) > 0 {
+					return o.shed
+				}
+				return 0
+			},
 			work: work{mean: 100 * time.Millisecond, longest: 1100 * time.Millisecond, spread: 0.3, tail: 0.03, tailTime: 7},
 			copies: func() float64 {
 				if slices.Contains(*copying.Load(), i) {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,8 +22,10 @@
 type options struct {
 	trouble bool
 	binary  string
-	// load is set if the servers of the case copies tell their load.
+	// load is set if the servers of the case copies tell their load, and shed is the share of
+	// the requests that all of them turn away while some send copies.
 	load   bool
+	shed   float64
 	seed   uint64
 	record *record
 }
@@ -41,6 +43,7 @@
 	flag.BoolVar(&o.trouble, "trouble", true, "play the disruption")
 	flag.StringVar(&o.binary, "binary", "target/verbenastand", "program of the gateway")
 	flag.BoolVar(&o.load, "load", false, "let the servers of the case copies tell their load")
+	flag.Float64Var(&o.shed, "shed", 0, "share of the requests that the servers of the case copies turn away while some send copies")
 	flag.Uint64Var(&o.seed, "seed", 0, "seed of the traffic, drawn anew if zero")
 	flag.Parse()
 	play := cases[flag.Arg(0)]
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -44,6 +44,8 @@
 	work      work
 	// size is the size of the answers' bodies, as short as possible if zero.
 	size int
+	// turnsAway is the share of the requests that are turned away although there is room.
+	turnsAway func() float64
 	// breaks is the share of the answers that break off.
 	breaks func() float64
 	// copies is the share of the answers that are followed by a second copy.
@@ -233,7 +235,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(limit*float64(time.Millisecond)))
 	defer cancel()
-	if !s.acquire(ctx) {
+	if (s.turnsAway != nil && s.draw(s.turnsAway())) || !s.acquire(ctx) {
 		return s.shed(ctx)
 	}
 	defer s.release()
