--- a/review/standin/copies.go
+++ b/review/standin/copies.go
@@ -15,13 +15,13 @@
 const (
 	reserveTimeout = 800 * time.Millisecond
 	reserveLimit   = 1500 * time.Millisecond
-	reserveRate    = 195
+	reserveRate    = 220
 	bookingServers = 4
 
 	copyShare    = 0.03
 	copyDuration = 5 * time.Second
 	copyPause    = 2 * time.Second
-	copyWindows  = 9
+	copyWindows  = 12
 	// copyingServers is 0.6 of the servers, rounded down.
 	copyingServers = 2
 )
