End the intake of a stopping host early enough for its servers

Cause: a stopping host had no end of its intake. It closed only connections without pending requests, and announced the close only with a response behind which nothing was pending, so a caller that pipelines kept its connection until the host broke off everything. Ruled out: late signals (SIGTERM logged at 4.261 s, 504 at 9.663 s as scheduled) and servers (all at work). The same cause elsewhere: new connections for half of the grace period (5 s of 10 s), uploads whose body was still arriving (cut without a word), delegated requests (a close looks like a request that may have run), and a break-off before the last sixth of a grace period of 3 s.

Change: the first response after the signal ends the intake of its connection, the last pending response announces it. For the others the intake ends after half of the grace period, 2.5 s at most: the listener is closed, idle connections are closed unread (no lingering read of what arrives later), an upload still arriving and a delegated request get 503 "not run". What no server is expected to complete before the break-off is refused at once. The reserve at the end is an eighth of short grace periods.

Conclusion: the class is an intake without an end.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -17,7 +17,7 @@
 )
 
 // Handler responds to one request. It must call exactly one of the Response's
-// methods before it returns.
+// methods before it returns. It must not run a request that is late.
 type Handler interface {
 	Serve(ctx context.Context, w *Response, r *Request)
 }
@@ -62,7 +62,9 @@
 
 	mu          sync.Mutex
 	connections map[*connection]struct{}
-	done        sync.WaitGroup
+	// stopped is set once StopReading was called.
+	stopped bool
+	done    sync.WaitGroup
 }
 
 // NewAcceptor returns an acceptor that does nothing until Serve is called.
@@ -107,7 +109,11 @@
 	c := newConnection(a, conn)
 	a.mu.Lock()
 	a.connections[c] = struct{}{}
+	stopped := a.stopped
 	a.mu.Unlock()
+	if stopped {
+		c.stopReading()
+	}
 	a.done.Go(func() {
 		c.run()
 		a.mu.Lock()
@@ -128,17 +134,21 @@
 	a.start(&delegatedConn{Conn: conn, origin: origin})
 }
 
-// Drain makes later responses announce that their connection will be closed, except
-// those that are followed by the response to a pipelined request.
+// Drain makes the next response of each connection end its intake: no further request is
+// read, and the last response announces the close. Callers that pipeline would otherwise
+// keep a connection open, and would learn of the stop only behind their slowest request.
 func (a *Acceptor) Drain() { a.draining.Store(true) }
 
-// CloseIdle closes the connections without pending requests. The others are closed
-// after their responses if Drain was called.
-func (a *Acceptor) CloseIdle() {
+// StopReading ends the intake of requests. Connections without pending requests are
+// closed unread; the others after the responses to the requests that were read, the last
+// of which announces it. A request whose body is incomplete, or that another host has
+// delegated, is passed to the handler as late.
+func (a *Acceptor) StopReading() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.stopped = true
 	for c := range a.connections {
-		c.closeIfIdle()
+		c.stopReading()
 	}
 }
 
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -216,7 +216,7 @@
 		c.send(t, get("/a")+get("/b"))
 		synctest.Wait()
 		a.Drain()
-		a.CloseIdle()
+		a.StopReading()
 		response, _ := c.receive(t)
 		require.False(t, response.Close, "a pipelined request is still pending")
 		response, body := c.receive(t)
@@ -229,13 +229,13 @@
 	})
 }
 
-func TestCloseIdleClosesIdleConnections(t *testing.T) {
+func TestStopReadingClosesIdleConnections(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a, c := connect(t, echoPath)
 		c.send(t, get("/a"))
 		_, _ = c.receive(t)
 		synctest.Wait()
-		a.CloseIdle()
+		a.StopReading()
 		_, err := c.reader.ReadByte()
 		require.ErrorIs(t, err, io.EOF)
 	})
@@ -415,6 +415,127 @@
 	})
 }
 
+// lateRefusal echoes the path of a request, or refuses a late one.
+func lateRefusal(_ context.Context, w *Response, r *Request) {
+	if r.Late() {
+		_ = w.Write(http.StatusServiceUnavailable, http.Header{}, nil)
+		return
+	}
+	if !r.Buffered() {
+		if _, err := io.Copy(io.Discard, r.Stream()); err != nil {
+			w.Abort()
+			return
+		}
+	}
+	time.Sleep(time.Second)
+	_ = w.Write(http.StatusOK, http.Header{}, []byte(r.URL.Path))
+}
+
+// Guards against a stopping host that takes requests which callers pipeline until it
+// answers them 504 (review/2), and against other requests that arrive too late.
+func TestAStoppedAcceptorTakesNoFurtherRequests(t *testing.T) {
+	upload := post("/upload", strings.Repeat("x", 100))
+	large := post("/upload", strings.Repeat("x", 300<<10))
+	cases := []struct {
+		name string
+		// before and after are what the caller sends before and after the stop.
+		before, after string
+		// statuses are those of the responses; the last one announces the close.
+		statuses  []int
+		took      time.Duration
+		delegated bool
+	}{
+		{"a pipelined request", get("/a"), get("/b") + get("/c"), []int{http.StatusOK}, time.Second, false},
+		{"requests pipelined before", get("/a") + get("/b"), get("/c"), []int{http.StatusOK, http.StatusOK}, time.Second, false},
+		{"half of a pipelined request", get("/a") + "GET /b HT", "TP/1.1\r\nHost: a.example\r\n\r\n", []int{http.StatusOK}, time.Second, false},
+		{"half of a pipelined body", get("/a") + upload[:len(upload)-50], upload[len(upload)-50:], []int{http.StatusOK}, time.Second, false},
+		{"an idle connection", "", get("/a"), nil, 0, false},
+		{"half of a header", "GET /a HT", "TP/1.1\r\nHost: a.example\r\n\r\n", nil, 0, false},
+		{"half of a body", upload[:len(upload)-50], upload[len(upload)-50:], []int{http.StatusServiceUnavailable}, 0, false},
+		{"half of a body that a handler reads", large[:len(large)-50], large[len(large)-50:], []int{http.StatusOK}, time.Second, false},
+		{"a delegated request", "", get("/a"), []int{http.StatusServiceUnavailable}, 0, true},
+		{"half of a delegated request", "GET /a HT", "TP/1.1\r\nHost: a.example\r\n\r\n", []int{http.StatusServiceUnavailable}, 0, true},
+		{"half of a delegated body", upload[:len(upload)-50], upload[len(upload)-50:], []int{http.StatusServiceUnavailable}, 0, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				a, c := connect(t, lateRefusal)
+				if tc.delegated {
+					near, far := net.Pipe()
+					defer func() { _ = near.Close() }()
+					a.ServeDelegated(far, verbenastand.Origin{Caller: "10.0.0.1:1"})
+					c = &caller{Conn: near, reader: bufio.NewReader(near)}
+				}
+				c.send(t, tc.before)
+				synctest.Wait()
+				a.Drain()
+				a.StopReading()
+				started := time.Now()
+				go func() { _, _ = io.WriteString(c, tc.after) }()
+				for i, status := range tc.statuses {
+					response, _ := c.receive(t)
+					require.Equal(t, status, response.StatusCode)
+					require.Equal(t, i == len(tc.statuses)-1, response.Close)
+				}
+				_, err := c.reader.ReadByte()
+				require.ErrorIs(t, err, io.EOF)
+				require.Equal(t, tc.took, time.Since(started))
+				_ = c.Close()
+				synctest.Wait()
+				require.LessOrEqual(t, a.Connections(), 1, "the first connection of a delegated case")
+				require.EqualValues(t, DefaultRequestMemory, a.requestMemory.Left())
+			})
+		})
+	}
+}
+
+// Guards against a connection that stays open on a stopping host as long as its caller
+// pipelines requests (review/2).
+func TestTheFirstResponseWhileDrainingEndsTheIntake(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, c := connect(t, lateRefusal)
+		go func() {
+			for i := range 20 {
+				if _, err := io.WriteString(c, get(fmt.Sprint("/", i))); err != nil {
+					return
+				}
+				time.Sleep(400 * time.Millisecond)
+			}
+		}()
+		started := time.Now()
+		time.AfterFunc(1900*time.Millisecond, a.Drain)
+		var paths []string
+		for {
+			response, path := c.receive(t)
+			paths = append(paths, path)
+			if response.Close {
+				break
+			}
+		}
+		require.Equal(t, []string{"/0", "/1", "/2", "/3", "/4", "/5"}, paths, "the first response after the signal is that to /3, at 2.2 s")
+		require.Equal(t, 3*time.Second, time.Since(started))
+		_ = c.Close()
+		synctest.Wait()
+		require.Zero(t, a.Connections())
+	})
+}
+
+// Checks that connections which are accepted while the acceptor stops are closed unread.
+func TestAStoppedAcceptorClosesNewConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, _ := connect(t, lateRefusal)
+		a.StopReading()
+		near, far := net.Pipe()
+		a.start(far)
+		go func() { _, _ = io.WriteString(near, get("/a")) }()
+		_, err := near.Read(make([]byte, 1))
+		require.ErrorIs(t, err, io.EOF)
+		synctest.Wait()
+		require.Zero(t, a.Connections())
+	})
+}
+
 func FuzzConnection(f *testing.F) {
 	f.Add([]byte(get("/a") + get("/b")))
 	f.Add([]byte("POST /p HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"))
--- a/acceptor/closing.go
+++ b/acceptor/closing.go
@@ -41,9 +41,17 @@
 	}
 }
 
-// linger closes the connection in a way that lets the caller read the last response.
+// linger closes the connection in a way that lets the caller read the last response. A
+// connection that was idle is closed at once, so that a request that arrives meanwhile
+// stays unread.
 func (c *connection) linger() {
 	defer func() { _ = c.conn.Close() }()
+	c.mu.Lock()
+	inTransit := c.responded && time.Since(c.idleSince) < lingerTimeout
+	c.mu.Unlock()
+	if !inTransit {
+		return
+	}
 	halfCloser, ok := c.conn.(interface{ CloseWrite() error })
 	if !ok || halfCloser.CloseWrite() != nil {
 		return
@@ -56,19 +64,50 @@
 	_, _ = io.CopyN(io.Discard, c.conn, limit)
 }
 
-// closeIfIdle closes the connection if no request is pending.
-func (c *connection) closeIfIdle() {
+// stopReading lets the reader take no further request. A body that a handler reads is
+// read to its end.
+func (c *connection) stopReading() {
 	c.mu.Lock()
-	idle := c.pending == 0
-	if idle {
-		c.closing = true
-	}
-	c.mu.Unlock()
-	if idle {
+	defer c.mu.Unlock()
+	c.stopped = true
+	c.closeLocked()
+}
+
+// closeLocked lets the reader take no further request, and wakes it unless it waits for a
+// handler that reads a body.
+func (c *connection) closeLocked() {
+	c.closing = true
+	if !c.streaming && !c.awaitsDelegated() {
 		_ = c.conn.SetReadDeadline(time.Now())
 	}
 }
 
+// awaitsDelegated reports whether another host may just be sending the only request of a
+// connection. It would have to take a close for a request that may have run.
+func (c *connection) awaitsDelegated() bool {
+	_, delegated := c.conn.(*delegatedConn)
+	return c.stopped && delegated && !c.received
+}
+
+// allowReading sets the read deadline, unless the reader has been stopped.
+func (c *connection) allowReading(timeout time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stopped && !c.awaitsDelegated() {
+		timeout = 0
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(timeout))
+}
+
+// interrupted reports whether a request could not be read completely because the acceptor
+// takes no more requests, and no other response can announce the end of the connection.
+func (c *connection) interrupted(err error) bool {
+	var timeout net.Error
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stopped && c.pending == 0 && errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // abort cancels the handlers and closes the connection at once.
 func (c *connection) abort() {
 	c.cancelHandlers(errCallerDisconnected)
--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -49,8 +49,16 @@
 	pending int
 	// idleSince is when the last response was written.
 	idleSince time.Time
+	// responded is set once a response was written.
+	responded bool
 	// closing is set once no further request is accepted on the connection.
 	closing bool
+	// stopped is set once the acceptor takes no more requests.
+	stopped bool
+	// received is set once a request was read.
+	received bool
+	// streaming is set while a handler reads the body of a request.
+	streaming bool
 }
 
 func newConnection(a *Acceptor, conn net.Conn) *connection {
@@ -73,7 +81,7 @@
 			break
 		}
 		next := make(chan struct{})
-		if !c.addPending() {
+		if !c.addRequest(r) {
 			r.buffer.Release()
 			break
 		}
@@ -102,11 +110,29 @@
 	return c
 }()
 
-// addPending counts a new request, unless the connection is closing.
-func (c *connection) addPending() bool {
-	select {
-	case c.pipelineSlots <- struct{}{}:
-	case <-c.ctx.Done():
+// addRequest counts a new request, unless the connection is closing. If the request was
+// read while the acceptor stopped, and no other response can announce the end of the
+// connection, it is counted as late.
+func (c *connection) addRequest(r *Request) bool {
+	if !c.awaitSlot() {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		if !c.stopped || c.pending > 0 {
+			return false
+		}
+		r.late, r.last = true, true
+	}
+	c.received, c.streaming = true, r.stream != nil
+	c.pending++
+	return true
+}
+
+// addRefusal counts an invalid request, unless the connection is closing.
+func (c *connection) addRefusal() bool {
+	if !c.awaitSlot() {
 		return false
 	}
 	c.mu.Lock()
@@ -118,12 +144,22 @@
 	return true
 }
 
+// awaitSlot waits until the connection may have another pending request.
+func (c *connection) awaitSlot() bool {
+	select {
+	case c.pipelineSlots <- struct{}{}:
+		return true
+	case <-c.ctx.Done():
+		return false
+	}
+}
+
 func (c *connection) handle(w *Response, r *Request) {
 	defer func() {
 		<-c.pipelineSlots
 		c.mu.Lock()
 		c.pending--
-		c.idleSince = time.Now()
+		c.idleSince, c.responded = time.Now(), true
 		c.mu.Unlock()
 		r.buffer.Release()
 		close(w.next)
@@ -147,7 +183,7 @@
 			return nil, err
 		}
 	}
-	_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	c.allowReading(limits.HeaderTimeout)
 	c.limited.Allow(int64(limits.HeaderBytes) + headerSlack - int64(c.reader.Buffered()))
 	httpRequest, err := http.ReadRequest(c.reader)
 	if err != nil {
@@ -161,8 +197,12 @@
 	if err := validate(httpRequest); err != nil {
 		return nil, err
 	}
-	_ = c.conn.SetReadDeadline(time.Now().Add(c.acceptor.config.StallTimeout))
+	c.allowReading(c.acceptor.config.StallTimeout)
 	if err := c.readBody(r, limits.BodyBytes); err != nil {
+		if c.interrupted(err) {
+			c.bodyUnread = true
+			return r, nil
+		}
 		return nil, err
 	}
 	_ = c.conn.SetReadDeadline(time.Time{})
@@ -189,7 +229,7 @@
 func (c *connection) extendIdle(idle time.Duration) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing {
+	if c.closing && !c.awaitsDelegated() {
 		return errClosing
 	}
 	now := time.Now()
@@ -297,6 +337,9 @@
 	_ = c.conn.SetReadDeadline(time.Now().Add(c.acceptor.config.StallTimeout))
 	select {
 	case <-r.stream.done:
+		c.mu.Lock()
+		c.streaming = false
+		c.mu.Unlock()
 		return r.stream.complete.Load()
 	case <-c.ctx.Done():
 		return false
@@ -323,7 +366,7 @@
 	default:
 		status = &statusError{http.StatusBadRequest, "malformed request"}
 	}
-	if c.addPending() {
+	if c.addRefusal() {
 		c.handlers.Go(func() { c.writeRefusal(status, turn) })
 	}
 }
@@ -337,6 +380,9 @@
 	}
 	head := http.Header{"Content-Type": {"text/plain"}}
 	_ = writeMessage(c.conn, status.status, head, []byte(status.text+"\n"), true, false)
+	c.mu.Lock()
+	c.idleSince, c.responded = time.Now(), true
+	c.mu.Unlock()
 }
 
 func isConnectionError(err error) bool {
--- a/acceptor/message.go
+++ b/acceptor/message.go
@@ -28,8 +28,10 @@
 	turn   <-chan struct{}
 	// origin is set if another host has delegated the request.
 	origin *verbenastand.Origin
-	// last is set if the caller sends no further request on the connection.
+	// last is set if no further request of the connection is read.
 	last bool
+	// late is set if the acceptor stopped before it took the request.
+	late bool
 }
 
 // Arrived returns when the header of the request was read.
@@ -38,6 +40,10 @@
 // Remote returns the address of the caller.
 func (r *Request) Remote() string { return r.remote }
 
+// Late reports whether the acceptor has taken no more requests since before this one was
+// read. It must be refused; its body may be incomplete.
+func (r *Request) Late() bool { return r.late }
+
 // Origin returns where a request comes from that another host has delegated, nil for one
 // that a caller sent to this host.
 func (r *Request) Origin() *verbenastand.Origin { return r.origin }
@@ -204,11 +210,9 @@
 	onlyPending := c.pending == 1
 	// What is left of a body must not be taken for the next request.
 	bodyUnread := w.request.stream != nil && !w.request.stream.complete.Load()
-	if w.request.last || bodyUnread || (c.acceptor.draining.Load() && onlyPending) || (c.closing && onlyPending) {
-		c.closing = true
-		last = true
-		// Wakes the reader, which then stops reading requests.
-		_ = c.conn.SetReadDeadline(time.Now())
+	last = w.request.last || bodyUnread || (onlyPending && (c.closing || c.acceptor.draining.Load()))
+	if last || c.acceptor.draining.Load() {
+		c.closeLocked()
 	}
 	_ = c.conn.SetWriteDeadline(time.Now().Add(c.acceptor.config.StallTimeout))
 	return last, nil
--- a/carrier/admit.go
+++ b/carrier/admit.go
@@ -63,7 +63,7 @@
 		query.LocalWithin = c.targetTime.Add(-margin).Sub(c.carrier.config.Clock.Now())
 	}
 	expected := time.Duration(waitFactor * float64(c.service.Expected(c.route)))
-	choice, err := c.service.Admit(ctx, query, c.targetTime.Add(-margin-expected))
+	choice, err := c.service.Admit(ctx, query, c.beforeStop(c.targetTime.Add(-margin)).Add(-expected))
 	overloaded := errors.Is(err, balancer.ErrNoCapacity) && choice.Server == nil
 	if overloaded {
 		query.CheckLimit = lateChecks
@@ -84,6 +84,11 @@
 		return choice, err
 	}
 	now := c.carrier.config.Clock.Now()
+	if end := now.Add(choice.Estimate); c.beforeStop(end) != end {
+		choice.Release()
+		refusal := verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonDraining, errStopsSooner)
+		return choice, refusal.WithRetryAfter(refusedRetryAfter)
+	}
 	inTime := now.Add(choice.Estimate).Before(c.targetTime.Add(-margin))
 	pastDeadline := now.Add(choice.Estimate).After(c.deadline)
 	if choice.Full || pastDeadline || (choice.Saturated && (overloaded || !inTime)) || (overloaded && !inTime) {
@@ -95,6 +100,17 @@
 	return choice, nil
 }
 
+// errStopsSooner means that a request is not expected to complete before the host stops.
+var errStopsSooner = errors.New("carrier: the host stops before a server could respond")
+
+// beforeStop returns the earlier of a time and the one at which the host stops.
+func (c *call) beforeStop(t time.Time) time.Time {
+	if stopsAt := c.carrier.stopsAt.Load(); stopsAt != nil && stopsAt.Before(t) {
+		return *stopsAt
+	}
+	return t
+}
+
 // largeBody reports whether sending the request transfers much.
 func (c *call) largeBody() bool {
 	return !c.request.Buffered() || len(c.request.Bytes()) > largeBodyBytes
--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -104,6 +104,8 @@
 	// stopped ends when Stop is called.
 	stopped context.Context
 	stop    context.CancelFunc
+	// stopsAt is when Stop will be called; nil while that is not known.
+	stopsAt atomic.Pointer[time.Time]
 
 	mu      sync.Mutex
 	budgets map[verbenastand.ServiceName]*retrier.WindowBudget
@@ -133,6 +135,10 @@
 	}
 }
 
+// StopAt announces that Stop will be called at a given time. Requests that no server is
+// expected to complete before that are refused at once.
+func (c *Carrier) StopAt(t time.Time) { c.stopsAt.Store(&t) }
+
 // errStopped ends requests that are still being handled when Stop is called.
 var errStopped = errors.New("carrier: the host is stopping")
 
@@ -211,6 +217,10 @@
 		c.refuseEarly(w, r, http.StatusServiceUnavailable, verbenastand.ReasonOverload, earlyRetryAfter)
 		return
 	}
+	if r.Late() {
+		c.refuseEarly(w, r, http.StatusServiceUnavailable, verbenastand.ReasonDraining, refusedRetryAfter)
+		return
+	}
 	incoming := &call{carrier: c, request: r, writer: w, id: r.Header.Get(c.config.Names.RequestID), arrived: r.Arrived()}
 	if !incoming.resolve() {
 		return
--- a/carrier/carrier_test.go
+++ b/carrier/carrier_test.go
@@ -1,6 +1,7 @@
 package carrier
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -446,6 +447,65 @@
 	}
 }
 
+// Guards against a stopping host that takes requests whose servers it breaks off: what can't
+// be completed before the stop is refused at once, so that callers move in time.
+func TestAStoppingHostRefusesWhatItCannotComplete(t *testing.T) {
+	cases := []struct {
+		name string
+		// left is the time until the stop.
+		left   time.Duration
+		status int
+	}{
+		{"time enough", 10 * delay, http.StatusOK},
+		{"less time than a server takes", delay / 2, http.StatusServiceUnavailable},
+	}
+	for _, safety := range []verbenastand.RetrySafety{verbenastand.Idempotent, verbenastand.AtMostOnce} {
+		for _, tc := range cases {
+			t.Run(safety.String()+" "+tc.name, func(t *testing.T) {
+				withHarness(t, func(c *verbenastand.RouteConfig) { c.RetrySafety = safety }, []*backend{{serve: reply(delay)}}, func(h *harness) {
+					for range 20 {
+						h.call("POST", "/x/1", "")
+					}
+					sent := len(h.requests())
+					h.carrier.StopAt(time.Now().Add(tc.left))
+					began := time.Now()
+					response, _ := h.call("POST", "/x/1", "")
+					require.Equal(t, tc.status, response.StatusCode)
+					if tc.status == http.StatusOK {
+						return
+					}
+					require.Less(t, time.Since(began), delay/2)
+					require.Equal(t, verbenastand.NotRun.String(), response.Header.Get(verbenastand.HeaderVerdict))
+					require.Equal(t, verbenastand.ReasonDraining.String(), response.Header.Get(verbenastand.HeaderReason))
+					require.NotEmpty(t, response.Header.Get("Retry-After"))
+					require.Len(t, h.requests(), sent)
+				})
+			})
+		}
+	}
+}
+
+// Guards against an upload that is still arriving when the intake ends: it gets a refusal
+// that lets its caller send it elsewhere, and never reaches a server.
+func TestALateUploadIsRefused(t *testing.T) {
+	withHarness(t, atMostOnce, []*backend{{serve: reply(delay)}}, func(h *harness) {
+		conn := h.connect()
+		_, err := io.WriteString(conn, "POST /x/1 HTTP/1.1\r\nHost: a.example\r\nX-Id: id1\r\nContent-Length: 10\r\n\r\nhalf")
+		require.NoError(t, err)
+		synctest.Wait()
+		h.acceptor.Drain()
+		h.acceptor.StopReading()
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+		require.True(t, response.Close)
+		require.Equal(t, verbenastand.NotRun.String(), response.Header.Get(verbenastand.HeaderVerdict))
+		require.Equal(t, "id1", response.Header.Get("X-Id"))
+		require.NotEmpty(t, response.Header.Get("Retry-After"))
+		require.Empty(t, h.requests())
+	})
+}
+
 // sendUntilClosed sends the prefix and then bytes without end until the connection is
 // closed.
 func sendUntilClosed(prefix string) func(net.Conn, *http.Request) {
--- a/carrier/run.go
+++ b/carrier/run.go
@@ -253,7 +253,7 @@
 		r.retryDenied = retryQuarantined
 		return false
 	}
-	pastDeadline := r.carrier.config.Clock.Now().Add(choice.Estimate).After(r.deadline)
+	pastDeadline := r.carrier.config.Clock.Now().Add(choice.Estimate).After(r.beforeStop(r.deadline))
 	switch {
 	case pastDeadline || choice.Full:
 		r.retryDenied = "notInTime"
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -54,14 +54,6 @@
 	// longPause is the length of a pause of the process beyond which idle
 	// connections to servers are closed.
 	longPause = time.Second
-	// acceptFraction is the fraction of the grace period during which a stopping
-	// host still accepts connections. exitTime is the part of the grace period
-	// that is reserved for the exit of the process.
-	acceptFraction = 0.5
-	exitTime       = 400 * time.Millisecond
-	// deliveryTime is the time before exitTime in which a stopping host responds to
-	// the requests that are still being handled.
-	deliveryTime = 200 * time.Millisecond
 	// The default limits apply until a route table is known.
 	defaultHeaderBytes   = 16 << 10
 	defaultBodyBytes     = 64 << 20
--- a/launcher/gateway_run.go
+++ b/launcher/gateway_run.go
@@ -181,27 +181,28 @@
 }
 
 // drain shuts the host down gracefully. Lookups stop returning this host at once.
-// Callers that still connect are served while the grace period allows. Requests that
-// are still being handled at its end get a response that says whether they may have
-// run.
+// Callers that still use it are served until the end of the intake; what arrives later
+// stays unread. Requests that are still being handled at the end get a response that says
+// whether they may have run.
 func (g *Gateway) drain(l listeners) {
 	started := time.Now()
-	grace := g.config.Settings.GracePeriod
-	g.log.Info("draining")
+	stop := newStopPlan(g.config.Settings.GracePeriod)
+	g.log.WithFields(log.Fields{
+		"intakeMs": stop.intake.Milliseconds(), "handlingMs": stop.handling.Milliseconds(),
+	}).Info("draining")
 	g.leaving.Store(true)
 	g.acceptor.Drain()
-	ctx, cancel := context.WithTimeout(context.Background(), grace-exitTime)
+	g.carrier.StopAt(started.Add(stop.handling))
+	ctx, cancel := context.WithTimeout(context.Background(), stop.exit)
 	defer cancel()
 	g.background.Go(func() { g.gossiper.Leave(ctx) })
-	sleep(ctx, time.Duration(acceptFraction*float64(grace)))
-	_ = l.calls.Close()
-	stopCarrier := time.AfterFunc(grace-exitTime-deliveryTime-time.Since(started), g.stopCarrier)
+	stopCarrier := time.AfterFunc(stop.handling, g.stopCarrier)
 	defer stopCarrier.Stop()
-	for ctx.Err() == nil {
-		g.acceptor.CloseIdle()
-		if g.acceptor.Connections() == 0 {
-			break
-		}
+	sleep(ctx, stop.intake)
+	_ = l.calls.Close()
+	g.log.WithField("connections", g.acceptor.Connections()).WithField("unanswered", g.carrier.InFlight()).Info("intakeStopped")
+	g.acceptor.StopReading()
+	for ctx.Err() == nil && g.acceptor.Connections() > 0 {
 		sleep(ctx, drainPollPeriod)
 	}
 	g.log.WithField("tookMs", time.Since(started).Milliseconds()).WithField("unanswered", g.carrier.InFlight()).Info("drained")
--- /dev/null
+++ b/launcher/stop_plan.go
@@ -0,0 +1,36 @@
+package launcher
+
+import "time"
+
+const (
+	// maxIntake bounds the intake in long grace periods, so that requests have most of
+	// the time of their servers. intakeFraction bounds it in short ones.
+	maxIntake      = 2500 * time.Millisecond
+	intakeFraction = 0.5
+	// exitTime is reserved for the exit of the process, and deliveryTime before it for
+	// the responses to requests that are still being handled. reserveFraction bounds both
+	// in short grace periods.
+	exitTime        = 400 * time.Millisecond
+	deliveryTime    = 200 * time.Millisecond
+	reserveFraction = 0.125
+)
+
+// stopPlan holds the times of a planned stop, from the signal on.
+type stopPlan struct {
+	// intake is how long requests are still taken.
+	intake time.Duration
+	// handling is how long servers may take for requests.
+	handling time.Duration
+	// exit is when connections are closed, whatever is under way.
+	exit time.Duration
+}
+
+// newStopPlan divides a grace period.
+func newStopPlan(grace time.Duration) stopPlan {
+	reserve := min(exitTime+deliveryTime, time.Duration(reserveFraction*float64(grace)))
+	return stopPlan{
+		intake:   min(maxIntake, time.Duration(intakeFraction*float64(grace))),
+		handling: grace - reserve,
+		exit:     grace - reserve*exitTime/(exitTime+deliveryTime),
+	}
+}
