Answer what a stopping entry host has taken, and bound its intake

What callers would see: a request that an entry host was handling at the end of its drain timeout got a closed connection, without the verdict that tells whether to send it again. Where lookups are valid for longer than the drain timeout, requests were taken until that very moment (in a test: connections were accepted for 3.0 s of 3 s). A body that was still arriving when lookups had expired was taken whenever it was complete.

The intake of an entry host had no end of its own, and nothing stopped its requests before the connections were closed. The gateway has had such a stop; the entry host never got one.

Change: the stop plan of the gateway, with the validity of lookups as the longest intake. At its end requests that are not complete are refused as not run; at the end of the handling every request gets its verdict (503 not run, 504 may have run; keys keep it for retries). A slot that becomes free because of the stop is not used: seen as one failure of the new test in the first run, traced to requests cancelled one after the other. A response that has begun is delivered.

Conclusion: gateway and entry host end a planned stop alike. Open: a stalled caller that reads its response slowly is cut at the end.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -62,6 +62,9 @@
 	config   Config
 	inFlight atomic.Int64
 	draining atomic.Bool
+	// stopped ends when Stop is called.
+	stopped context.Context
+	stop    context.CancelFunc
 }
 
 // NewDispatcher returns a dispatcher.
@@ -69,13 +72,40 @@
 	if c.OnConnectionLost == nil {
 		c.OnConnectionLost = func(quarantiner.Suspect) {}
 	}
-	return &Dispatcher{config: c}
+	stopped, stop := context.WithCancel(context.Background())
+	return &Dispatcher{config: c, stopped: stopped, stop: stop}
 }
 
 // StartDraining makes the dispatcher refuse all new requests with the verdict
 // notRun. Requests with a known idempotency key still get their stored response.
 func (d *Dispatcher) StartDraining() { d.draining.Store(true) }
 
+// Stop responds to all requests that wait for a server or for its response, with a verdict
+// that indicates whether they may have run.
+func (d *Dispatcher) Stop() { d.stop() }
+
+// withLimits returns a context that ends at the deadline of the request, and when Stop is
+// called until the request is unwatched: a response that has begun is delivered.
+func (d *Dispatcher) withLimits(ctx context.Context, req *proxiedRequest) (limited context.Context, unwatch, cancel func()) {
+	limited, cancelLimited := context.WithTimeout(ctx, req.deadline.Sub(d.config.Timer.Now()))
+	unregister := context.AfterFunc(d.stopped, cancelLimited)
+	unwatch = func() { unregister() }
+	return limited, unwatch, func() {
+		unwatch()
+		cancelLimited()
+	}
+}
+
+// describeStop returns an error, or one that names the stop of this host if that has ended
+// the request.
+func (d *Dispatcher) describeStop(err error) error {
+	var re *verbenastand.RequestError
+	if d.stopped.Err() == nil || !errors.As(err, &re) || re.Reason() != verbenastand.ReasonCancelled {
+		return err
+	}
+	return verbenastand.NewRequestError(re.Verdict(), verbenastand.ReasonDraining, err)
+}
+
 // InFlight returns the number of requests in progress on this host.
 func (d *Dispatcher) InFlight() int64 { return d.inFlight.Load() }
 
@@ -149,11 +179,11 @@
 	}()
 	err := d.prepare(req)
 	if err != nil {
-		finish(failureOutcome(err))
+		finish(failureOutcome(d.describeStop(err)))
 		d.writeError(w, req.service, err)
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, req.deadline.Sub(d.config.Timer.Now()))
+	ctx, unwatch, cancel := d.withLimits(ctx, req)
 	defer cancel()
 	if d.cut(req) {
 		d.runElsewhere(ctx, w, req, finish)
@@ -161,16 +191,17 @@
 	}
 	resp, err := d.execute(ctx, req)
 	if err != nil {
-		finish(failureOutcome(err))
+		finish(failureOutcome(d.describeStop(err)))
 		d.writeError(w, req.service, err)
 		return
 	}
 	defer resp.close()
 	if err := resp.buffer(deduplicator.MaxStoredBody); err != nil {
-		finish(failureOutcome(err))
+		finish(failureOutcome(d.describeStop(err)))
 		d.writeError(w, req.service, err)
 		return
 	}
+	unwatch()
 	finish(deduplicator.NewResponse(resp.response.StatusCode, resp.header(), resp.prefix, resp.complete))
 	d.writeResponse(w, req, resp)
 }
@@ -188,7 +219,7 @@
 		d.writeError(w, req.service, err)
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, req.deadline.Sub(d.config.Timer.Now()))
+	ctx, unwatch, cancel := d.withLimits(ctx, req)
 	defer cancel()
 	if d.cut(req) {
 		d.serveElsewhere(ctx, w, req)
@@ -198,6 +229,7 @@
 		return
 	}
 	resp, err := d.execute(ctx, req)
+	unwatch()
 	if err != nil {
 		d.writeError(w, req.service, err)
 		return
--- a/dispatcher/execute.go
+++ b/dispatcher/execute.go
@@ -101,6 +101,11 @@
 	}
 	now := d.config.Timer.Now()
 	d.config.Meter.Queued(req.service, now.Sub(start))
+	if d.stopped.Err() != nil {
+		// The slot became free because the host stops.
+		req.components.Scheduler().Release(grant, estimator.Abandoned, scheduler.NoReport)
+		return grant, verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonCancelled, d.stopped.Err())
+	}
 	// The process may have been paused since the slot was granted.
 	if now.After(req.deadline) || now.Sub(grant.GrantedAt()) > maxGrantAge {
 		req.components.Scheduler().Release(grant, estimator.Abandoned, scheduler.NoReport)
--- a/dispatcher/forward.go
+++ b/dispatcher/forward.go
@@ -24,7 +24,7 @@
 		if err != nil {
 			req.recordVerdict(verbenastand.VerdictOf(err))
 			if ctx.Err() != nil {
-				d.writeError(w, req.service, verbenastand.NewRequestError(verbenastand.MayHaveRun, verbenastand.ReasonDeadline, ctx.Err()))
+				d.writeError(w, req.service, verbenastand.NewRequestError(verbenastand.MayHaveRun, endReason(ctx), ctx.Err()))
 				return true
 			}
 			continue
@@ -40,6 +40,14 @@
 	return false
 }
 
+// endReason returns why the context of a request has ended.
+func endReason(ctx context.Context) verbenastand.RefusalReason {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return verbenastand.ReasonCancelled
+	}
+	return verbenastand.ReasonDeadline
+}
+
 // errRefusedByLaterHome means that a home refused a request that another one may
 // have run.
 var errRefusedByLaterHome = errors.New("dispatcher: refused by one home after another may have run it")
--- /dev/null
+++ b/dispatcher/stop_test.go
@@ -0,0 +1,101 @@
+package dispatcher_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	verbenastand "github.com/verbenastand/verbenastand"
+)
+
+// Guards against a planned stop that closes connections without a response (issue 36), or
+// that reports a request as not run although a server has received it.
+func TestStopRespondsToPendingRequests(t *testing.T) {
+	cases := []struct {
+		name, method string
+		keyed        bool
+		servers      int
+		status       int
+		verdict      verbenastand.Verdict
+	}{
+		{"an idempotent request at a server", http.MethodGet, false, 1, http.StatusGatewayTimeout, verbenastand.MayHaveRun},
+		{"a request at a server", http.MethodPost, false, 1, http.StatusGatewayTimeout, verbenastand.MayHaveRun},
+		{"a request with a key at a server", http.MethodPost, true, 1, http.StatusGatewayTimeout, verbenastand.MayHaveRun},
+		{"an idempotent request that waits for a server", http.MethodGet, false, 0, http.StatusServiceUnavailable, verbenastand.NotRun},
+		{"a request with a key that waits for a server", http.MethodPost, true, 0, http.StatusServiceUnavailable, verbenastand.NotRun},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newProxy(1, false)
+				p.server = func(_ verbenastand.Server, r *http.Request) (*http.Response, error) {
+					<-r.Context().Done()
+					return nil, r.Context().Err()
+				}
+				key := ""
+				if tc.keyed {
+					key = p.keys.IssuePrefix() + "a"
+				}
+				done := make(chan struct{})
+				var w *httptest.ResponseRecorder
+				if tc.servers == 0 {
+					for range 20 {
+						go p.do(newRequest(http.MethodPost, "/occupied", "", ""))
+					}
+					synctest.Wait()
+				}
+				sent := p.sent.Load()
+				go func() {
+					w = p.do(newRequest(tc.method, "/tin", "", key))
+					close(done)
+				}()
+				synctest.Wait()
+				require.Equal(t, tc.servers > 0, p.sent.Load() > sent)
+				began := time.Now()
+				p.Stop()
+				<-done
+				require.Zero(t, time.Since(began))
+				requireVerdict(t, w, tc.status, tc.verdict, "draining")
+				if tc.keyed {
+					requireVerdict(t, p.do(newRequest(tc.method, "/tin", "", key)), tc.status, tc.verdict, "draining")
+				}
+			})
+		})
+	}
+}
+
+// Checks that a response which has begun is delivered when the host stops.
+func TestStopDeliversResponsesThatHaveBegun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newProxy(1, false)
+		body, server := io.Pipe()
+		p.server = func(_ verbenastand.Server, r *http.Request) (*http.Response, error) {
+			go func() {
+				<-r.Context().Done()
+				_ = server.CloseWithError(r.Context().Err())
+			}()
+			return newResponse(http.StatusOK, nil, body, 1<<20), nil
+		}
+		done := make(chan struct{})
+		var w *httptest.ResponseRecorder
+		go func() {
+			w = p.do(newRequest(http.MethodGet, "/tin", "", ""))
+			close(done)
+		}()
+		_, err := io.WriteString(server, strings.Repeat("x", 1<<19))
+		require.NoError(t, err)
+		p.Stop()
+		_, err = io.WriteString(server, strings.Repeat("x", 1<<19))
+		require.NoError(t, err)
+		_ = server.Close()
+		<-done
+		require.Equal(t, http.StatusOK, w.Code)
+		require.Len(t, w.Body.String(), 1<<20)
+	})
+}
--- a/dispatcher/write.go
+++ b/dispatcher/write.go
@@ -45,9 +45,12 @@
 	{verbenastand.ReasonBadRequest, http.StatusBadRequest},
 }
 
-func statusFor(r verbenastand.RefusalReason) int {
+func statusFor(re *verbenastand.RequestError) int {
+	if re.Reason() == verbenastand.ReasonDraining && re.Verdict() != verbenastand.NotRun {
+		return http.StatusGatewayTimeout
+	}
 	for _, s := range statusByReason {
-		if s.reason == r {
+		if s.reason == re.Reason() {
 			return s.status
 		}
 	}
@@ -57,7 +60,7 @@
 // writeError writes the error response to a request without a server response.
 func (d *Dispatcher) writeError(w http.ResponseWriter, service verbenastand.ServiceName, err error) {
 	var re *verbenastand.RequestError
-	if !errors.As(err, &re) {
+	if !errors.As(d.describeStop(err), &re) {
 		re = verbenastand.NewRequestError(verbenastand.MayHaveRun, verbenastand.ReasonServerFailed, err)
 	}
 	known := d.config.Registrar.Find(service) != nil
@@ -73,7 +76,7 @@
 		seconds := math.Ceil(re.RetryAfter().Seconds())
 		h.Set("Retry-After", strconv.Itoa(int(seconds)))
 	}
-	w.WriteHeader(statusFor(re.Reason()))
+	w.WriteHeader(statusFor(re))
 	_ = json.NewEncoder(w).Encode(problem{Verdict: re.Verdict().String(), Reason: re.Reason().String(), Message: re.Error()})
 }
 
--- a/launcher/gateway_run.go
+++ b/launcher/gateway_run.go
@@ -186,7 +186,7 @@
 // whether they may have run.
 func (g *Gateway) drain(l listeners) {
 	started := time.Now()
-	stop := newStopPlan(g.config.Settings.GracePeriod)
+	stop := newStopPlan(g.config.Settings.GracePeriod, maxGatewayIntake)
 	g.log.WithFields(log.Fields{
 		"intakeMs": stop.intake.Milliseconds(), "handlingMs": stop.handling.Milliseconds(),
 	}).Info("draining")
--- a/launcher/run.go
+++ b/launcher/run.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"time"
 
+	"github.com/apex/log"
+
 	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/placer"
 	"github.com/verbenastand/verbenastand/responder"
@@ -86,27 +88,43 @@
 	h.log.WithField("instance", h.self.Instance().String()).Info("ready")
 }
 
-// drain shuts the host down gracefully. First, lookup responses no longer contain
-// this host, while callers with a cached response are still served. Then the host
-// waits for the requests in flight and transfers its idempotency keys.
+// drain shuts the host down gracefully. First, lookup responses no longer contain this
+// host, while callers with a cached response are still served. At the end of the intake it
+// closes the connections that are idle, and refuses what arrives completely only later.
+// Requests that are still being handled at the end get a response that says whether they
+// may have run. Then the host transfers its idempotency keys.
 func (h *Host) drain() {
-	h.log.Info("draining")
-	ctx, cancel := context.WithTimeout(context.Background(), h.settings.DrainTimeout)
+	started := time.Now()
+	stop := newStopPlan(h.settings.DrainTimeout, h.responder.Validity())
+	h.log.WithFields(log.Fields{
+		"intakeMs": stop.intake.Milliseconds(), "handlingMs": stop.handling.Milliseconds(),
+	}).Info("draining")
+	ctx, cancel := context.WithTimeout(context.Background(), stop.exit)
 	defer cancel()
 	h.responder.SetState(responder.Draining)
-	h.gossiper.Leave(ctx)
-	sleep(ctx, h.responder.Validity())
+	h.background.Go(func() { h.gossiper.Leave(ctx) })
+	stopDispatcher := time.AfterFunc(stop.handling, h.stopDispatcher)
+	defer stopDispatcher.Stop()
+	sleep(ctx, stop.intake)
+	h.log.WithField("unanswered", h.dispatcher.InFlight()).Info("intakeStopped")
 	h.deduplicator.Close()
+	h.dispatcher.StartDraining()
 	if err := h.callServer.Shutdown(ctx); err != nil {
 		h.log.WithError(err).Warn("drain timeout expired before all requests completed")
 	}
-	h.dispatcher.StartDraining()
 	for h.dispatcher.InFlight() > 0 && ctx.Err() == nil {
 		sleep(ctx, drainPollPeriod)
 	}
+	h.log.WithField("tookMs", time.Since(started).Milliseconds()).WithField("unanswered", h.dispatcher.InFlight()).Info("drained")
 	h.transferKeys(context.Background())
 }
 
+// stopDispatcher responds to the requests that are still being handled.
+func (h *Host) stopDispatcher() {
+	h.log.WithField("unanswered", h.dispatcher.InFlight()).Info("requestsStopped")
+	h.dispatcher.Stop()
+}
+
 // transferKeys transfers the idempotency keys of this instance to a successor, which
 // then responds to retries with these keys. It tries the other hosts in rendezvous
 // order.
--- a/launcher/stop_plan.go
+++ b/launcher/stop_plan.go
@@ -3,9 +3,10 @@
 import "time"
 
 const (
-	// maxIntake bounds the intake in long grace periods, so that requests have most of
-	// the time of their servers. intakeFraction bounds it in short ones.
-	maxIntake      = 2500 * time.Millisecond
+	// maxGatewayIntake is how long a gateway takes requests in long grace periods, so that
+	// what arrives late need not be broken off.
+	maxGatewayIntake = 2500 * time.Millisecond
+	// intakeFraction bounds the intake in short grace periods.
 	intakeFraction = 0.5
 	// exitTime is reserved for the exit of the process, and deliveryTime before it for
 	// the responses to requests that are still being handled. reserveFraction bounds both
@@ -25,8 +26,8 @@
 	exit time.Duration
 }
 
-// newStopPlan divides a grace period.
-func newStopPlan(grace time.Duration) stopPlan {
+// newStopPlan divides a grace period, with an intake of at most maxIntake.
+func newStopPlan(grace, maxIntake time.Duration) stopPlan {
 	reserve := min(exitTime+deliveryTime, time.Duration(reserveFraction*float64(grace)))
 	return stopPlan{
 		intake:   min(maxIntake, time.Duration(intakeFraction*float64(grace))),
--- a/launcher/stop_plan_test.go
+++ b/launcher/stop_plan_test.go
@@ -14,7 +14,7 @@
 	const lateSend, lag = 3 * time.Second, 300 * time.Millisecond
 	for _, grace := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second, 4 * time.Second, 6 * time.Second, 10 * time.Second, time.Minute} {
 		t.Run(grace.String(), func(t *testing.T) {
-			p := newStopPlan(grace)
+			p := newStopPlan(grace, maxGatewayIntake)
 			require.LessOrEqual(t, p.intake, lateSend-lag)
 			require.LessOrEqual(t, p.intake, grace/2)
 			require.GreaterOrEqual(t, p.intake, min(grace/2, 2*time.Second), "callers are served as before at first")
@@ -24,3 +24,16 @@
 		})
 	}
 }
+
+// Checks that an entry host serves callers that use an earlier lookup as long as it is valid,
+// and still leaves time for what it takes from them.
+func TestAnIntakeEndsWithTheValidityOfLookups(t *testing.T) {
+	cases := []struct{ grace, validity, intake time.Duration }{
+		{5 * time.Minute, 5 * time.Second, 5 * time.Second},
+		{6 * time.Second, 5 * time.Second, 3 * time.Second},
+		{0, 5 * time.Second, 0},
+	}
+	for _, tc := range cases {
+		require.Equal(t, tc.intake, newStopPlan(tc.grace, tc.validity).intake, tc.grace)
+	}
+}
