Let responses to delegated requests arrive before a host exits

What callers would see: a host that reaches no server delegates their requests; if the other host stops, its last responses could be lost, and the request ended as one that may have run.

Cause: a stopping host closed its QUIC connections as soon as no connection of a caller was open. A tunnel's response may only have been written to the send buffer then; the close discards it. Shown by TestAResponseOverATunnelOutlivesItsConnection, which failed in the first of its 20 rounds ("unexpected EOF" after 200 KB were written and the server closed).

Ruled out: waiting until the peer ends its side of the tunnel. The end of a response that breaks off then reaches the peer only after that wait, since the stream of the response ends with the handler (TestAPeerThatEndsATunnel took 2 s instead of none).

Change: before it closes, the host waits until all tunnels have ended and 300 ms have passed since the last one, within its grace period.

A lost packet that needs more than 300 ms is still lost with its response.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -283,6 +283,11 @@
 type Server struct {
 	config ServerConfig
 	http3  *http3.Server
+
+	mu sync.Mutex
+	// tunnels counts the open tunnels, and tunnelEnded is when the last one ended.
+	tunnels     int
+	tunnelEnded time.Time
 }
 
 // NewServer returns a server that does nothing until Serve is called.
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -124,6 +124,55 @@
 	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
 }
 
+// Guards against a stopping host that loses its last responses to delegated requests: they
+// are still on their way when nothing more is pending (issue 36).
+func TestAResponseOverATunnelOutlivesItsConnection(t *testing.T) {
+	const size = 200 << 10
+	for range 20 {
+		written := make(chan struct{})
+		f, peer, server := newTunnelServer(t, func(conn net.Conn, _ verbenastand.Origin) bool {
+			go func() {
+				_, _ = http.ReadRequest(bufio.NewReader(conn))
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", size, make([]byte, size))
+				_ = conn.Close()
+				close(written)
+			}()
+			return true
+		})
+		conn, err := f.Tunnel(t.Context(), peer, verbenastand.Origin{Caller: "c"})
+		require.NoError(t, err)
+		go func() {
+			<-written
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			server.AwaitTunnels(ctx)
+			_ = server.Close()
+		}()
+		_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err)
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.Len(t, body, size)
+		_ = conn.Close()
+	}
+}
+
+// Checks that a tunnel which does not end delays a stop only for a bounded time.
+func TestAwaitTunnelsIsBounded(t *testing.T) {
+	f, peer, server := newTunnelServer(t, func(net.Conn, verbenastand.Origin) bool { return true })
+	conn, err := f.Tunnel(t.Context(), peer, verbenastand.Origin{Caller: "c"})
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	const limit = 200 * time.Millisecond
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+	started := time.Now()
+	server.AwaitTunnels(ctx)
+	require.GreaterOrEqual(t, time.Since(started), limit)
+	require.Less(t, time.Since(started), limit+5*time.Second)
+}
+
 // TestATunnelThatIsNotAccepted: nothing is sent before the peer has accepted the tunnel.
 func TestATunnelThatIsNotAccepted(t *testing.T) {
 	f, peer, server := newTunnelServer(t, func(net.Conn, verbenastand.Origin) bool { return false })
--- a/forwarder/tunnel.go
+++ b/forwarder/tunnel.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"time"
 
 	verbenastand "github.com/verbenastand/verbenastand"
 )
@@ -19,6 +20,10 @@
 	attemptsHeader = verbenastand.HeaderAttempt
 	// tunnelBuffer is the size of each of the two buffers of a tunnel.
 	tunnelBuffer = 16 << 10
+	// tunnelLinger is how long what was sent over a tunnel may take to arrive, with a few
+	// retransmissions.
+	tunnelLinger     = 300 * time.Millisecond
+	tunnelPollPeriod = 10 * time.Millisecond
 )
 
 // Tunnel opens a connection to the acceptor of a peer on behalf of a caller. Nothing is
@@ -106,6 +111,8 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	s.beginTunnel()
+	defer s.endTunnel()
 	near, far := net.Pipe()
 	if !s.config.Tunnel(far, origin) {
 		http.Error(w, "no requests are accepted", http.StatusServiceUnavailable)
@@ -125,6 +132,39 @@
 	reading.Wait()
 }
 
+func (s *Server) beginTunnel() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tunnels++
+}
+
+func (s *Server) endTunnel() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tunnels--
+	s.tunnelEnded = time.Now()
+}
+
+// AwaitTunnels waits until all tunnels have ended and what was sent over the last of them
+// has had time to arrive, or until ctx is done. Close would discard it.
+func (s *Server) AwaitTunnels(ctx context.Context) {
+	poll := time.NewTicker(tunnelPollPeriod)
+	defer poll.Stop()
+	for !s.tunnelsEnded() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-poll.C:
+		}
+	}
+}
+
+func (s *Server) tunnelsEnded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tunnels == 0 && time.Since(s.tunnelEnded) >= tunnelLinger
+}
+
 // flushedWriter sends each write at once.
 type flushedWriter struct{ writer http.ResponseWriter }
 
