Follow the platform past one odd ticket or host

Cause: json.Unmarshal rejects an array if any element is nested deeper than 10,000, even where the elements stay undecoded; and a list of hosts with one element of another type. An entry host stopped following the platform for as long as the ticket stood there; hosts already serving kept their configuration, new ones started without one, or without their peers. No process ended.

Change: arrays are divided into their elements without decoding them; each is decoded by itself, as odd tickets were before.

Before: TestAnOddEntryDoesNotHideTheOthers (reader) failed in 4 of 7 rows.

--- a/Makefile
+++ b/Makefile
@@ -45,3 +45,4 @@
 	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime 10s ./follower
 	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime 10s ./platform
 	$(GO) test -run '^$$' -fuzz FuzzRead -fuzztime 10s ./explainer
+	$(GO) test -run '^$$' -fuzz FuzzSplit -fuzztime 10s ./internal/splitter
--- a/reader/reader.go
+++ b/reader/reader.go
@@ -14,6 +14,7 @@
 	"time"
 
 	verbenastand "github.com/verbenastand/verbenastand"
+	"github.com/verbenastand/verbenastand/internal/splitter"
 	"github.com/verbenastand/verbenastand/merger"
 )
 
@@ -53,15 +54,11 @@
 	if err != nil {
 		return nil, err
 	}
-	var tickets []json.RawMessage
-	if err := json.Unmarshal(body, &tickets); err != nil {
+	tickets, err := splitter.Split(body)
+	if err != nil {
 		return nil, fmt.Errorf("reader: tickets: %w", err)
 	}
-	encoded := make([][]byte, len(tickets))
-	for i, t := range tickets {
-		encoded[i] = t
-	}
-	return encoded, nil
+	return tickets, nil
 }
 
 // hostEntry is a host in the platform's host list.
@@ -78,12 +75,16 @@
 	if err != nil {
 		return nil, err
 	}
-	var entries []hostEntry
-	if err := json.Unmarshal(body, &entries); err != nil {
+	entries, err := splitter.Split(body)
+	if err != nil {
 		return nil, fmt.Errorf("reader: hosts: %w", err)
 	}
 	var hosts []verbenastand.Host
-	for _, e := range entries {
+	for _, data := range entries {
+		var e hostEntry
+		if json.Unmarshal(data, &e) != nil {
+			continue
+		}
 		if _, err := netip.ParseAddrPort(e.PeerAddress); err != nil || !verbenastand.ValidName(e.Host) {
 			continue
 		}
