Do not use a connection again after a refusal without a request ID

Cause: a refusal without a request ID passes for the response to whatever request waits. Its connection went back to the pool, so a late second copy was read as the refusal of the next request, which its server had begun to run; an unsafe request then went to another server. The same holds for the refusal of a health check, over whose connection the request follows.

Ruled out: matching by the state of the connection (a copy may come after any later exchange), and treating such a refusal as one that may have run (a genuine one would then end unsafe requests with 502).

Change: a response that states "not run" or misdirected without a request ID ends its connection. Others are matched by their ID.

Before: TestALateCopyOfARefusalIsNoAnswer failed ("request 1 ran twice"), two rows of TestAConnectionIsReusedOnlyAfterACompleteExchange and two of TestARefusedHealthCheckEndsItsConnection.

Conclusion: each such refusal costs a new connection. Where callers send no request ID, responses can't be told apart.

--- a/carrier/carrier_test.go
+++ b/carrier/carrier_test.go
@@ -9,6 +9,7 @@
 	"runtime"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -506,6 +507,56 @@
 	})
 }
 
+// Guards against a second, late copy of a refusal without a request ID that is taken for the
+// answer to the next request of its connection (review/1): the request would run again
+// elsewhere, or its caller be told that it has not run.
+func TestALateCopyOfARefusalIsNoAnswer(t *testing.T) {
+	for _, copies := range []int{1, 2} {
+		var mu sync.Mutex
+		runs := make(map[string]int)
+		serve := func() func(net.Conn, *http.Request) {
+			refused := make(map[net.Conn]int)
+			served := 0
+			return func(conn net.Conn, r *http.Request) {
+				const refusal = "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+				mu.Lock()
+				served++
+				pending := refused[conn]
+				refuses := served%3 == 1 && pending == 0
+				refused[conn] = 0
+				if refuses {
+					refused[conn] = copies
+				} else {
+					runs[r.URL.Path]++
+				}
+				mu.Unlock()
+				if refuses {
+					_, _ = io.WriteString(conn, refusal)
+					return
+				}
+				_, _ = io.WriteString(conn, strings.Repeat(refusal, pending)+okResponse(r, "own "+r.URL.Path))
+			}
+		}
+		withHarness(t, atMostOnce, []*backend{{serve: serve()}, {serve: serve()}}, func(h *harness) {
+			for i := range 60 {
+				path := fmt.Sprint("/x/", i)
+				response, body := h.call("POST", path, "")
+				require.NotNil(t, response)
+				mu.Lock()
+				ran := runs[path]
+				mu.Unlock()
+				require.LessOrEqual(t, ran, 1, "request %d ran twice", i)
+				switch response.StatusCode {
+				case http.StatusOK:
+					require.Equal(t, "own "+path, body)
+				case http.StatusServiceUnavailable:
+					require.Zero(t, ran, "request %d was refused as not run", i)
+				}
+			}
+		})
+	}
+}
+
 // sendUntilClosed sends the prefix and then bytes without end until the connection is
 // closed.
 func sendUntilClosed(prefix string) func(net.Conn, *http.Request) {
--- a/sender/connection.go
+++ b/sender/connection.go
@@ -204,9 +204,11 @@
 	return health, nil
 }
 
-// updateReuse decides whether the connection can carry another exchange.
+// updateReuse decides whether the connection can carry another exchange. It can't after a
+// refusal without a request ID, since a late copy of that would pass for the next response.
 func (c *Connection) updateReuse(response *http.Response) {
-	c.reusable = !response.Close && c.reader.Buffered() == 0
+	anonymousRefusal := c.sender.refused(response) && response.Header.Get(c.sender.names.RequestID) == ""
+	c.reusable = !response.Close && c.reader.Buffered() == 0 && !anonymousRefusal
 	if seconds, found := keepAliveTimeout(response.Header.Get("Keep-Alive")); found {
 		c.idleTimeout = time.Duration(float64(seconds) * keepAliveShare * float64(time.Second))
 	}
--- a/sender/exchange.go
+++ b/sender/exchange.go
@@ -35,7 +35,7 @@
 	return &Response{
 		Status: response.StatusCode, Header: header, Length: response.ContentLength,
 		Body:   &responseBody{connection: c, response: response, release: release, ctx: ctx},
-		NotRun: header.Get(names.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest,
+		NotRun: c.sender.refused(response),
 		Signed: header.Get(names.Signature) != "",
 	}, nil
 }
@@ -171,12 +171,16 @@
 func (c *Connection) matches(response *http.Response, r *Request) bool {
 	id := response.Header.Get(c.sender.names.RequestID)
 	if id == "" {
-		refused := response.Header.Get(c.sender.names.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest
-		return refused || r.ID == ""
+		return c.sender.refused(response) || r.ID == ""
 	}
 	return id == r.ID
 }
 
+// refused reports whether a response states that the server did not run its request.
+func (s *Sender) refused(response *http.Response) bool {
+	return response.Header.Get(s.names.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest
+}
+
 func mayHaveRun(reason verbenastand.RefusalReason, cause error) error {
 	return verbenastand.NewRequestError(verbenastand.MayHaveRun, reason, cause)
 }
--- a/sender/sender_test.go
+++ b/sender/sender_test.go
@@ -165,6 +165,9 @@
 		{"not after unexpected data", okResponse("r1", "a") + okResponse("r1", "a"), 2},
 		{"not after a skipped response", okResponse("old", "a") + okResponse("r1", "a"), 2},
 		{"not after an announced close", strings.Replace(okResponse("r1", "a"), "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1), 2},
+		{"after a refusal with a request ID", strings.Replace(okResponse("r1", "a"), "200 OK", "503 Full\r\nX-Not-Run: 1", 1), 1},
+		{"not after a refusal without a request ID", "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 1\r\n\r\na", 2},
+		{"not after a misdirected request without a request ID", "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n", 2},
 		{"not after the server's keep-alive timeout", strings.Replace(okResponse("r1", "a"), "\r\n\r\n", "\r\nKeep-Alive: timeout=0\r\n\r\n", 1), 2},
 	}
 	for _, tc := range cases {
@@ -188,6 +191,36 @@
 	}
 }
 
+// Guards against a late copy of the refusal of a health check, which has no request ID: it
+// would be taken for the refusal of the next request (review/1).
+func TestARefusedHealthCheckEndsItsConnection(t *testing.T) {
+	cases := []struct {
+		name, sent string
+		reused     bool
+	}{
+		{"healthy", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", true},
+		{"unhealthy", "HTTP/1.1 503 Draining\r\nContent-Length: 0\r\n\r\n", true},
+		{"refused", "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", false},
+		{"another process", "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n", false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			server := newScriptedServer(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+				_, _ = io.WriteString(conn, tc.sent)
+				return true
+			})
+			s := NewSender(Config{HeaderFormat: testHeaderFormat{}})
+			defer s.Close()
+			c, err := s.Connect(t.Context(), server.target)
+			require.NoError(t, err)
+			_, err = c.Check(t.Context(), "/health")
+			require.NoError(t, err)
+			s.PutIdle(c)
+			require.Equal(t, tc.reused, s.HasIdle(server.target))
+		})
+	}
+}
+
 func TestAConnectionClosedByTheServerIsNotReused(t *testing.T) {
 	server := newScriptedServer(t, func(conn net.Conn, r *http.Request, _ int) bool {
 		_, _ = io.WriteString(conn, okResponse(r.Header.Get("X-Id"), "a"))
