End an entry host's connection after a refusal without a request ID

Change: the connection is closed after such a refusal, unless net/http has lent it to the next request already; a second one over the same connection counts as a response that may belong to another request (it may have run).

Conclusion: other responses of servers that never return the ID stay unchecked, as before.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -49,7 +49,7 @@
 		c.OnResult = func(verbenastand.Server, bool, error) {}
 	}
 	return &Connector{config: c, transport: &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            dialServer(dialer.DialContext),
 		MaxConnsPerHost:        c.MaxConnections,
 		MaxIdleConnsPerHost:    c.MaxConnections,
 		IdleConnTimeout:        idleTimeout,
@@ -78,8 +78,10 @@
 // connection was obtained, so that no byte of the request was written.
 func (c *Connector) RoundTrip(server verbenastand.Server, r *http.Request) (*http.Response, error) {
 	var connected, reused atomic.Bool
+	var used atomic.Pointer[use]
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		connected.Store(true)
+		used.Store(newUse(info.Conn))
 		reused.Store(info.Reused)
 	}}
 	out := r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
@@ -97,6 +99,9 @@
 	if !errors.Is(r.Context().Err(), context.Canceled) {
 		c.config.OnResult(server, !reused.Load(), err)
 	}
+	if err == nil && anonymousRefusal(response) && !used.Load().acceptRefusal(response) {
+		return nil, verbenastand.NewRequestError(verbenastand.MayHaveRun, verbenastand.ReasonInvalidResponse, ErrUnexpectedResponse)
+	}
 	if err == nil {
 		return matchResponse(response, id)
 	}
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -158,6 +158,63 @@
 	}
 }
 
+// Guards against a late copy of a refusal without an ID that is taken for the answer to the
+// next request of its connection (review/1): the request would run at another server too.
+func TestALateCopyOfARefusalIsNoAnswer(t *testing.T) {
+	for _, body := range []string{"", "full"} {
+		refusal := fmt.Sprintf("HTTP/1.1 503 Full\r\n%s: notRun\r\nContent-Length: %d\r\n\r\n%s", verbenastand.HeaderVerdict, len(body), body)
+		var runs atomic.Int32
+		var refuse atomic.Bool
+		address := listen(t, func(conn net.Conn) {
+			reader := bufio.NewReader(conn)
+			copies := ""
+			for {
+				r, err := http.ReadRequest(reader)
+				if err != nil {
+					return
+				}
+				if refuse.Swap(false) {
+					copies = refusal
+					_, _ = io.WriteString(conn, refusal)
+					continue
+				}
+				runs.Add(1)
+				_, _ = fmt.Fprintf(conn, "%sHTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 3\r\n\r\nown", copies, verbenastand.HeaderRequest, r.Header.Get(verbenastand.HeaderRequest))
+				copies = ""
+			}
+		})
+		c := NewConnector(Config{MaxConnections: 1})
+		defer c.Close()
+		server := verbenastand.NewServer(verbenastand.ServerConfig{Address: address})
+		send := func() (*http.Response, error) {
+			r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+server.Address()+"/", strings.NewReader("tin"))
+			require.NoError(t, err)
+			return c.RoundTrip(server, r)
+		}
+		refused := 0
+		for range 20 {
+			refuse.Store(true)
+			response, err := send()
+			require.NoError(t, err)
+			require.Equal(t, "notRun", response.Header.Get(verbenastand.HeaderVerdict))
+			_, _ = io.Copy(io.Discard, response.Body)
+			require.NoError(t, response.Body.Close())
+			refused++
+			before := runs.Load()
+			response, err = send()
+			if err != nil {
+				require.Equal(t, verbenastand.MayHaveRun, verbenastand.VerdictOf(err))
+				continue
+			}
+			ran := runs.Load() - before
+			require.False(t, ran > 0 && response.Header.Get(verbenastand.HeaderVerdict) == "notRun", "a request that ran was reported as not run")
+			_, _ = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+		}
+		require.Equal(t, 20, refused)
+	}
+}
+
 // TestEndlessResponsesAreBounded: a server sends bytes without end; the connection must
 // be closed once the response is rejected or no longer needed.
 func TestEndlessResponsesAreBounded(t *testing.T) {
