Hold requests back behind routes whose responses are streamed

Cause: a response that is too long to be buffered, or finds no memory, is delivered before it is complete; if it breaks off, the connection has to end. Requests that may run twice were passed on at once behind anything.

Ruled out: holding back what follows a download (most are short, and the callers would wait), and buffering more (any limit is exceeded).

Change: a host remembers for a minute which routes had such responses; what follows a request of such a route on its connection waits for the response. The acceptor passes on, from request to request, whether the next one has to wait.

Before: TestRequestsBehindALongResponseAreNotLost failed ("/x/c1 was passed on and lost").

Conclusion: the first long response of a route on a host can still take up to three requests with it.

--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -74,6 +74,7 @@
 // run reads requests until the connection ends, then waits for their handlers.
 func (c *connection) run() {
 	turn := firstTurn
+	var ahead *precedence
 	for {
 		r, err := c.read()
 		if err != nil {
@@ -86,7 +87,8 @@
 			break
 		}
 		w := &Response{connection: c, request: r, turn: turn, next: next}
-		r.turn = turn
+		r.turn, r.ahead, r.own = turn, ahead, newPrecedence()
+		ahead = r.own
 		c.handlers.Go(func() { c.handle(w, r) })
 		turn = next
 		if !c.awaitBody(r) {
@@ -162,6 +164,7 @@
 		c.idleSince, c.responded = time.Now(), true
 		c.mu.Unlock()
 		r.buffer.Release()
+		r.own.set(false)
 		close(w.next)
 	}()
 	c.acceptor.config.Handler.Serve(c.ctx, w, r)
--- a/acceptor/message.go
+++ b/acceptor/message.go
@@ -26,6 +26,9 @@
 	buffer bounder.Buffer
 	stream *bodyStream
 	turn   <-chan struct{}
+	// ahead is the previous request of the connection, and own this one, as far as they
+	// concern the requests behind them.
+	ahead, own *precedence
 	// origin is set if another host has delegated the request.
 	origin *verbenastand.Origin
 	// last is set if no further request of the connection is read.
@@ -73,6 +76,42 @@
 	}
 }
 
+// precedence tells whether the requests behind one may be handled before its response is
+// complete.
+type precedence struct {
+	once   sync.Once
+	known  chan struct{}
+	waited bool
+}
+
+func newPrecedence() *precedence { return &precedence{known: make(chan struct{})} }
+
+func (p *precedence) set(waited bool) {
+	p.once.Do(func() {
+		p.waited = waited
+		close(p.known)
+	})
+}
+
+// AwaitAhead waits until the earlier requests of the connection that ask for it have been
+// responded to. waited lets the next requests wait for this one: if its response may break
+// off while it is delivered, the connection ends, and with it the requests behind.
+func (r *Request) AwaitAhead(ctx context.Context, waited bool) error {
+	defer r.own.set(waited)
+	if r.ahead == nil {
+		return nil
+	}
+	select {
+	case <-r.ahead.known:
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+	if !r.ahead.waited {
+		return nil
+	}
+	return r.AwaitTurn(ctx)
+}
+
 // bodyStream is a body that the handler reads while the connection's reader waits.
 type bodyStream struct {
 	reader    io.Reader
--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -101,6 +101,7 @@
 	// delegated is the semaphore of the requests that other hosts delegate.
 	delegated chan struct{}
 	unserved  unservedServices
+	streamed  streamedRoutes
 	// stopped ends when Stop is called.
 	stopped context.Context
 	stop    context.CancelFunc
@@ -229,10 +230,11 @@
 	defer incoming.span.End()
 	ctx, release := c.withStop(ctx)
 	defer release()
+	// The context is checked below.
+	_ = r.AwaitAhead(ctx, c.streamed.recent(incoming.route.Name(), c.config.Clock.Now()))
 	if !incoming.route.Retryable() {
 		// A request that must not run twice is sent only after the responses to
 		// earlier requests of the connection, since one of them may close it.
-		// The context is checked below.
 		_ = r.AwaitTurn(ctx)
 	}
 	if ctx.Err() != nil {
--- a/carrier/respond.go
+++ b/carrier/respond.go
@@ -31,6 +31,7 @@
 	if o.body.Complete() {
 		err = c.writer.Write(o.response.Status, h, o.body.Bytes())
 	} else {
+		c.carrier.streamed.record(c.route.Name(), c.carrier.config.Clock.Now())
 		body := o.fullBody()
 		err = c.writer.Copy(o.response.Status, h, o.response.Length, body)
 		body.close()
