End a connection whose caller does not read a response

Cause: a response in memory was written with one deadline of 10 s. If that passed, the rest was left out, the error only logged, and the next response written behind it.

Change: a write that fails ends the connection. A long body is written in parts of 256 KB, each with its own deadline, so that a slow caller that goes on reading is not cut off.

Before: TestAResponseThatStallsEndsTheConnection failed ("a second response follows"). After: it passes.

--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -187,6 +187,32 @@
 	}
 }
 
+// Guards against a response that is cut off because its caller reads too slowly, and is
+// followed by the next one on the same connection, in the middle of its body.
+func TestAResponseThatStallsEndsTheConnection(t *testing.T) {
+	for _, size := range []int{100, copyBuffer + 1} {
+		synctest.Test(t, func(t *testing.T) {
+			var handled atomic.Int32
+			a, c := connect(t, func(_ context.Context, w *Response, r *Request) {
+				handled.Add(1)
+				_ = w.Write(http.StatusOK, http.Header{}, bytes.Repeat([]byte(r.URL.Path[1:]), size))
+			})
+			c.send(t, get("/a")+get("/b"))
+			// The caller reads a part of the head, and then nothing for longer than allowed.
+			head := make([]byte, 10)
+			_, err := io.ReadFull(c, head)
+			require.NoError(t, err)
+			time.Sleep(2 * DefaultStallTimeout)
+			rest, err := io.ReadAll(c)
+			require.NoError(t, err)
+			require.Zero(t, bytes.Count(append(head, rest...), []byte("HTTP/1.1"))-1, "a second response follows")
+			synctest.Wait()
+			require.Zero(t, a.Connections())
+			require.EqualValues(t, 2, handled.Load())
+		})
+	}
+}
+
 func TestATruncatedResponseIsNotComplete(t *testing.T) {
 	for _, length := range []int64{100, -1} {
 		synctest.Test(t, func(t *testing.T) {
--- a/acceptor/message.go
+++ b/acceptor/message.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -162,8 +163,33 @@
 	if err != nil {
 		return err
 	}
-	head := w.request.Method == http.MethodHead
-	return writeMessage(w.connection.conn, status, header, body, last, head)
+	conn := w.connection.conn
+	headOnly := w.request.Method == http.MethodHead
+	if headOnly || len(body) <= copyBuffer {
+		err = writeMessage(conn, status, header, body, last, headOnly)
+	} else {
+		err = w.writeParts(status, header, body, last)
+	}
+	if err != nil {
+		// A part may have been sent, behind which the next response would follow.
+		w.connection.abort()
+	}
+	return err
+}
+
+// writeParts sends a long body in parts, each of which may take the stall timeout.
+func (w *Response) writeParts(status int, header http.Header, body []byte, last bool) error {
+	conn := w.connection.conn
+	if err := writeHead(conn, status, header, int64(len(body)), last); err != nil {
+		return err
+	}
+	for part := range slices.Chunk(body, maxPart) {
+		_ = conn.SetWriteDeadline(time.Now().Add(w.connection.acceptor.config.StallTimeout))
+		if _, err := conn.Write(part); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // Copy streams a response from body when it is its turn. A negative length means
@@ -176,6 +202,7 @@
 	}
 	conn := w.connection.conn
 	if err := writeHead(conn, status, header, length, last); err != nil {
+		w.connection.abort()
 		return err
 	}
 	if err := w.copyBody(conn, length, body); err != nil {
@@ -185,8 +212,13 @@
 	return nil
 }
 
-// copyBuffer is the size of the buffer for copying a response body.
-const copyBuffer = 32 << 10
+const (
+	// copyBuffer is the size of the buffer for copying a response body.
+	copyBuffer = 32 << 10
+	// maxPart bounds the part of a body that a caller has to accept within the stall
+	// timeout.
+	maxPart = 256 << 10
+)
 
 func (w *Response) copyBody(conn net.Conn, length int64, body io.Reader) error {
 	buffer := make([]byte, copyBuffer)
@@ -266,20 +298,12 @@
 
 // writeMessage sends the header and a small body in a single write.
 func writeMessage(conn io.Writer, status int, header http.Header, body []byte, last, headOnly bool) error {
-	var head bytes.Buffer
-	appendHead(&head, status, header, int64(len(body)), last)
-	if headOnly {
-		body = nil
-	}
-	if len(body) <= copyBuffer {
-		head.Write(body)
-		_, err := conn.Write(head.Bytes())
-		return err
-	}
-	if _, err := conn.Write(head.Bytes()); err != nil {
-		return err
+	var message bytes.Buffer
+	appendHead(&message, status, header, int64(len(body)), last)
+	if !headOnly {
+		message.Write(body)
 	}
-	_, err := conn.Write(body)
+	_, err := conn.Write(message.Bytes())
 	return err
 }
 
