Do not wait for the reader of log lines at the end of the process

Before: TestCloseDoesNotWaitForAStalledReader failed (a minute, until the test released the reader). After: 200 ms at most; queued lines that nobody reads in that time are lost.

--- a/recorder/handler.go
+++ b/recorder/handler.go
@@ -18,6 +18,8 @@
 	lineRate = 60
 	// dropReportInterval is the minimum time between reports of dropped lines.
 	dropReportInterval = 5 * time.Second
+	// closeTimeout bounds how long the end of the process waits for the reader of its lines.
+	closeTimeout = 200 * time.Millisecond
 )
 
 // Handler passes log entries to another handler from a separate goroutine. It
@@ -100,9 +102,20 @@
 	}
 }
 
-// Close writes the queued lines and stops the handler. Lines logged later are
-// lost.
+// Close writes the queued lines and stops the handler, or gives up after closeTimeout if
+// nobody reads them. Lines logged later are lost. It may be called more than once.
 func (h *Handler) Close() {
-	h.queue <- &log.Entry{Message: closeMarker}
-	<-h.done
+	timeout := time.NewTimer(closeTimeout)
+	defer timeout.Stop()
+	select {
+	case h.queue <- &log.Entry{Message: closeMarker}:
+	case <-h.done:
+		return
+	case <-timeout.C:
+		return
+	}
+	select {
+	case <-h.done:
+	case <-timeout.C:
+	}
 }
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -51,6 +52,34 @@
 	})
 }
 
+// Guards against a process that outlives its grace period because nobody reads what it logs.
+func TestCloseDoesNotWaitForAStalledReader(t *testing.T) {
+	for _, lines := range []int{1, 100 * lineRate} {
+		synctest.Test(t, func(t *testing.T) {
+			out := blockedHandler{make(chan struct{})}
+			h := NewHandler(out)
+			for i := range lines {
+				_ = h.HandleLog(&log.Entry{Message: "line" + strconv.Itoa(i%100)})
+			}
+			started := time.Now()
+			closed := make(chan struct{})
+			go func() {
+				h.Close()
+				close(closed)
+			}()
+			select {
+			case <-closed:
+			case <-time.After(time.Minute):
+			}
+			took := time.Since(started)
+			close(out.release)
+			<-closed
+			h.Close()
+			require.LessOrEqual(t, took, closeTimeout)
+		})
+	}
+}
+
 func TestEachEventHasItsOwnRateLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var out bytes.Buffer
