--- a/dispatcher/exclusion_test.go
+++ b/dispatcher/exclusion_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	verbenastand "github.com/verbenastand/verbenastand"
+	"github.com/verbenastand/verbenastand/scheduler"
 )
 
 // pauseStart is how long after a server has asked for a pause it may still get requests; the
@@ -114,3 +115,28 @@
 		})
 	}
 }
+
+// Checks that a pause ends when the server has started again, and that it is not probed
+// meanwhile.
+func TestAPauseEndsWithTheProcess(t *testing.T) {
+	p := newProxy(1, false)
+	p.probeServers("-1")
+	p.server = func(s verbenastand.Server, _ *http.Request) (*http.Response, error) {
+		h := http.Header{
+			"Retry-After": {"600"}, verbenastand.HeaderVerdict: {verbenastand.NotRun.String()},
+			verbenastand.HeaderServerInstance: {string(s.ID()) + "-1"},
+		}
+		return newResponse(http.StatusServiceUnavailable, h, strings.NewReader(""), 0), nil
+	}
+	require.Equal(t, http.StatusServiceUnavailable, p.do(newRequest(http.MethodPost, "/tin", "", "")).Code)
+	p.tick(time.Second)
+	p.server = func(verbenastand.Server, *http.Request) (*http.Response, error) { return okResponse("ok"), nil }
+	pool := p.registrar.Find("tins").Scheduler()
+	require.Empty(t, pool.ProbeTargets(p.clock.Now().Add(time.Hour), 0))
+	sent := p.sent.Load()
+	require.Equal(t, http.StatusServiceUnavailable, p.do(newRequest(http.MethodPost, "/tin", "", "")).Code)
+	require.Equal(t, sent, p.sent.Load())
+	pool.RecordProbe("server-0", true, scheduler.Report{Instance: "server-0-2"})
+	p.tick(time.Second)
+	require.Equal(t, http.StatusOK, p.do(newRequest(http.MethodPost, "/tin", "", "")).Code)
+}
--- a/quarantiner/loss.go
+++ b/quarantiner/loss.go
@@ -189,13 +189,6 @@
 	return true
 }
 
-// includes reports whether the crash that a loss may come from is known.
-func (s *suspect) includes(added *loss) bool {
-	return slices.ContainsFunc(s.losses, func(l *loss) bool {
-		return l.State != verbenastand.ProcessRunning && l.sameCrash(added)
-	})
-}
-
 // mayBeRefuted reports whether a process responds that is taken for crashed.
 func (s *suspect) mayBeRefuted() bool {
 	return slices.ContainsFunc(s.losses, func(l *loss) bool {
--- a/quarantiner/loss_test.go
+++ b/quarantiner/loss_test.go
@@ -38,6 +38,43 @@
 	require.Error(t, q.Check(request(1)))
 }
 
+// Guards against a crash that stays unproved because another connection to the server was lost
+// before anything was known of it (issue 29, BUDGET).
+func TestALaterFindingAboutOneCrashHolds(t *testing.T) {
+	q := NewQuarantiner(Config{Clock: fake.NewClock()})
+	for _, server := range []string{"server-a", "server-b"} {
+		require.True(t, lose(q, request(1), server, 1, verbenastand.ProcessUnknown))
+		require.True(t, lose(q, request(1), server, 1, verbenastand.ProcessEnded))
+		require.False(t, lose(q, request(1), server, 1, verbenastand.ProcessUnknown))
+	}
+	require.Error(t, q.Check(request(1)))
+}
+
+// Guards against findings that get lost among the losses of many hosts: each has one of its own
+// for every server that it was cut off from (issue 29, BUDGET).
+func TestLossesOfManyHostsKeepTheirFindings(t *testing.T) {
+	const hosts, servers = 40, 8
+	clock := fake.NewClock()
+	fleet := make([]*Quarantiner, hosts)
+	for i := range fleet {
+		fleet[i] = NewQuarantiner(Config{Clock: clock})
+		for s := range servers {
+			lose(fleet[i], request(1), fmt.Sprint("server-", s), 1, verbenastand.ProcessUnknown)
+		}
+	}
+	for range 3 {
+		for i := range fleet {
+			exchange(fleet[i], fleet[(i+1)%hosts])
+		}
+	}
+	require.NoError(t, fleet[0].Confirm(context.Background(), request(1), finding(verbenastand.ProcessRunning)))
+	for _, other := range fleet[1:] {
+		exchange(other, fleet[0])
+		require.False(t, fleet[0].PossiblySuspected(request(1)))
+	}
+	require.Len(t, fleet[0].suspects[request(1).perCaller].losses, servers)
+}
+
 // Guards against a request that is refused, or sent on, because of losses about which
 // nothing is known (issue 29, BUDGET).
 func TestUnprovedCrashesAreExaminedBeforeARequestIsSent(t *testing.T) {
@@ -153,6 +190,7 @@
 	examined.Store(0)
 	lose(q, request(2), "server-a", 1, verbenastand.ProcessEnded)
 	lose(q, request(2), "server-b", 1, verbenastand.ProcessEnded)
+	require.Error(t, q.Confirm(context.Background(), request(2), finding(verbenastand.ProcessRunning)), "what is proved is not examined again")
 	count := func(context.Context, verbenastand.Loss) verbenastand.ProcessState {
 		examined.Add(1)
 		return verbenastand.ProcessEnded
@@ -225,6 +263,7 @@
 		require.Len(t, read.Servers, 1, "one has crashed")
 		earlier = append(earlier, read)
 	}
+	clock.Advance(5 * restartTime)
 	relay := func(to *Quarantiner, more ...verbenastand.ServerID) {
 		for _, e := range earlier {
 			e.Servers = append(e.Servers, more...)
@@ -243,10 +282,53 @@
 	exchange(other, q)
 	require.NoError(t, other.Check(request(1)))
 	require.NoError(t, q.Check(request(1)))
+	relay(other, "server-a")
+	require.NoError(t, other.Check(request(1)), "a host of the earlier version saw the same crash")
 	relay(other, "server-c")
 	require.Error(t, other.Check(request(1)), "a host of the earlier version saw another crash")
 }
 
+// Checks that the names for earlier versions count for nothing beside the losses, of which a
+// message holds only some.
+func TestNamesForEarlierVersionsAreNoLosses(t *testing.T) {
+	q := NewQuarantiner(Config{Clock: fake.NewClock()})
+	q.Merge(Evidence{
+		Fingerprint: request(1).perCaller, Servers: []verbenastand.ServerID{"server-a", "server-b", "server-c"},
+		Losses: []LossRecord{{Server: "server-a", Number: 1, State: verbenastand.ProcessEnded}},
+	})
+	require.NoError(t, q.Check(request(1)))
+}
+
+// Guards against findings that a loss of which nothing is known displaces.
+func TestUnknownLossesDisplaceNoFindings(t *testing.T) {
+	q := NewQuarantiner(Config{Clock: fake.NewClock()})
+	merge := func(number int, state verbenastand.ProcessState) {
+		q.Merge(Evidence{Fingerprint: request(1).allCallers, Scope: AllCallers, Losses: []LossRecord{
+			{Server: verbenastand.ServerID(fmt.Sprint("server-", number)), Number: uint64(number), State: state},
+		}})
+	}
+	for i := range maxLosses {
+		merge(i, verbenastand.ProcessRunning)
+	}
+	for i := range maxLosses {
+		merge(maxLosses+i, verbenastand.ProcessUnknown)
+		merge(i, verbenastand.ProcessUnknown)
+	}
+	require.False(t, q.PossiblySuspected(request(1)))
+}
+
+// Guards against a finding of a later version that can't be refuted.
+func TestAnUnknownFindingIsExamined(t *testing.T) {
+	q := NewQuarantiner(Config{Clock: fake.NewClock()})
+	for i := range SharedCrashLimit {
+		q.Merge(Evidence{Fingerprint: request(1).allCallers, Scope: AllCallers, Losses: []LossRecord{
+			{Server: verbenastand.ServerID(fmt.Sprint("server-", i)), Number: uint64(i), State: verbenastand.ProcessRunning + 1},
+		}})
+	}
+	require.NoError(t, q.Check(request(1)))
+	require.NoError(t, q.Confirm(context.Background(), request(1), finding(verbenastand.ProcessRunning)))
+}
+
 // Checks that evidence stays bounded, and that losses which change nothing make room for
 // those that do.
 func TestLossesAreBounded(t *testing.T) {
@@ -255,7 +337,7 @@
 	for i := range 100 {
 		q.Merge(Evidence{Fingerprint: request(1).allCallers, Scope: AllCallers, Losses: []LossRecord{{Server: "server-a", Number: uint64(i), State: 99}}})
 	}
-	require.NoError(t, q.Check(request(1)), "one process, and a state of a later version")
+	require.NoError(t, q.Check(request(1)), "one process")
 	for i := range SharedCrashLimit {
 		q.Merge(Evidence{Fingerprint: request(1).allCallers, Scope: AllCallers, Losses: []LossRecord{
 			{Server: verbenastand.ServerID(fmt.Sprint("server-b", i)), Number: uint64(1000 + i), State: verbenastand.ProcessEnded},
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -243,7 +243,7 @@
 }
 
 // RecordLoss records that the connection to a server was lost while it ran the request,
-// and what is known about the server. It reports whether this may be a further crash.
+// and what is known about the server. It reports whether that was new.
 func (q *Quarantiner) RecordLoss(f Fingerprint, lost verbenastand.Loss, state verbenastand.ProcessState) bool {
 	l := newLoss(lost, state)
 	ofCaller := q.record(f.perCaller, PerCaller, l)
@@ -254,14 +254,9 @@
 func (q *Quarantiner) record(k key, scope Scope, l loss) bool {
 	q.mu.Lock()
 	e := Evidence{Fingerprint: k, Scope: scope}
-	s := q.findLocked(k)
-	if s != nil {
+	if s := q.findLocked(k); s != nil {
 		e.Generation = s.generation
 	}
-	if s != nil && s.includes(&l) {
-		q.mu.Unlock()
-		return false
-	}
 	c, changed := q.insertLocked(e, []loss{l})
 	q.mu.Unlock()
 	if changed {
