Keep noticing callers that leave while a host drains

Before: TestADisconnectIsDetectedWhileDraining failed in one of four rows (a response, then the end of the intake). After: it passes, five times with the race detector. TestTheFirstResponseWhileDrainingEndsTheIntake now waits for its sender, which is no longer blocked.

--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -521,14 +522,15 @@
 func TestTheFirstResponseWhileDrainingEndsTheIntake(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a, c := connect(t, lateRefusal)
-		go func() {
+		var sending sync.WaitGroup
+		sending.Go(func() {
 			for i := range 20 {
 				if _, err := io.WriteString(c, get(fmt.Sprint("/", i))); err != nil {
 					return
 				}
 				time.Sleep(400 * time.Millisecond)
 			}
-		}()
+		})
 		started := time.Now()
 		time.AfterFunc(1900*time.Millisecond, a.Drain)
 		var paths []string
@@ -542,11 +544,56 @@
 		require.Equal(t, []string{"/0", "/1", "/2", "/3", "/4", "/5"}, paths, "the first response after the signal is that to /3, at 2.2 s")
 		require.Equal(t, 3*time.Second, time.Since(started))
 		_ = c.Close()
+		sending.Wait()
 		synctest.Wait()
 		require.Zero(t, a.Connections())
 	})
 }
 
+// Guards against a stopping host that no longer notices that a caller has left, and whose
+// servers go on working for it.
+func TestADisconnectIsDetectedWhileDraining(t *testing.T) {
+	cases := []struct {
+		name string
+		stop func(a *Acceptor)
+	}{
+		{"no response yet", func(*Acceptor) {}},
+		{"after a response", func(a *Acceptor) { a.Drain() }},
+		{"after the end of the intake", func(a *Acceptor) { a.StopReading() }},
+		{"after both", func(a *Acceptor) {
+			a.Drain()
+			time.Sleep(2 * time.Second)
+			a.StopReading()
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var cancelled atomic.Int32
+				a, c := connect(t, func(ctx context.Context, w *Response, r *Request) {
+					if r.URL.Path == "/short" {
+						time.Sleep(time.Second)
+						echoPath(ctx, w, r)
+						return
+					}
+					<-ctx.Done()
+					cancelled.Add(1)
+					w.Abort()
+				})
+				c.send(t, get("/short")+get("/long1")+get("/long2"))
+				go func() { _, _ = io.Copy(io.Discard, c.reader) }()
+				synctest.Wait()
+				tc.stop(a)
+				time.Sleep(5 * time.Second)
+				require.Zero(t, cancelled.Load())
+				_ = c.Close()
+				time.Sleep(100 * time.Millisecond)
+				require.EqualValues(t, 2, cancelled.Load())
+			})
+		})
+	}
+}
+
 // Checks that connections which are accepted while the acceptor stops are closed unread.
 func TestAStoppedAcceptorClosesNewConnections(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/acceptor/closing.go
+++ b/acceptor/closing.go
@@ -74,8 +74,11 @@
 }
 
 // closeLocked lets the reader take no further request, and wakes it unless it waits for a
-// handler that reads a body.
+// handler that reads a body, or only for the caller to disconnect.
 func (c *connection) closeLocked() {
+	if c.closing {
+		return
+	}
 	c.closing = true
 	if !c.streaming && !c.awaitsDelegated() {
 		_ = c.conn.SetReadDeadline(time.Now())
@@ -89,11 +92,11 @@
 	return c.stopped && delegated && !c.received
 }
 
-// allowReading sets the read deadline, unless the reader has been stopped.
+// allowReading sets the read deadline, unless no further request is taken.
 func (c *connection) allowReading(timeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.stopped && !c.awaitsDelegated() {
+	if c.closing && !c.awaitsDelegated() {
 		timeout = 0
 	}
 	_ = c.conn.SetReadDeadline(time.Now().Add(timeout))
