--- a/carrier/admit.go
+++ b/carrier/admit.go
@@ -84,7 +84,7 @@
 		return choice, err
 	}
 	now := c.carrier.config.Clock.Now()
-	if end := now.Add(choice.Estimate); c.beforeStop(end) != end {
+	if end := now.Add(choice.Estimate); c.beforeStop(end).Before(end) {
 		choice.Release()
 		refusal := verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonDraining, errStopsSooner)
 		return choice, refusal.WithRetryAfter(refusedRetryAfter)
--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -100,8 +100,10 @@
 	semaphore chan struct{}
 	// delegated is the semaphore of the requests that other hosts delegate.
 	delegated chan struct{}
-	unserved  unservedServices
-	streamed  streamedRoutes
+	// unserved holds the services that no host is known to reach, and streamed the routes
+	// with responses that are delivered before they are complete.
+	unserved *recent[verbenastand.ServiceName]
+	streamed *recent[verbenastand.RouteName]
 	// stopped ends when Stop is called.
 	stopped context.Context
 	stop    context.CancelFunc
@@ -132,6 +134,7 @@
 	return &Carrier{
 		delegated: make(chan struct{}, max(1, int(delegatedShare*float64(c.MaxConcurrent)))),
 		config:    c, semaphore: make(chan struct{}, c.MaxConcurrent), stopped: stopped, stop: stop,
+		unserved: newRecent[verbenastand.ServiceName](unservedMemory), streamed: newRecent[verbenastand.RouteName](streamedMemory),
 		budgets: make(map[verbenastand.ServiceName]*retrier.WindowBudget), responseMemory: bounder.NewBudget(maxResponseMemory),
 	}
 }
@@ -231,7 +234,7 @@
 	ctx, release := c.withStop(ctx)
 	defer release()
 	// The context is checked below.
-	_ = r.AwaitAhead(ctx, c.streamed.recent(incoming.route.Name(), c.config.Clock.Now()))
+	_ = r.AwaitAhead(ctx, c.streamed.includes(incoming.route.Name(), c.config.Clock.Now()))
 	if !incoming.route.Retryable() {
 		// A request that must not run twice is sent only after the responses to
 		// earlier requests of the connection, since one of them may close it.
--- a/carrier/delegate.go
+++ b/carrier/delegate.go
@@ -73,7 +73,7 @@
 // the others reach none either.
 func (c *call) mayDelegate(ctx context.Context) bool {
 	return c.carrier.config.Delegator != nil && c.request.Origin() == nil &&
-		!c.carrier.unserved.recent(c.serviceName, c.carrier.config.Clock.Now()) &&
+		!c.carrier.unserved.includes(c.serviceName, c.carrier.config.Clock.Now()) &&
 		c.carrier.config.Reachability.Unreached(ctx, c.serviceName)
 }
 
