--- a/carrier/carrier_test.go
+++ b/carrier/carrier_test.go
@@ -509,7 +509,7 @@
 
 // Guards against a second, late copy of a refusal without a request ID that is taken for the
 // answer to the next request of its connection (review/1): the request would run again
-// elsewhere, or its caller be told that it has not run.
+// elsewhere, or be reported as not run.
 func TestALateCopyOfARefusalIsNoAnswer(t *testing.T) {
 	for _, copies := range []int{1, 2} {
 		var mu sync.Mutex
--- a/dispatcher/crash_test.go
+++ b/dispatcher/crash_test.go
@@ -37,7 +37,7 @@
 		later  string
 		down   bool
 		status int
-		// soon is set if callers are told to come back within seconds.
+		// soon is set if the Retry-After delay is a few seconds.
 		soon bool
 	}{
 		{"the servers have started again", false, "-2", false, http.StatusServiceUnavailable, false},
--- a/internal/e2e/stop_test.go
+++ b/internal/e2e/stop_test.go
@@ -60,7 +60,7 @@
 			stopped.signal(syscall.SIGTERM)
 			signalled := time.Now()
 			_, during := send("during", "GET", "", "")
-			k.waitUntil("a request of a caller that has not heard of the stop runs", func() bool { return k.runsWithID("during") > 0 })
+			k.waitUntil("a request of a caller that does not know of the stop runs", func() bool { return k.runsWithID("during") > 0 })
 			k.waitUntil("no connections are accepted", func() bool {
 				conn, err := net.Dial("tcp", stopped.call)
 				if err == nil {
