Report messages that are refused and connections that are cut

A line and a counter for each, with the reason and the number of pending requests; bounded by the recorder's limit of lines.

No change of behaviour. TestACutConnectionIsReported, two rows of TestLoggedEvents.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -40,6 +40,8 @@
 	// RequestMemory bounds the buffered bodies of all requests together. Bodies that
 	// find no memory left are read while they are sent to a server.
 	RequestMemory int64
+	// Observer receives what ends connections; nil if nobody does.
+	Observer Observer
 	// StallTimeout bounds how long a caller may take to send a body or to accept a
 	// part of a response.
 	StallTimeout time.Duration
@@ -81,6 +83,9 @@
 	if c.RequestMemory == 0 {
 		c.RequestMemory = DefaultRequestMemory
 	}
+	if c.Observer == nil {
+		c.Observer = ignorer{}
+	}
 	return &Acceptor{config: c, requestMemory: bounder.NewBudget(c.RequestMemory), connections: make(map[*connection]struct{})}
 }
 
@@ -163,7 +168,7 @@
 func (a *Acceptor) Close() {
 	a.mu.Lock()
 	for c := range a.connections {
-		c.abort()
+		c.abort(CutClosed, nil)
 	}
 	a.mu.Unlock()
 	a.done.Wait()
--- a/acceptor/closing.go
+++ b/acceptor/closing.go
@@ -37,7 +37,7 @@
 	_, err := io.Copy(io.Discard, c.conn)
 	var timeout net.Error
 	if !errors.As(err, &timeout) || !timeout.Timeout() {
-		c.cancelHandlers(errCallerDisconnected)
+		c.cut(CutCallerLeft, err)
 	}
 }
 
@@ -111,8 +111,21 @@
 	return c.stopped && c.pending == 0 && errors.As(err, &timeout) && timeout.Timeout()
 }
 
-// abort cancels the handlers and closes the connection at once.
-func (c *connection) abort() {
+// cut cancels the handlers of pending requests, whose responses can't be delivered.
+func (c *connection) cut(reason CutReason, cause error) {
+	c.mu.Lock()
+	report := !c.wasCut && c.pending > 0
+	c.wasCut = true
+	pending := c.pending
+	c.mu.Unlock()
 	c.cancelHandlers(errCallerDisconnected)
+	if report {
+		c.acceptor.config.Observer.ConnectionCut(Cut{Caller: c.remote(), Reason: reason, Pending: pending, Err: cause})
+	}
+}
+
+// abort cancels the handlers and closes the connection at once.
+func (c *connection) abort(reason CutReason, cause error) {
+	c.cut(reason, cause)
 	_ = c.conn.Close()
 }
--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -13,6 +13,7 @@
 
 	"golang.org/x/net/http/httpguts"
 
+	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/internal/bounder"
 )
 
@@ -57,6 +58,8 @@
 	stopped bool
 	// received is set once a request was read.
 	received bool
+	// wasCut is set once the pending handlers were cancelled.
+	wasCut bool
 	// streaming is set while a handler reads the body of a request.
 	streaming bool
 }
@@ -132,18 +135,19 @@
 	return true
 }
 
-// addRefusal counts an invalid request, unless the connection is closing.
-func (c *connection) addRefusal() bool {
+// addRefusal counts an invalid request, unless the connection is closing, and returns the
+// number of earlier requests without a response.
+func (c *connection) addRefusal() (earlier int, ok bool) {
 	if !c.awaitSlot() {
-		return false
+		return 0, false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closing {
-		return false
+		return 0, false
 	}
 	c.pending++
-	return true
+	return c.pending - 1, true
 }
 
 // awaitSlot waits until the connection may have another pending request.
@@ -170,7 +174,7 @@
 	c.acceptor.config.Handler.Serve(c.ctx, w, r)
 	if !w.written {
 		// The caller would take the next response for the missing one.
-		c.abort()
+		c.abort(CutUnanswered, nil)
 	}
 	if r.stream != nil {
 		r.stream.finish()
@@ -193,10 +197,7 @@
 		return nil, c.readError(err)
 	}
 	c.limited.Allow(bounder.Unlimited)
-	r := &Request{Request: httpRequest, arrived: time.Now(), remote: c.conn.RemoteAddr().String(), last: httpRequest.Close}
-	if d, ok := c.conn.(*delegatedConn); ok {
-		r.origin, r.remote = &d.origin, d.origin.Caller
-	}
+	r := &Request{Request: httpRequest, arrived: time.Now(), remote: c.remote(), origin: c.origin(), last: httpRequest.Close}
 	if err := validate(httpRequest); err != nil {
 		return nil, err
 	}
@@ -212,6 +213,23 @@
 	return r, nil
 }
 
+// remote returns the address of the caller.
+func (c *connection) remote() string {
+	if origin := c.origin(); origin != nil {
+		return origin.Caller
+	}
+	return c.conn.RemoteAddr().String()
+}
+
+// origin returns where requests of the connection come from that another host delegates,
+// nil if they come from a caller.
+func (c *connection) origin() *verbenastand.Origin {
+	if d, ok := c.conn.(*delegatedConn); ok {
+		return &d.origin
+	}
+	return nil
+}
+
 // awaitFirstByte waits for the start of a request. The idle timeout runs from the
 // last response, and only while no request is pending.
 func (c *connection) awaitFirstByte(idle time.Duration) error {
@@ -254,34 +272,33 @@
 	return err
 }
 
-// statusError is the error of an invalid request; it holds the status of the
-// response.
-type statusError struct {
-	status int
-	text   string
+// messageError is the error of a message that is no valid request.
+type messageError struct {
+	fault Fault
+	text  string
 }
 
-func (e *statusError) Error() string { return e.text }
+func (e *messageError) Error() string { return e.text }
 
 // validate refuses what net/http's parser accepts but a server might interpret
 // differently.
 func validate(r *http.Request) error {
 	if r.ProtoMajor != 1 || r.Method == http.MethodConnect {
-		return &statusError{http.StatusBadRequest, "unsupported protocol or method"}
+		return &messageError{FaultMalformed, "unsupported protocol or method"}
 	}
 	if r.ProtoMinor > 0 && r.Host == "" {
-		return &statusError{http.StatusBadRequest, "missing Host"}
+		return &messageError{FaultMalformed, "missing Host"}
 	}
 	if !httpguts.ValidHostHeader(r.Host) {
-		return &statusError{http.StatusBadRequest, "malformed Host"}
+		return &messageError{FaultMalformed, "malformed Host"}
 	}
 	for name, values := range r.Header {
 		if !httpguts.ValidHeaderFieldName(name) {
-			return &statusError{http.StatusBadRequest, "malformed header name"}
+			return &messageError{FaultMalformed, "malformed header name"}
 		}
 		for _, v := range values {
 			if !httpguts.ValidHeaderFieldValue(v) {
-				return &statusError{http.StatusBadRequest, "malformed header value"}
+				return &messageError{FaultMalformed, "malformed header value"}
 			}
 		}
 	}
@@ -294,7 +311,7 @@
 		return nil
 	}
 	if r.ContentLength > limit {
-		return &statusError{http.StatusRequestEntityTooLarge, "the body is too large"}
+		return &messageError{FaultBodyTooLarge, "the body is too large"}
 	}
 	if httpguts.HeaderValuesContainsToken(r.Header["Expect"], "100-continue") {
 		if err := c.writeContinue(); err != nil {
@@ -352,37 +369,42 @@
 // refuse handles an error of read. It responds to a message that is not a valid
 // request, and cancels the pending handlers if the caller has disconnected.
 func (c *connection) refuse(err error, turn <-chan struct{}) {
-	var status *statusError
+	var message *messageError
 	var timeout net.Error
 	switch {
-	case errors.As(err, &status):
+	case errors.As(err, &message):
 		c.bodyUnread = true
 	case errors.Is(err, errHeaderTooLarge):
-		status = &statusError{http.StatusRequestHeaderFieldsTooLarge, "the header is too large"}
+		message = &messageError{FaultHeaderTooLarge, "the header is too large"}
 	case errors.Is(err, errClosing):
 		return
 	case errors.As(err, &timeout), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), isConnectionError(err):
 		if !errors.As(err, &timeout) || !timeout.Timeout() {
-			c.cancelHandlers(errCallerDisconnected)
+			c.cut(CutCallerLeft, err)
 		}
 		return
 	default:
-		status = &statusError{http.StatusBadRequest, "malformed request"}
+		message = &messageError{FaultMalformed, "malformed request"}
 	}
-	if c.addRefusal() {
-		c.handlers.Go(func() { c.writeRefusal(status, turn) })
+	earlier, ok := c.addRefusal()
+	if !ok {
+		return
 	}
+	c.acceptor.config.Observer.MessageRefused(Refusal{
+		Caller: c.remote(), Fault: message.fault, Status: message.fault.status(), Pending: earlier, Err: err,
+	})
+	c.handlers.Go(func() { c.writeRefusal(message, turn) })
 }
 
 // writeRefusal responds in order and ends the connection.
-func (c *connection) writeRefusal(status *statusError, turn <-chan struct{}) {
+func (c *connection) writeRefusal(message *messageError, turn <-chan struct{}) {
 	select {
 	case <-turn:
 	case <-c.ctx.Done():
 		return
 	}
 	head := http.Header{"Content-Type": {"text/plain"}}
-	_ = writeMessage(c.conn, status.status, head, []byte(status.text+"\n"), true, false)
+	_ = writeMessage(c.conn, message.fault.status(), head, []byte(message.text+"\n"), true, false)
 	c.mu.Lock()
 	c.idleSince, c.responded = time.Now(), true
 	c.mu.Unlock()
--- a/acceptor/message.go
+++ b/acceptor/message.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"sync"
@@ -172,11 +173,25 @@
 	}
 	if err != nil {
 		// A part may have been sent, behind which the next response would follow.
-		w.connection.abort()
+		w.connection.abort(cutReason(err), err)
 	}
 	return err
 }
 
+// cutReason returns why a response could not be delivered.
+func cutReason(err error) CutReason {
+	switch {
+	case errors.Is(err, errTruncated):
+		return CutTruncated
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return CutCallerStalled
+	}
+	return CutCallerLeft
+}
+
+// errTruncated means that a response ended early.
+var errTruncated = errors.New("acceptor: the response is truncated")
+
 // writeParts sends a long body in parts, each of which may take the stall timeout.
 func (w *Response) writeParts(status int, header http.Header, body []byte, last bool) error {
 	conn := w.connection.conn
@@ -201,15 +216,14 @@
 		return err
 	}
 	conn := w.connection.conn
-	if err := writeHead(conn, status, header, length, last); err != nil {
-		w.connection.abort()
-		return err
+	err = writeHead(conn, status, header, length, last)
+	if err == nil {
+		err = w.copyBody(conn, length, body)
 	}
-	if err := w.copyBody(conn, length, body); err != nil {
-		w.connection.abort()
-		return err
+	if err != nil {
+		w.connection.abort(cutReason(err), err)
 	}
-	return nil
+	return err
 }
 
 const (
@@ -236,7 +250,7 @@
 			break
 		}
 		if err != nil {
-			return err
+			return errors.Join(errTruncated, err)
 		}
 	}
 	if length < 0 {
@@ -244,7 +258,7 @@
 		return err
 	}
 	if total != length {
-		return io.ErrUnexpectedEOF
+		return errors.Join(errTruncated, io.ErrUnexpectedEOF)
 	}
 	return nil
 }
@@ -262,7 +276,7 @@
 // Abort closes the connection without a response.
 func (w *Response) Abort() {
 	w.written = true
-	w.connection.abort()
+	w.connection.abort(CutUnanswered, nil)
 }
 
 // begin waits for the turn of the response and reports whether it is the last one on
--- /dev/null
+++ b/acceptor/observer_test.go
@@ -0,0 +1,80 @@
+package acceptor
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// observed collects what an acceptor reports.
+type observed struct {
+	mu       sync.Mutex
+	refusals []Refusal
+	cuts     []Cut
+}
+
+func (o *observed) MessageRefused(r Refusal) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.refusals = append(o.refusals, r)
+}
+
+func (o *observed) ConnectionCut(c Cut) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.cuts = append(o.cuts, c)
+}
+
+// Checks that a connection which ends with requests pending on it is reported once, with the
+// reason.
+func TestACutConnectionIsReported(t *testing.T) {
+	cases := []struct {
+		name    string
+		respond func(ctx context.Context, w *Response)
+		end     func(a *Acceptor, c *caller)
+		reason  CutReason
+	}{
+		{"the caller leaves", func(ctx context.Context, w *Response) {
+			<-ctx.Done()
+			w.Abort()
+		}, func(_ *Acceptor, c *caller) { _ = c.Close() }, CutCallerLeft},
+		{"the caller does not read", func(_ context.Context, w *Response) {
+			_ = w.Write(http.StatusOK, nil, nil)
+		}, func(*Acceptor, *caller) { time.Sleep(DefaultStallTimeout) }, CutCallerStalled},
+		{"the response breaks off", func(_ context.Context, w *Response) {
+			_ = w.Copy(http.StatusOK, nil, 5, strings.NewReader("abc"))
+		}, func(_ *Acceptor, c *caller) { _, _ = c.reader.ReadBytes('c') }, CutTruncated},
+		{"the handler does not respond", func(context.Context, *Response) {}, func(*Acceptor, *caller) {}, CutUnanswered},
+		{"the host closes", func(ctx context.Context, w *Response) {
+			<-ctx.Done()
+			w.Abort()
+		}, func(a *Acceptor, _ *caller) { a.Close() }, CutClosed},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var o observed
+				a, c := connect(t, func(ctx context.Context, w *Response, r *Request) {
+					time.Sleep(time.Second)
+					_ = r.AwaitTurn(ctx)
+					tc.respond(ctx, w)
+				})
+				a.config.Observer = &o
+				c.send(t, get("/a")+get("/b"))
+				time.Sleep(2 * time.Second)
+				tc.end(a, c)
+				time.Sleep(2 * time.Second)
+				require.Len(t, o.cuts, 1)
+				require.Equal(t, tc.reason, o.cuts[0].Reason)
+				require.Equal(t, 2, o.cuts[0].Pending)
+				require.NotEmpty(t, o.cuts[0].Caller)
+			})
+		})
+	}
+}
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -216,7 +216,7 @@
 			})
 		},
 	})
-	g.acceptor = acceptor.NewAcceptor(acceptor.Config{Handler: g.carrier, Limits: g.limits})
+	g.acceptor = acceptor.NewAcceptor(acceptor.Config{Handler: g.carrier, Limits: g.limits, Observer: g.recorder})
 	g.resolver = resolver.NewResolver(resolver.Config{
 		Membership: g.gossiper, Self: g.self, Serving: g.ready, Validity: s.AnswerValidity,
 	})
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -28,6 +28,8 @@
 	truncatedResponses prometheus.Counter
 	joinedRetries      prometheus.Counter
 	attemptDurations   *prometheus.HistogramVec
+	refusedMessages    *prometheus.CounterVec
+	cutRequests        *prometheus.CounterVec
 }
 
 // latencyBuckets range from half a millisecond to about a minute.
@@ -62,7 +64,9 @@
 		attemptDurations: f.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "attempt_duration_seconds", Help: "Time of requests at servers, by result.", Buckets: latencyBuckets,
 		}, []string{"service", "result"}),
-		joinedRetries: counter("joined_resends_total", "Resends answered by an attempt that ran or had run."),
+		refusedMessages: vector("refused_messages_total", "Messages of callers that are no valid requests, by reason.", "reason"),
+		cutRequests:     vector("cut_requests_total", "Requests without a complete response whose connection ended, by reason.", "reason"),
+		joinedRetries:   counter("joined_resends_total", "Resends answered by an attempt that ran or had run."),
 	}
 }
 
@@ -133,6 +137,14 @@
 // same idempotency key.
 func (m *Meter) RetryJoined() { m.joinedRetries.Inc() }
 
+// MessageRefused counts a message of a caller that is no valid request.
+func (m *Meter) MessageRefused(reason string) { m.refusedMessages.WithLabelValues(reason).Inc() }
+
+// RequestsCut counts requests whose connection ended before their responses were complete.
+func (m *Meter) RequestsCut(reason string, requests int) {
+	m.cutRequests.WithLabelValues(reason).Add(float64(requests))
+}
+
 // Gauge registers a gauge whose value is read at each scrape.
 func (m *Meter) Gauge(name, help string, read func() float64) {
 	opts := prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	verbenastand "github.com/verbenastand/verbenastand"
+	"github.com/verbenastand/verbenastand/acceptor"
 	"github.com/verbenastand/verbenastand/balancer"
 	"github.com/verbenastand/verbenastand/carrier"
 	"github.com/verbenastand/verbenastand/detector"
@@ -31,9 +32,12 @@
 	eventReach       = "serviceReached"
 	eventLost        = "connectionLost"
 	eventExclusion   = "serverExcluded"
+	eventMessage     = "messageRefused"
+	eventCut         = "connectionCut"
 )
 
-// maxLoggedTarget bounds the bytes of a request target in a log line.
+// maxLoggedTarget bounds the bytes of a request target, or of another text that a caller
+// chooses, in a log line.
 const maxLoggedTarget = 256
 
 // Config holds the dependencies and settings of a Recorder.
@@ -47,7 +51,7 @@
 }
 
 // Recorder logs and counts requests, and logs servers that join or leave and events
-// of the configuration store. It implements carrier.Observer.
+// of the configuration store. It implements carrier.Observer and acceptor.Observer.
 type Recorder struct{ config Config }
 
 // NewRecorder returns a recorder.
@@ -83,6 +87,23 @@
 	}).Info(eventDelegated)
 }
 
+// MessageRefused implements acceptor.Observer.
+func (r *Recorder) MessageRefused(refusal acceptor.Refusal) {
+	r.config.Meter.MessageRefused(refusal.Fault.String())
+	r.config.Log.WithFields(log.Fields{
+		"caller": refusal.Caller, "reason": refusal.Fault.String(), "status": refusal.Status, "pending": refusal.Pending,
+		"error": loggedTarget(errorText(refusal.Err)),
+	}).Info(eventMessage)
+}
+
+// ConnectionCut implements acceptor.Observer.
+func (r *Recorder) ConnectionCut(c acceptor.Cut) {
+	r.config.Meter.RequestsCut(c.Reason.String(), c.Pending)
+	r.config.Log.WithFields(log.Fields{
+		"caller": c.Caller, "reason": c.Reason.String(), "pending": c.Pending, "error": loggedTarget(errorText(c.Err)),
+	}).Info(eventCut)
+}
+
 // ReachChanged logs that this host can't connect to a service, or can again.
 func (r *Recorder) ReachChanged(c detector.Change) {
 	r.config.Log.WithFields(log.Fields{
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	verbenastand "github.com/verbenastand/verbenastand"
+	"github.com/verbenastand/verbenastand/acceptor"
 	"github.com/verbenastand/verbenastand/balancer"
 	"github.com/verbenastand/verbenastand/carrier"
 	"github.com/verbenastand/verbenastand/follower"
@@ -117,6 +118,8 @@
 	}{
 		{"a response in time is not logged", 0, func(r *Recorder) { r.RequestEnded(carrier.Event{ID: "1", Status: 200}) }, nil},
 		{"a response in time that is sampled", 1, func(r *Recorder) { r.RequestEnded(carrier.Event{ID: "1", Status: 200}) }, []string{eventAnswered}},
+		{"a message that is no request", 0, func(r *Recorder) { r.MessageRefused(acceptor.Refusal{Fault: acceptor.FaultMalformed}) }, []string{eventMessage}},
+		{"a connection that is cut", 0, func(r *Recorder) { r.ConnectionCut(acceptor.Cut{Reason: acceptor.CutCallerLeft, Pending: 2}) }, []string{eventCut}},
 		{"a late response", 0, func(r *Recorder) { r.RequestEnded(carrier.Event{ID: "1", Status: 200, Late: true}) }, []string{eventAnswered}},
 		{"a server error", 0, func(r *Recorder) { r.RequestEnded(carrier.Event{ID: "1", Status: 500}) }, []string{eventAnswered}},
 		{"a refusal", 0, func(r *Recorder) {
