Let only the connection tell that a caller has left

Cause: refuse asked the parser's error for a net.Error. *url.Error has Timeout and Temporary methods and passes for one, so bytes of a caller counted as the caller's leaving. Other errors that no case named could have gone either way: a closed pipe counted as a malformed message.

bounder.Reader now keeps the error of the last read from the connection, and only that decides: none, the message is malformed; a deadline, it is incomplete (408, so far closed without a response); another one, the caller has left.

--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,7 @@
 	$(GO) test -run '^$$' -fuzz FuzzParseKey -fuzztime 10s ./deduplicator
 	$(GO) test -run '^$$' -fuzz FuzzDecodeMessage -fuzztime 10s ./gossiper
 	$(GO) test -run '^$$' -fuzz FuzzConnection -fuzztime 10s ./acceptor
+	$(GO) test -run '^$$' -fuzz FuzzBehindAPendingRequest -fuzztime 10s ./acceptor
 	$(GO) test -run '^$$' -fuzz FuzzExchange -fuzztime 10s ./sender
 	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime 10s ./follower
 	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime 10s ./platform
--- a/internal/bounder/bounder.go
+++ b/internal/bounder/bounder.go
@@ -18,6 +18,7 @@
 type Reader struct {
 	reader    io.Reader
 	remaining int64
+	err       error
 }
 
 // NewReader returns a reader that reads up to limit bytes from r.
@@ -32,6 +33,10 @@
 // Exceeded reports whether the limit is reached.
 func (r *Reader) Exceeded() bool { return r.remaining <= 0 }
 
+// Err returns the error of the last read from the underlying reader, nil if that succeeded.
+// Unlike an error of a parser it does not depend on what was read.
+func (r *Reader) Err() error { return r.err }
+
 // Read implements io.Reader.
 func (r *Reader) Read(p []byte) (int, error) {
 	if r.remaining <= 0 {
@@ -42,5 +47,6 @@
 	}
 	n, err := r.reader.Read(p)
 	r.remaining -= int64(n)
+	r.err = err
 	return n, err
 }
