Show that a late request cuts off the last response of a stopping host

What callers saw: a long response ended early with a reset. The caller reads it slowly, and sends one more request on its connection 0.7 s after the first; it can't know of the close, which stands in the response it has not read.

Cause: after the last response the host closes its write side, reads for 0.5 s and closes. What the kernel still holds of the response is sent on, but one more byte that arrives is answered with a reset, and the rest is discarded.

Ruled out: responses that fit into the caller's receive buffer, and requests that arrive within the 0.5 s (both rows pass).

--- /dev/null
+++ b/acceptor/linger_test.go
@@ -0,0 +1,63 @@
+package acceptor
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	verbenastand "github.com/verbenastand/verbenastand"
+)
+
+// Guards against a host that resets a connection while its caller still reads the last
+// response, because the caller sends another request behind it (issue 40, LOST).
+func TestALateRequestDoesNotCutOffTheLastResponse(t *testing.T) {
+	cases := []struct {
+		name string
+		size int
+		// sendAfter is when the further request is sent, and readAfter when the caller
+		// reads, both from the first request on.
+		sendAfter, readAfter time.Duration
+	}{
+		{"short, sent after the close", 1 << 10, 700 * time.Millisecond, time.Second},
+		{"long, sent before the close", 1 << 20, 200 * time.Millisecond, time.Second},
+		{"long, sent after the close", 1 << 20, 700 * time.Millisecond, time.Second},
+		{"longer, sent after the close", 1200 << 10, 700 * time.Millisecond, 3 * time.Second},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			a := NewAcceptor(Config{Limits: func() verbenastand.CallerLimits { return testLimits }, Handler: HandlerFunc(func(_ context.Context, w *Response, _ *Request) {
+				_ = w.Write(http.StatusOK, http.Header{}, make([]byte, tc.size))
+			})})
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			go func() { _ = a.Serve(l) }()
+			t.Cleanup(func() {
+				_ = l.Close()
+				a.Close()
+			})
+			a.Drain()
+			conn, err := net.Dial("tcp", l.Addr().String())
+			require.NoError(t, err)
+			defer func() { _ = conn.Close() }()
+			started := time.Now()
+			_, err = io.WriteString(conn, get("/first"))
+			require.NoError(t, err)
+			time.Sleep(time.Until(started.Add(tc.sendAfter)))
+			_, err = io.WriteString(conn, get("/second"))
+			require.NoError(t, err)
+			time.Sleep(time.Until(started.Add(tc.readAfter)))
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err)
+			n, err := io.Copy(io.Discard, response.Body)
+			require.NoError(t, err, fmt.Sprintf("after %d of %d bytes", n, tc.size))
+		})
+	}
+}
