Close a connection only once the caller has received its last response

What callers saw: a long response ended early with a reset, on a host that stops, if the caller read it slowly and had sent one more request behind it. A server had run the request, so that is LOST, also for requests that must not be repeated.

Cause: after the last response of a connection the host read for 0.5 s and closed. A connection that was idle for longer, as while the caller reads a response from the kernel's buffers, was closed at once by a stop or the idle timeout. Data that arrives at a closed connection is answered with a reset, and the rest of the response is discarded. Class: a write that has returned counts as delivered.

The host now asks the system for the bytes that the caller has not acknowledged, and reads on while there are some, for the stall timeout at most. Where that is not known (other systems), the 0.5 s stay.

--- a/acceptor/closing.go
+++ b/acceptor/closing.go
@@ -9,7 +9,8 @@
 
 const (
 	// lingerTimeout is how long a connection is still read after its write side was
-	// closed, so that a reset does not discard a response in transit.
+	// closed, so that a reset does not discard a response in transit. It is repeated while
+	// the caller has not received the response, for the stall timeout at most.
 	lingerTimeout = 500 * time.Millisecond
 	// lingerBytes bounds what is read during that time.
 	lingerBytes = 256 << 10
@@ -40,15 +41,16 @@
 	}
 }
 
-// linger closes the connection in a way that lets the caller read the last response. A
-// connection that was idle is closed at once, so that a request that arrives meanwhile
-// stays unread.
+// linger closes the connection in a way that lets the caller read the last response: data
+// that arrives at a closed connection resets it, and what the caller has not received yet is
+// lost. A connection that was idle is closed at once, so that a request that arrives
+// meanwhile stays unread.
 func (c *connection) linger() {
 	defer func() { _ = c.conn.Close() }()
 	c.mu.Lock()
-	inTransit := c.responded && time.Since(c.idleSince) < lingerTimeout
+	recent := c.responded && time.Since(c.idleSince) < lingerTimeout
 	c.mu.Unlock()
-	if !inTransit {
+	if !recent && undelivered(c.conn) == 0 {
 		return
 	}
 	halfCloser, ok := c.conn.(interface{ CloseWrite() error })
@@ -59,8 +61,18 @@
 	if c.bodyUnread {
 		timeout, limit = lingerBodyTimeout, c.acceptor.config.Limits().BodyBytes
 	}
+	latest := time.Now().Add(max(timeout, c.acceptor.config.StallTimeout))
+	for c.discard(timeout, limit) && undelivered(c.conn) > 0 && time.Now().Before(latest) {
+		timeout = lingerTimeout
+	}
+}
+
+// discard reads for a time, or up to a number of bytes, and reports whether the caller may
+// still be there.
+func (c *connection) discard(timeout time.Duration, limit int64) bool {
 	_ = c.conn.SetReadDeadline(time.Now().Add(timeout))
-	_, _ = io.CopyN(io.Discard, c.conn, limit)
+	n, err := io.CopyN(io.Discard, c.conn, limit)
+	return n == limit || errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // stopReading lets the reader take no further request. A body that a handler reads is
--- a/acceptor/linger_test.go
+++ b/acceptor/linger_test.go
@@ -21,14 +21,18 @@
 	cases := []struct {
 		name string
 		size int
+		// idle is set if the connection is idle when the host stops, else the response is
+		// the last one because the host stops.
+		idle bool
 		// sendAfter is when the further request is sent, and readAfter when the caller
 		// reads, both from the first request on.
 		sendAfter, readAfter time.Duration
 	}{
-		{"short, sent after the close", 1 << 10, 700 * time.Millisecond, time.Second},
-		{"long, sent before the close", 1 << 20, 200 * time.Millisecond, time.Second},
-		{"long, sent after the close", 1 << 20, 700 * time.Millisecond, time.Second},
-		{"longer, sent after the close", 1200 << 10, 700 * time.Millisecond, 3 * time.Second},
+		{"short, sent after the close", 1 << 10, false, 700 * time.Millisecond, time.Second},
+		{"long, sent before the close", 1 << 20, false, 200 * time.Millisecond, time.Second},
+		{"long, sent after the close", 1 << 20, false, 700 * time.Millisecond, time.Second},
+		{"longer, sent after the close", 1200 << 10, false, 700 * time.Millisecond, 3 * time.Second},
+		{"long, on an idle connection", 1 << 20, true, 700 * time.Millisecond, time.Second},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -43,7 +47,11 @@
 				_ = l.Close()
 				a.Close()
 			})
-			a.Drain()
+			if tc.idle {
+				time.AfterFunc(600*time.Millisecond, a.StopReading)
+			} else {
+				a.Drain()
+			}
 			conn, err := net.Dial("tcp", l.Addr().String())
 			require.NoError(t, err)
 			defer func() { _ = conn.Close() }()
