Refuse a request whose body is incomplete at its time limit

Cause: a buffered body had the stall timeout alone. It now ends at the request's time limit, the lower of the route's and the caller's, 10 s at most: a request that is complete only later can't be served, and 408 says truly that it has not run. The 10 s bound the memory that a caller may hold.

TestAStalledBodyIsRefusedAtTheTimeLimit, TestRequestTimeout.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -45,6 +46,9 @@
 	// StallTimeout bounds how long a caller may take to send a body or to accept a
 	// part of a response.
 	StallTimeout time.Duration
+	// RequestTimeout returns the time limit of a request, zero if there is none. A buffered
+	// body that is not complete by then is refused.
+	RequestTimeout func(*http.Request) time.Duration
 }
 
 // Defaults of a Config.
@@ -83,6 +87,9 @@
 	if c.RequestMemory == 0 {
 		c.RequestMemory = DefaultRequestMemory
 	}
+	if c.RequestTimeout == nil {
+		c.RequestTimeout = func(*http.Request) time.Duration { return 0 }
+	}
 	if c.Observer == nil {
 		c.Observer = ignorer{}
 	}
--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -203,7 +203,7 @@
 		c.bodyUnread = true
 		return nil, err
 	}
-	c.allowReading(c.acceptor.config.StallTimeout)
+	c.allowReading(c.bodyTimeout(httpRequest))
 	if err := c.readBody(r, limits.BodyBytes); err != nil {
 		c.bodyUnread = true
 		if c.interrupted() {
@@ -215,6 +215,16 @@
 	return r, nil
 }
 
+// bodyTimeout returns how long a caller may take to send a body that is buffered: a request
+// that is complete only after its time limit can't be served.
+func (c *connection) bodyTimeout(r *http.Request) time.Duration {
+	stall := c.acceptor.config.StallTimeout
+	if timeout := c.acceptor.config.RequestTimeout(r); timeout > 0 {
+		return min(timeout, stall)
+	}
+	return stall
+}
+
 // remote returns the address of the caller.
 func (c *connection) remote() string {
 	if origin := c.origin(); origin != nil {
--- a/acceptor/malformed_test.go
+++ b/acceptor/malformed_test.go
@@ -144,6 +144,32 @@
 	}
 }
 
+// Guards against a request whose body stalls and whose caller hears nothing although its
+// time limit has passed (issue 41).
+func TestAStalledBodyIsRefusedAtTheTimeLimit(t *testing.T) {
+	cases := []struct {
+		name    string
+		timeout time.Duration
+		after   time.Duration
+	}{
+		{"none", 0, DefaultStallTimeout},
+		{"shorter than the stall timeout", 2 * time.Second, 2 * time.Second},
+		{"longer than the stall timeout", time.Minute, DefaultStallTimeout},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				_, c := connectTo(t, Config{Handler: HandlerFunc(echoPath), RequestTimeout: func(*http.Request) time.Duration { return tc.timeout }})
+				started := time.Now()
+				c.send(t, "POST /p HTTP/1.1\r\nHost: a\r\nContent-Length: 30\r\n\r\nabc")
+				response, _ := c.receive(t)
+				require.Equal(t, http.StatusRequestTimeout, response.StatusCode)
+				require.Equal(t, tc.after, time.Since(started))
+			})
+		})
+	}
+}
+
 // workByPath works for the time of pendingTimes that the path names, and counts requests
 // that are cancelled.
 func workByPath(cancelled *atomic.Int32) HandlerFunc {
--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -282,7 +282,7 @@
 		return false
 	}
 	c.route = match.Route()
-	timeout, err := c.requestTimeout()
+	timeout, err := cr.requestTimeout(c.route, r.Header)
 	if err != nil {
 		cr.refuseEarly(c.writer, r, http.StatusBadRequest, verbenastand.ReasonBadRequest, 0)
 		return false
@@ -297,11 +297,25 @@
 	return true
 }
 
-// requestTimeout returns the time limit of the request: the lower of the caller's
-// and the route's.
-func (c *call) requestTimeout() (time.Duration, error) {
-	timeout := c.route.Timeout()
-	text := c.request.Header.Get(c.carrier.config.Names.Deadline)
+// RequestTimeout returns the time limit of a request, zero if there is none or the request
+// is refused anyway.
+func (c *Carrier) RequestTimeout(r *http.Request) time.Duration {
+	match, found := c.config.Router.Find(r.Host, r.URL.Path)
+	if !found {
+		return 0
+	}
+	timeout, err := c.requestTimeout(match.Route(), r.Header)
+	if err != nil {
+		return 0
+	}
+	return timeout
+}
+
+// requestTimeout returns the time limit of a request: the lower of the caller's and the
+// route's.
+func (c *Carrier) requestTimeout(route verbenastand.Route, header http.Header) (time.Duration, error) {
+	timeout := route.Timeout()
+	text := header.Get(c.config.Names.Deadline)
 	if text == "" {
 		return timeout, nil
 	}
--- a/carrier/carrier_test.go
+++ b/carrier/carrier_test.go
@@ -724,3 +724,25 @@
 		})
 	}
 }
+
+func TestRequestTimeout(t *testing.T) {
+	cases := []struct {
+		name, path, field string
+		want              time.Duration
+	}{
+		{"of the route", "/x", "", 2 * time.Second},
+		{"of the caller", "/x", "500", 500 * time.Millisecond},
+		{"of the route, lower than that of the caller", "/x", "60000", 2 * time.Second},
+		{"malformed", "/x", "-1", 0},
+		{"no route", "/none", "500", 0},
+	}
+	withHarness(t, nil, nil, func(h *harness) {
+		h.addRoute(verbenastand.RouteConfig{Name: "x", PathPrefix: "/x", Timeout: 2 * time.Second})
+		for _, tc := range cases {
+			r, err := http.NewRequest(http.MethodPost, "http://a.example"+tc.path, nil)
+			require.NoError(h.t, err)
+			r.Header.Set("X-Deadline", tc.field)
+			require.Equal(h.t, tc.want, h.carrier.RequestTimeout(r), tc.name)
+		}
+	})
+}
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -216,7 +216,9 @@
 			})
 		},
 	})
-	g.acceptor = acceptor.NewAcceptor(acceptor.Config{Handler: g.carrier, Limits: g.limits, Observer: g.recorder})
+	g.acceptor = acceptor.NewAcceptor(acceptor.Config{
+		Handler: g.carrier, Limits: g.limits, Observer: g.recorder, RequestTimeout: g.carrier.RequestTimeout,
+	})
 	g.resolver = resolver.NewResolver(resolver.Config{
 		Membership: g.gossiper, Self: g.self, Serving: g.ready, Validity: s.AnswerValidity,
 	})
