Do not blame a server for an upload that its caller breaks off

What callers saw: an upload beyond what is kept in memory whose caller sent a malformed chunk, stalled or left was counted against its server as a lost connection, which is evidence that the request has crashed it: health checks, possibly a quarantine of equal requests, a lower rank of the server.

A caller chose the class of the error.

The sender now marks a body that broke off (ErrIncompleteRequest); the attempt counts as abandoned, the caller that is still there gets 502 with the reason badRequest, since a part may have run. Responses are classified like requests: by the error of the connection, not by that of the parser.

--- a/carrier/attempt.go
+++ b/carrier/attempt.go
@@ -214,6 +214,8 @@
 		return balancer.Failed
 	case err == nil:
 		return balancer.Succeeded
+	case errors.Is(err, sender.ErrIncompleteRequest):
+		return balancer.Abandoned
 	case errors.Is(err, sender.ErrConnectionLost):
 		return balancer.ConnectionLost
 	case errors.Is(err, context.DeadlineExceeded):
--- a/carrier/run.go
+++ b/carrier/run.go
@@ -7,6 +7,7 @@
 
 	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/balancer"
+	"github.com/verbenastand/verbenastand/sender"
 )
 
 const (
@@ -359,7 +360,11 @@
 		return
 	}
 	if r.mayHaveRun {
-		r.refuse(verbenastand.NewRequestError(verbenastand.MayHaveRun, verbenastand.ReasonServerFailed, r.lastErr))
+		reason := verbenastand.ReasonServerFailed
+		if errors.Is(r.lastErr, sender.ErrIncompleteRequest) {
+			reason = verbenastand.ReasonBadRequest
+		}
+		r.refuse(verbenastand.NewRequestError(verbenastand.MayHaveRun, reason, r.lastErr))
 		return
 	}
 	if err := r.carrier.config.Quarantiner.Check(r.fingerprint); err != nil {
--- a/sender/connection.go
+++ b/sender/connection.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -40,6 +41,8 @@
 	// ErrUnexpectedResponse means that the data from the server is not the response
 	// to the request.
 	ErrUnexpectedResponse = errors.New("sender: data is not the response to this request")
+	// ErrIncompleteRequest means that the body of the request ended early.
+	ErrIncompleteRequest = errors.New("sender: the body of the request ended early")
 	// ErrInstanceMismatch means that another process responded at the address.
 	ErrInstanceMismatch = errors.New("sender: another process is listening at the address of the server")
 )
@@ -91,6 +94,8 @@
 	reusable bool
 	// bodyWritten receives the result of writing a body asynchronously.
 	bodyWritten chan error
+	// bodyBroken is set once the source of a body has failed.
+	bodyBroken atomic.Bool
 }
 
 func newConnection(s *Sender, t Target, conn net.Conn) *Connection {
@@ -173,18 +178,18 @@
 		// next request has begun to use the connection.
 		c.reusable = false
 		if err == nil {
-			err = classifyError(ctx, nil)
+			err = context.Cause(ctx)
 		}
 	}()
 	c.reusable = false
 	head := "GET " + path + " HTTP/1.1\r\nHost: " + c.target.Address + "\r\n\r\n"
 	if _, err := io.WriteString(c.conn, head); err != nil {
-		return Health{}, classifyError(ctx, err)
+		return Health{}, classifyError(ctx, err, err)
 	}
 	c.limit.Allow(maxHeaderBytes)
 	response, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
-		return Health{}, classifyError(ctx, err)
+		return Health{}, c.readError(ctx, err)
 	}
 	if response.StatusCode < http.StatusOK || response.Header.Get(c.sender.names.RequestID) != "" {
 		// A late response to an earlier request of the connection.
@@ -193,7 +198,7 @@
 	c.limit.Allow(maxCheckBody)
 	// Closing the body would read all of it.
 	if _, err = io.Copy(io.Discard, response.Body); err != nil {
-		return Health{}, classifyError(ctx, err)
+		return Health{}, c.readError(ctx, err)
 	}
 	if id := response.Header.Get(c.sender.names.Instance); id != "" && id != string(c.target.Server) {
 		return Health{}, ErrInstanceMismatch
--- a/sender/exchange.go
+++ b/sender/exchange.go
@@ -8,8 +8,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
-	"syscall"
 
 	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/internal/bounder"
@@ -23,7 +23,7 @@
 	c.reusable = false
 	if err := c.write(r); err != nil {
 		release()
-		return nil, mayHaveRun(verbenastand.ReasonServerFailed, classifyError(ctx, err))
+		return nil, mayHaveRun(verbenastand.ReasonServerFailed, classifyError(ctx, err, err))
 	}
 	response, err := c.readResponse(ctx, r)
 	if err != nil {
@@ -82,6 +82,7 @@
 	err := c.writeStream(source, r.Length)
 	if source.err != nil {
 		// The body will never be complete, so the server must not wait for it.
+		c.bodyBroken.Store(true)
 		_ = c.conn.Close()
 	}
 	return err
@@ -137,7 +138,7 @@
 		c.limit.Allow(maxHeaderBytes)
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
-			return nil, mayHaveRun(verbenastand.ReasonServerFailed, classifyError(ctx, err))
+			return nil, mayHaveRun(verbenastand.ReasonServerFailed, c.readError(ctx, err))
 		}
 		c.limit.Allow(bounder.Unlimited)
 		if response.StatusCode >= 100 && response.StatusCode < 200 {
@@ -185,25 +186,27 @@
 	return verbenastand.NewRequestError(verbenastand.MayHaveRun, reason, cause)
 }
 
-// classifyError joins ErrConnectionLost or ErrUnexpectedResponse to an error of the
-// connection, unless ctx or a timeout caused it.
-func classifyError(ctx context.Context, err error) error {
-	if ctx.Err() != nil {
-		return errors.Join(context.Cause(ctx), err)
-	}
-	var timeout net.Error
-	if errors.As(err, &timeout) && timeout.Timeout() {
-		return errors.Join(context.DeadlineExceeded, err)
-	}
-	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || isNetError(err) {
-		return errors.Join(ErrConnectionLost, err)
+// readError describes an error that ends the reading of a response. Only the connection
+// tells whether it is lost: servers choose the bytes that errors of the parsers depend on.
+func (c *Connection) readError(ctx context.Context, err error) error {
+	if c.bodyBroken.Load() && ctx.Err() == nil {
+		return errors.Join(ErrIncompleteRequest, err)
 	}
-	return errors.Join(ErrUnexpectedResponse, err)
+	return classifyError(ctx, err, c.limit.Err())
 }
 
-func isNetError(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+// classifyError joins the meaning of an error to it, given the error of the connection, nil
+// if that has none.
+func classifyError(ctx context.Context, err, connection error) error {
+	switch {
+	case ctx.Err() != nil:
+		return errors.Join(context.Cause(ctx), err)
+	case connection == nil:
+		return errors.Join(ErrUnexpectedResponse, err)
+	case errors.Is(connection, os.ErrDeadlineExceeded):
+		return errors.Join(context.DeadlineExceeded, err)
+	}
+	return errors.Join(ErrConnectionLost, err)
 }
 
 // responseBody is the body of a response. At its end it decides whether the
@@ -229,7 +232,7 @@
 	b.ended = true
 	ctxActive := b.release()
 	if !errors.Is(err, io.EOF) {
-		return n, mayHaveRun(verbenastand.ReasonInvalidResponse, classifyError(b.ctx, err))
+		return n, mayHaveRun(verbenastand.ReasonInvalidResponse, b.connection.readError(b.ctx, err))
 	}
 	if ctxActive && b.connection.bodySent() {
 		b.connection.updateReuse(b.response)
