Let a slow upload take longer than the stall timeout

What callers saw: an upload beyond what is kept in memory was broken off 10 s after its head, although the caller sent without a stall: on routes with longer time limits, or if the request waited for its turn. Its server got half a body.

Cause: the deadline for reading such a body was set once, when its head had been read. It is now set for each part that the handler reads.

TestASlowUploadIsReadToItsEnd failed in both rows and passes.

--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -313,6 +313,41 @@
 	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a.example\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
 }
 
+// Guards against an upload that is broken off at the stall timeout although its caller sends
+// without a stall, or before the handler begins to read.
+func TestASlowUploadIsReadToItsEnd(t *testing.T) {
+	const parts, size = 30, 10 << 10
+	cases := []struct {
+		name string
+		// interval is the time between two parts, and turn how long the handler waits before
+		// it reads.
+		interval, turn time.Duration
+	}{
+		{"slow", DefaultStallTimeout / 10, 0},
+		{"read late", 0, 2 * DefaultStallTimeout},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				_, c := connectTo(t, Config{BufferedBody: 4, Handler: HandlerFunc(func(_ context.Context, w *Response, r *Request) {
+					time.Sleep(tc.turn)
+					n, err := io.Copy(io.Discard, r.Stream())
+					_ = w.Write(http.StatusOK, http.Header{}, fmt.Append(nil, n, err))
+				})})
+				go func() {
+					_, _ = fmt.Fprintf(c, "POST /p HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", parts*size)
+					for range parts {
+						time.Sleep(tc.interval)
+						_, _ = c.Write(make([]byte, size))
+					}
+				}()
+				_, body := c.receive(t)
+				require.Equal(t, fmt.Sprint(parts*size, " <nil>"), body)
+			})
+		})
+	}
+}
+
 // TestATruncatedBodyIsNotHandled: a request whose caller disconnects in the middle of
 // its body must not reach a server as if it were complete.
 func TestATruncatedBodyIsNotHandled(t *testing.T) {
--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -350,7 +350,7 @@
 		}
 	}
 	if r.ContentLength > c.acceptor.config.BufferedBody {
-		r.stream = newBodyStream(r.Body, limit)
+		r.stream = newBodyStream(r.Body, limit, c.allowPart)
 		return nil
 	}
 	buffer, err := bounder.ReadBuffer(bounder.BufferConfig{
@@ -361,7 +361,7 @@
 	}
 	r.buffer = buffer
 	if !buffer.Complete() {
-		r.stream = newBodyStream(io.MultiReader(bytes.NewReader(buffer.Bytes()), r.Body), limit)
+		r.stream = newBodyStream(io.MultiReader(bytes.NewReader(buffer.Bytes()), r.Body), limit, c.allowPart)
 	}
 	return nil
 }
@@ -379,13 +379,18 @@
 	return err
 }
 
+// allowPart sets the read deadline for the next part of a body that a handler reads, also on
+// a connection that takes no further request.
+func (c *connection) allowPart() {
+	_ = c.conn.SetReadDeadline(time.Now().Add(c.acceptor.config.StallTimeout))
+}
+
 // awaitBody waits until a streamed body has been read, and reports whether the next
 // request can be read after it.
 func (c *connection) awaitBody(r *Request) bool {
 	if r.stream == nil {
 		return true
 	}
-	_ = c.conn.SetReadDeadline(time.Now().Add(c.acceptor.config.StallTimeout))
 	select {
 	case <-r.stream.done:
 		c.mu.Lock()
--- a/acceptor/message.go
+++ b/acceptor/message.go
@@ -116,21 +116,24 @@
 
 // bodyStream is a body that the handler reads while the connection's reader waits.
 type bodyStream struct {
-	reader    io.Reader
+	reader io.Reader
+	// allow sets the read deadline of the connection for the next part.
+	allow     func()
 	remaining int64
 	complete  atomic.Bool
 	once      sync.Once
 	done      chan struct{}
 }
 
-func newBodyStream(r io.Reader, limit int64) *bodyStream {
-	return &bodyStream{reader: r, remaining: limit, done: make(chan struct{})}
+func newBodyStream(r io.Reader, limit int64, allow func()) *bodyStream {
+	return &bodyStream{reader: r, remaining: limit, allow: allow, done: make(chan struct{})}
 }
 
 var errBodyTooLarge = errors.New("acceptor: the body is too large")
 
 // Read implements io.Reader.
 func (b *bodyStream) Read(p []byte) (int, error) {
+	b.allow()
 	n, err := b.reader.Read(p)
 	b.remaining -= int64(n)
 	if b.remaining < 0 {
