Deliver the last responses of a stopping entry host

What callers saw: as on the gateway, a response of 1 MB that its caller read slowly ended with a reset after 128 KB, if a further request had been sent behind it.

Cause, found by looking for that of the gateway elsewhere: net/http reads for 0.5 s after a response that announces the close, and closes idle connections at once in Shutdown, also when the caller has not received the last response.

Connections of callers now linger in the background as on the gateway, until the caller has received what was written, 10 s at most, and a stopping host waits for them within its drain timeout. The code of both hosts is in internal/closer. Connections on which nothing is outstanding are closed as before.

--- a/acceptor/closing.go
+++ b/acceptor/closing.go
@@ -5,6 +5,8 @@
 	"io"
 	"os"
 	"time"
+
+	"github.com/verbenastand/verbenastand/internal/closer"
 )
 
 const (
@@ -41,38 +43,22 @@
 	}
 }
 
-// linger closes the connection in a way that lets the caller read the last response: data
-// that arrives at a closed connection resets it, and what the caller has not received yet is
-// lost. A connection that was idle is closed at once, so that a request that arrives
-// meanwhile stays unread.
+// linger closes the connection in a way that lets the caller read the last response. A
+// connection that was idle is closed at once, so that a request that arrives meanwhile stays
+// unread.
 func (c *connection) linger() {
 	defer func() { _ = c.conn.Close() }()
 	c.mu.Lock()
 	recent := c.responded && time.Since(c.idleSince) < lingerTimeout
 	c.mu.Unlock()
-	if !recent && undelivered(c.conn) == 0 {
-		return
-	}
-	halfCloser, ok := c.conn.(interface{ CloseWrite() error })
-	if !ok || halfCloser.CloseWrite() != nil {
+	if !recent && closer.Undelivered(c.conn) == 0 {
 		return
 	}
-	timeout, limit := lingerTimeout, int64(lingerBytes)
+	config := closer.Config{Timeout: lingerTimeout, Bytes: lingerBytes, Delivery: c.acceptor.config.StallTimeout}
 	if c.bodyUnread {
-		timeout, limit = lingerBodyTimeout, c.acceptor.config.Limits().BodyBytes
-	}
-	latest := time.Now().Add(max(timeout, c.acceptor.config.StallTimeout))
-	for c.discard(timeout, limit) && undelivered(c.conn) > 0 && time.Now().Before(latest) {
-		timeout = lingerTimeout
+		config.Timeout, config.Bytes = lingerBodyTimeout, c.acceptor.config.Limits().BodyBytes
 	}
-}
-
-// discard reads for a time, or up to a number of bytes, and reports whether the caller may
-// still be there.
-func (c *connection) discard(timeout time.Duration, limit int64) bool {
-	_ = c.conn.SetReadDeadline(time.Now().Add(timeout))
-	n, err := io.CopyN(io.Discard, c.conn, limit)
-	return n == limit || errors.Is(err, os.ErrDeadlineExceeded)
+	closer.Linger(c.conn, config)
 }
 
 // stopReading lets the reader take no further request. A body that a handler reads is
--- /dev/null
+++ b/internal/closer/listener.go
@@ -0,0 +1,85 @@
+package closer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Listener accepts connections that linger in the background when they are closed, for
+// servers that close them at once.
+type Listener struct {
+	*net.TCPListener
+	config    Config
+	lingering sync.WaitGroup
+}
+
+// NewListener returns a listener whose connections linger.
+func NewListener(l *net.TCPListener, c Config) *Listener { return &Listener{TCPListener: l, config: c} }
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	conn, err := l.AcceptTCP()
+	if err != nil {
+		return nil, fmt.Errorf("closer: %w", err)
+	}
+	return &lingeringConn{TCPConn: conn, listener: l}, nil
+}
+
+// Wait waits until no connection lingers, or until ctx is done.
+func (l *Listener) Wait(ctx context.Context) {
+	ended := make(chan struct{})
+	go func() {
+		l.lingering.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	}
+}
+
+// lingeringConn is a connection of a Listener.
+type lingeringConn struct {
+	*net.TCPConn
+	listener *Listener
+	closed   atomic.Bool
+	// reading is held while the server reads.
+	reading sync.Mutex
+}
+
+// Read implements net.Conn. What arrives after Close is not the server's.
+func (c *lingeringConn) Read(p []byte) (int, error) {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	if c.closed.Load() {
+		return 0, net.ErrClosed
+	}
+	n, err := c.TCPConn.Read(p)
+	if c.closed.Load() {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// Close implements net.Conn. It returns at once.
+func (c *lingeringConn) Close() error {
+	if c.closed.Swap(true) {
+		return net.ErrClosed
+	}
+	if Undelivered(c.TCPConn) == 0 {
+		return c.TCPConn.Close()
+	}
+	c.listener.lingering.Go(func() {
+		defer func() { _ = c.TCPConn.Close() }()
+		// The server may be waiting for a request.
+		_ = c.SetReadDeadline(time.Unix(1, 0))
+		c.reading.Lock()
+		defer c.reading.Unlock()
+		Linger(c.TCPConn, c.listener.config)
+	})
+	return nil
+}
--- a/acceptor/undelivered_linux.go
+++ b/internal/closer/undelivered_linux.go
@@ -1,4 +1,4 @@
-package acceptor
+package closer
 
 import (
 	"net"
@@ -7,9 +7,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// undelivered returns the number of bytes that were written to a connection and that its
+// Undelivered returns the number of bytes that were written to a connection and that its
 // peer has not acknowledged yet (tcp(7), SIOCOUTQ), zero if that is not known.
-func undelivered(conn net.Conn) int {
+func Undelivered(conn net.Conn) int {
 	socket, ok := conn.(syscall.Conn)
 	if !ok {
 		return 0
--- a/internal/e2e/stop_test.go
+++ b/internal/e2e/stop_test.go
@@ -84,6 +84,64 @@
 	}
 }
 
+// Guards against an entry host that resets a connection while its caller still reads the last
+// response, because the caller sends another request behind it (issue 40, LOST).
+func TestAStoppingEntryHostDeliversItsLastResponse(t *testing.T) {
+	const size = 1 << 20
+	cases := []struct {
+		name string
+		// sent is when the caller sends its request, after the signal, and next when it sends
+		// another one behind it.
+		sent, next time.Duration
+	}{
+		{"the last response of a connection", 0, 1500 * time.Millisecond},
+		{"an idle connection at the end of the intake", -800 * time.Millisecond, 2 * time.Second},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			k := newCluster(t, clusterConfig{deployment: smallDeployment(), entries: 2, flags: []string{
+				"--drain-timeout", "6s", "--answer-validity", "1s",
+			}})
+			k.waitUntil("ticket 1", func() bool { return k.status(k.entries[0]).TicketNumber == 1 })
+			stopped := k.entries[0]
+			conn, err := net.Dial("tcp", stopped.call)
+			require.NoError(t, err)
+			defer func() { _ = conn.Close() }()
+			send := func(id string) {
+				_, err := fmt.Fprintf(conn, "GET /tins?id=%s&size=%d HTTP/1.1\r\nHost: catalogue\r\n%s: 5000\r\n\r\n", id, size, verbenastand.HeaderTimeout)
+				require.NoError(t, err)
+			}
+			signal := func() time.Time {
+				stopped.signal(syscall.SIGTERM)
+				return time.Now()
+			}
+			var signalled time.Time
+			if tc.sent < 0 {
+				send("first")
+				time.Sleep(-tc.sent)
+				signalled = signal()
+			} else {
+				signalled = signal()
+				time.Sleep(200 * time.Millisecond)
+				send("first")
+			}
+			time.Sleep(time.Until(signalled.Add(tc.next)))
+			send("second")
+			time.Sleep(300 * time.Millisecond)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err)
+			n, err := io.Copy(io.Discard, response.Body)
+			require.NoError(t, err, "after %d bytes", n)
+			require.Equal(t, http.StatusOK, response.StatusCode)
+			require.EqualValues(t, size, n)
+			require.NoError(t, conn.Close())
+			<-stopped.done
+			require.Less(t, time.Since(signalled), 5*time.Second, "the process waits for no caller that has left")
+		})
+	}
+}
+
 func requireRefusal(t *testing.T, reader *bufio.Reader, status int, verdict verbenastand.Verdict) {
 	t.Helper()
 	response, err := http.ReadResponse(reader, nil)
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -25,6 +25,7 @@
 	"github.com/verbenastand/verbenastand/excluder"
 	"github.com/verbenastand/verbenastand/forwarder"
 	"github.com/verbenastand/verbenastand/gossiper"
+	"github.com/verbenastand/verbenastand/internal/closer"
 	"github.com/verbenastand/verbenastand/limiter"
 	"github.com/verbenastand/verbenastand/merger"
 	"github.com/verbenastand/verbenastand/meter"
@@ -53,6 +54,10 @@
 	apiReadTimeout    = 5 * time.Second
 	handoverTimeout   = 5 * time.Second
 	maxSuccessors     = 4
+	// deliveryTimeout bounds how long a caller may take to receive the last response of a
+	// connection, and lingerBytes what is read from it meanwhile, each half second.
+	deliveryTimeout = 10 * time.Second
+	lingerBytes     = 256 << 10
 	// serverConnections is the number of connections that a server accepts from
 	// all hosts together. minServerConnections is the number that one home host
 	// needs to use all slots of a server.
@@ -95,6 +100,7 @@
 	reach        *reach
 
 	callServer        *http.Server
+	callListener      *closer.Listener
 	apiServer         *http.Server
 	stopTracer        func(context.Context) error
 	background        sync.WaitGroup
--- a/launcher/run.go
+++ b/launcher/run.go
@@ -12,6 +12,7 @@
 	"github.com/apex/log"
 
 	verbenastand "github.com/verbenastand/verbenastand"
+	"github.com/verbenastand/verbenastand/internal/closer"
 	"github.com/verbenastand/verbenastand/placer"
 	"github.com/verbenastand/verbenastand/responder"
 )
@@ -19,9 +20,8 @@
 // Run serves until ctx is done and then shuts down gracefully. It returns when all
 // requests in flight have completed or the drain timeout has expired.
 func (h *Host) Run(ctx context.Context) error {
-	callListener, err := net.Listen("tcp", h.settings.CallAddress)
-	if err != nil {
-		return fmt.Errorf("launcher: call address: %w", err)
+	if err := h.listenForCalls(); err != nil {
+		return err
 	}
 	apiListener, err := net.Listen("tcp", h.settings.APIAddress)
 	if err != nil {
@@ -46,7 +46,7 @@
 	serve(func() error { return h.peerServer.Serve(peerConn) })
 	serve(func() error { return h.apiServer.Serve(apiListener) })
 	h.start(ctx)
-	serve(func() error { return h.callServer.Serve(callListener) })
+	serve(func() error { return h.callServer.Serve(h.callListener) })
 	h.background.Go(func() { h.watcher.Run(runCtx) })
 	h.timer.Every(sweepPeriod, func(time.Time) { h.markReady() })
 	select {
@@ -59,6 +59,19 @@
 	return err
 }
 
+func (h *Host) listenForCalls() error {
+	listener, err := net.Listen("tcp", h.settings.CallAddress)
+	if err != nil {
+		return fmt.Errorf("launcher: call address: %w", err)
+	}
+	tcp, ok := listener.(*net.TCPListener)
+	if !ok {
+		return fmt.Errorf("launcher: call address: %T is no TCP listener", listener)
+	}
+	h.callListener = closer.NewListener(tcp, closer.Config{Bytes: lingerBytes, Delivery: deliveryTimeout})
+	return nil
+}
+
 // start loads the configuration from the platform and the peers before the host
 // serves, within the start timeout.
 func (h *Host) start(ctx context.Context) {
@@ -115,6 +128,7 @@
 	for h.dispatcher.InFlight() > 0 && ctx.Err() == nil {
 		sleep(ctx, drainPollPeriod)
 	}
+	h.callListener.Wait(ctx)
 	h.log.WithField("tookMs", time.Since(started).Milliseconds()).WithField("unanswered", h.dispatcher.InFlight()).Info("drained")
 	h.transferKeys(context.Background())
 }
