Keep an entry host running at SIGHUP

Callers saw: any SIGHUP to an entry host closed all connections at once, those with requests pending too, with no response.

Cause: the entry host asked for SIGTERM and SIGINT only; the default of SIGHUP ends a process, at any time.

Now SIGHUP has it check its certificates and read the platform's list of hosts, which it does every 10 s anyway. A SIGHUP before it has read its files is received too (package reloader) and applied once the host serves.

Ruled out: ignoring the signal. Operators and service managers send it to have changed files read, and would get no line that says otherwise.

--- a/commander/commander.go
+++ b/commander/commander.go
@@ -56,12 +56,12 @@
 	return report(c, err)
 }
 
-// execute runs the selected command. Other commands have no settings that can be read again.
+// execute runs the selected command. Only hosts have settings that can be read again.
 func execute(command flags.Commander, args []string) error {
 	switch command.(type) {
 	case nil:
 		return nil
-	case *gatewayCommand:
+	case *entryCommand, *gatewayCommand:
 	default:
 		reloader.Stop()
 	}
--- a/commander/entry.go
+++ b/commander/entry.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log/handlers/text"
 
 	"github.com/verbenastand/verbenastand/configurer"
+	"github.com/verbenastand/verbenastand/internal/reloader"
 	"github.com/verbenastand/verbenastand/launcher"
 )
 
@@ -30,7 +31,7 @@
 	if err != nil {
 		return fmt.Errorf("commander: %w", err)
 	}
-	return host.Run(ctx)
+	return host.Run(ctx, reloader.Signals())
 }
 
 func (e *entryCommand) logger() log.Interface {
--- a/launcher/run.go
+++ b/launcher/run.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/apex/log"
@@ -17,8 +18,9 @@
 )
 
 // Run serves until ctx is done and then shuts down gracefully. It returns when all
-// requests in flight have completed or the drain timeout has expired.
-func (h *Host) Run(ctx context.Context) error {
+// requests in flight have completed or the drain timeout has expired. For each value
+// received from reload it reads again what may change at run time.
+func (h *Host) Run(ctx context.Context, reload <-chan os.Signal) error {
 	callListener, err := net.Listen("tcp", h.settings.CallAddress)
 	if err != nil {
 		return fmt.Errorf("launcher: call address: %w", err)
@@ -49,16 +51,29 @@
 	serve(func() error { return h.callServer.Serve(callListener) })
 	h.background.Go(func() { h.watcher.Run(runCtx) })
 	h.timer.Every(sweepPeriod, func(time.Time) { h.markReady() })
-	select {
-	case <-ctx.Done():
-	case err = <-failed:
-	}
+	err = h.handleReloads(ctx, reload, failed)
 	h.drain()
 	stop()
 	h.shutdown(peerConn)
 	return err
 }
 
+// handleReloads returns when ctx is done or a server has failed.
+func (h *Host) handleReloads(ctx context.Context, reload <-chan os.Signal, failed <-chan error) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case err := <-failed:
+			return err
+		case <-reload:
+			h.log.Info("reloading certificates and the list of hosts")
+			h.reloadCertificates()
+			h.background.Go(h.readHostList)
+		}
+	}
+}
+
 // start loads the configuration from the platform and the peers before the host
 // serves, within the start timeout.
 func (h *Host) start(ctx context.Context) {
