Keep a host running when the reader of its lines has gone

Callers saw: when the reader of a host's standard output or error ends (a log collector that restarts), the next line ended the process: all connections were closed, requests that servers were running got no response.

Cause: a Go process whose write to descriptor 1 or 2 fails with EPIPE raises SIGPIPE, unless it ignores or receives it (os/signal).

Now hosts of both kinds ignore SIGPIPE; other commands, whose output is all they do, still end by it. A line that can't be written is dropped and counted by lines_left_out_total, a new metric of the gateway, since no line can tell.

Ruled out: other descriptors. A write to a closed socket returns EPIPE in Go and raises no signal.

--- a/commander/commander.go
+++ b/commander/commander.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"os/signal"
+	"syscall"
 
 	"github.com/jessevdk/go-flags"
 
@@ -56,12 +58,14 @@
 	return report(c, err)
 }
 
-// execute runs the selected command. Only hosts have settings that can be read again.
+// execute runs the selected command. Only hosts have settings that can be read again, and
+// outlive the readers of their lines.
 func execute(command flags.Commander, args []string) error {
 	switch command.(type) {
 	case nil:
 		return nil
 	case *entryCommand, *gatewayCommand:
+		signal.Ignore(syscall.SIGPIPE)
 	default:
 		reloader.Stop()
 	}
--- a/commander/gateway.go
+++ b/commander/gateway.go
@@ -48,7 +48,8 @@
 	logger := &log.Logger{Level: log.MustParseLevel(g.LogLevel), Handler: handler}
 	gateway, err := launcher.NewGateway(ctx, launcher.GatewayConfig{
 		Settings: settings, Version: g.config.Version, Log: logger.WithField("host", settings.Host),
-		Store: platform.NewStore(settings.Store), HeaderFormat: platform.HeaderFormat{},
+		DroppedLines: handler.Dropped,
+		Store:        platform.NewStore(settings.Store), HeaderFormat: platform.HeaderFormat{},
 		NewDirectory: func(r *resolver.Resolver) http.Handler { return platform.NewDirectoryHandler(r) },
 		NewReadiness: platform.NewReadinessHandler,
 		Reload:       g.settings,
--- a/internal/e2e/end_test.go
+++ b/internal/e2e/end_test.go
@@ -77,3 +77,26 @@
 	require.NoError(t, pipe.Close())
 	k.waitUntil("the host serves", func() bool { return k.status(e) != nil })
 }
+
+// Guards against an entry host that ends by SIGPIPE because the reader of its lines has gone,
+// with every pending request.
+func TestAClosedOutputEndsNoEntryHost(t *testing.T) {
+	t.Parallel()
+	k := newCluster(t, clusterConfig{deployment: smallDeployment()})
+	reader, writer, err := os.Pipe()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = reader.Close() })
+	k.addEntry(0, nil)
+	e := k.entries[0]
+	e.file = writer
+	e.start(t)
+	require.NoError(t, writer.Close())
+	k.waitUntil("the host serves", func() bool { s := k.status(e); return s != nil && s.TicketNumber > 0 })
+	status := k.sendSlow(e, "pending")
+	require.NoError(t, reader.Close())
+	k.ticket.Number++
+	k.publish(k.ticket)
+	k.waitUntil("the host writes a line", func() bool { s := k.status(e); return !e.running() || s != nil && s.TicketNumber > 1 })
+	require.Equal(t, http.StatusOK, <-status)
+	require.True(t, e.running())
+}
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -69,7 +69,9 @@
 	args    []string
 	command *exec.Cmd
 	output  *bytes.Buffer
-	done    chan struct{}
+	// file replaces output if it is set.
+	file *os.File
+	done chan struct{}
 	// ended describes how and when the process ended, valid once done is closed.
 	ended string
 }
@@ -78,6 +80,9 @@
 	p.command = exec.Command(p.args[0], p.args[1:]...)
 	p.output = &bytes.Buffer{}
 	p.command.Stdout, p.command.Stderr = p.output, p.output
+	if p.file != nil {
+		p.command.Stdout, p.command.Stderr = p.file, p.file
+	}
 	require.NoError(t, p.command.Start(), p.name)
 	p.done = make(chan struct{})
 	go func(c *exec.Cmd, done chan struct{}) {
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -63,9 +63,11 @@
 
 // GatewayConfig holds the dependencies and settings of a Gateway.
 type GatewayConfig struct {
-	Settings     configurer.Gateway
-	Version      string
-	Log          log.Interface
+	Settings configurer.Gateway
+	Version  string
+	Log      log.Interface
+	// DroppedLines returns the number of log lines that were not written.
+	DroppedLines func() int64
 	Store        verbenastand.ConfigurationStore
 	HeaderFormat verbenastand.HeaderFormat
 	// NewDirectory returns the handler for the host lookups of callers, and
@@ -328,5 +330,6 @@
 		}
 		return 0
 	})
+	g.meter.Counter("lines_left_out_total", "Log lines that were not written.", func() float64 { return float64(g.config.DroppedLines()) })
 	g.meter.Counter("store_calls_total", "Calls to the configuration store.", func() float64 { return float64(g.follower.StoreCalls()) })
 }
--- a/recorder/handler.go
+++ b/recorder/handler.go
@@ -56,7 +56,7 @@
 	return nil
 }
 
-// Dropped returns the number of dropped lines.
+// Dropped returns the number of lines that were not written.
 func (h *Handler) Dropped() int64 { return h.dropped.Load() }
 
 func (h *Handler) allow(event string) bool {
@@ -79,17 +79,24 @@
 		if e.Message == closeMarker {
 			return
 		}
-		_ = h.next.HandleLog(e)
+		h.pass(e)
 		if now := time.Now(); now.After(nextReport) {
 			nextReport = now.Add(dropReportInterval)
 			if dropped := h.dropped.Load(); dropped > reportedDrops {
-				_ = h.next.HandleLog(newDropEntry(e, dropped-reportedDrops))
+				h.pass(newDropEntry(e, dropped-reportedDrops))
 				reportedDrops = dropped
 			}
 		}
 	}
 }
 
+// pass writes a line. A line that can't be written, since its reader has gone, is dropped.
+func (h *Handler) pass(e *log.Entry) {
+	if err := h.next.HandleLog(e); err != nil {
+		h.dropped.Add(1)
+	}
+}
+
 const (
 	closeMarker = "\x00close"
 	dropEvent   = "linesLeftOut"
