--- a/commander/commander.go
+++ b/commander/commander.go
@@ -5,8 +5,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"os/signal"
+	"syscall"
 
 	"github.com/jessevdk/go-flags"
+
+	"github.com/verbenastand/verbenastand/internal/reloader"
 )
 
 // Exit codes of the program.
@@ -31,6 +35,7 @@
 func Run(c Config) int {
 	parser := flags.NewNamedParser("verbenastand", flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = "A load balancer for servers whose load shifts in milliseconds."
+	parser.CommandHandler = execute
 	commands := []struct {
 		name, short, long string
 		command           flags.Commander
@@ -53,6 +58,20 @@
 	return report(c, err)
 }
 
+// execute runs the selected command. Only hosts have settings that can be read again, and
+// outlive the readers of their lines.
+func execute(command flags.Commander, args []string) error {
+	switch command.(type) {
+	case nil:
+		return nil
+	case *entryCommand, *gatewayCommand:
+		signal.Ignore(syscall.SIGPIPE)
+	default:
+		reloader.Stop()
+	}
+	return command.Execute(args)
+}
+
 func report(c Config, err error) int {
 	if err == nil {
 		return exitOK
--- a/commander/gateway.go
+++ b/commander/gateway.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"os"
 	"os/signal"
 	"syscall"
 
@@ -12,6 +11,7 @@
 	"github.com/apex/log/handlers/json"
 
 	"github.com/verbenastand/verbenastand/configurer"
+	"github.com/verbenastand/verbenastand/internal/reloader"
 	"github.com/verbenastand/verbenastand/launcher"
 	"github.com/verbenastand/verbenastand/platform"
 	"github.com/verbenastand/verbenastand/recorder"
@@ -48,7 +48,8 @@
 	logger := &log.Logger{Level: log.MustParseLevel(g.LogLevel), Handler: handler}
 	gateway, err := launcher.NewGateway(ctx, launcher.GatewayConfig{
 		Settings: settings, Version: g.config.Version, Log: logger.WithField("host", settings.Host),
-		Store: platform.NewStore(settings.Store), HeaderFormat: platform.HeaderFormat{},
+		DroppedLines: handler.Dropped,
+		Store:        platform.NewStore(settings.Store), HeaderFormat: platform.HeaderFormat{},
 		NewDirectory: func(r *resolver.Resolver) http.Handler { return platform.NewDirectoryHandler(r) },
 		NewReadiness: platform.NewReadinessHandler,
 		Reload:       g.settings,
@@ -56,18 +57,5 @@
 	if err != nil {
 		return fmt.Errorf("commander: %w", err)
 	}
-	return gateway.Run(ctx, reloadSignals())
-}
-
-// reloadSignals returns a channel that receives a value for each SIGHUP.
-func reloadSignals() <-chan struct{} {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	reload := make(chan struct{}, 1)
-	go func() {
-		for range signals {
-			reload <- struct{}{}
-		}
-	}()
-	return reload
+	return gateway.Run(ctx, reloader.Signals())
 }
