Forward no 429 or 408 that a server sends after a run

Callers take these statuses for a guarantee that the request has not run, and send it again, although it may have run; only 503 was replaced.

Cause: acceptable took every status below 500 for a final response. Statuses that imply not run are now handled alike: an idempotent request is sent to another server, one that may run once gets 502, which promises nothing.

Two rows of TestServerFailures failed (429 and 408 reached the caller of a request that may run once) and pass.

--- a/carrier/attempt.go
+++ b/carrier/attempt.go
@@ -61,9 +61,10 @@
 }
 
 // acceptable reports whether the response goes to the caller as it is, unlike a
-// failure that another server might not have.
+// failure that another server might not have, or a status that would falsely guarantee that
+// the request has not run.
 func (o *outcome) acceptable() bool {
-	return o.err == nil && !o.response.NotRun && o.response.Status < http.StatusInternalServerError
+	return o.err == nil && !o.response.NotRun && o.response.Status < http.StatusInternalServerError && !impliesNotRun(o.response.Status)
 }
 
 // unreachable reports whether nothing was sent to the server.
--- a/carrier/carrier_test.go
+++ b/carrier/carrier_test.go
@@ -70,6 +70,8 @@
 		{"in an encoding that was not requested", replyRaw("HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Signature: s\r\nContent-Encoding: gzip\r\nContent-Length: 3\r\n\r\nabc"), 2, 1, http.StatusBadGateway},
 		{"an error after the request ran", replyRaw("HTTP/1.1 500 X\r\nX-Id: ID\r\nX-Signature: s\r\nContent-Length: 0\r\n\r\n"), 2, 1, http.StatusInternalServerError},
 		{"a status that implies not run, without the not-run field", replyRaw("HTTP/1.1 503 X\r\nX-Id: ID\r\nContent-Length: 0\r\n\r\n"), 2, 1, http.StatusBadGateway},
+		{"too many requests, without the not-run field", replyRaw("HTTP/1.1 429 X\r\nX-Id: ID\r\nX-Signature: s\r\nContent-Length: 0\r\n\r\n"), 2, 1, http.StatusBadGateway},
+		{"a time-out, without the not-run field", replyRaw("HTTP/1.1 408 X\r\nX-Id: ID\r\nX-Signature: s\r\nContent-Length: 0\r\n\r\n"), 2, 1, http.StatusBadGateway},
 		{"refused as not run", replyRaw("HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"), 2, 2, http.StatusOK},
 		{"another process at the address", replyRaw("HTTP/1.1 421 X\r\nX-Instance: other\r\nContent-Length: 0\r\n\r\n"), 2, 2, http.StatusOK},
 		{"a client error", replyRaw("HTTP/1.1 404 X\r\nX-Id: ID\r\nX-Signature: s\r\nContent-Length: 0\r\n\r\n"), 1, 1, http.StatusNotFound},
