Bound the values that tables and registrations may hold

Other values misled: a header limit near the largest number refused every request (the sum overflows), times beyond those of a duration differ between x86-64 and arm64, a weight near the largest number overflowed the sum of a split.

Cause: values were decoded to types, not to bounds. bounds.go names the bounds of routes, splits and limits; constructors apply them, so that messages between hosts are covered too.

--- a/carrier/carrier_test.go
+++ b/carrier/carrier_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"runtime"
@@ -748,3 +749,13 @@
 		}
 	})
 }
+
+// Guards against a route whose number of attempts ends the process at its first request.
+func TestARouteWithManyAttemptsIsServed(t *testing.T) {
+	for _, attempts := range []int{1 << 40, math.MaxInt} {
+		withHarness(t, func(c *verbenastand.RouteConfig) { c.MaxAttempts = attempts }, []*backend{{serve: reply(delay)}}, func(h *harness) {
+			response, _ := h.call("GET", "/x/1", "")
+			require.Equal(t, http.StatusOK, response.StatusCode)
+		})
+	}
+}
--- a/route.go
+++ b/route.go
@@ -34,7 +34,7 @@
 // fraction of the route's requests that is its weight divided by the sum of the
 // route's weights.
 func NewWeightedService(service ServiceName, weight int) WeightedService {
-	return WeightedService{service: service, weight: weight}
+	return WeightedService{service: service, weight: min(weight, MaxWeight)}
 }
 
 // Service returns the destination service.
@@ -67,7 +67,7 @@
 }
 
 // NewRoute returns a route.
-func NewRoute(c RouteConfig) Route { return Route{c: c} }
+func NewRoute(c RouteConfig) Route { return Route{c: c.bounded()} }
 
 // Name returns the name of the route.
 func (r Route) Name() RouteName { return r.c.Name }
@@ -140,7 +140,7 @@
 // NewRouteTable returns a route table that keeps the slice and the map; the caller
 // must not change them afterwards.
 func NewRouteTable(c RouteTableConfig) *RouteTable {
-	return &RouteTable{version: c.Version, routes: c.Routes, services: c.Services, limits: c.Limits}
+	return &RouteTable{version: c.Version, routes: c.Routes, services: c.Services, limits: c.Limits.bounded()}
 }
 
 // Version returns the version of the table.
