Let a host rejoin whose clock is behind that of its previous process

Cause: records were ordered by boot number alone. Once the known instance has failed (no heartbeat for a lifetime), a record with a lower boot number is that of a later one; the number that it replaces is kept, so that a copy which still goes round can't bring the failed instance back. Ruled out: to take any other boot number at once, which would let late copies undo a restart.

All tests of the package pass with the race detector.

--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -306,6 +306,34 @@
 	}
 }
 
+// Guards against a host that is ignored for many lifetimes because its clock is behind that of
+// its previous process (issue 37).
+func TestAHostWhoseClockIsBehindRejoins(t *testing.T) {
+	for _, hosts := range []int{3, 14} {
+		for _, loss := range []float64{0, 0.1} {
+			net, nodes := newNetwork(hosts)
+			const restarted = 1
+			nodes[restarted] = net.addInstance(restarted, 3, 10)
+			for range rounds(5 * time.Second) {
+				net.round(nodes)
+			}
+			nodes[restarted] = net.addInstance(restarted, 3, 4)
+			net.loss = loss
+			for range rounds(3 * DefaultLifetime) {
+				net.round(nodes)
+			}
+			for range rounds(4 * DefaultLifetime) {
+				net.round(nodes)
+				for _, n := range nodes {
+					h, found := n.Find("host-1")
+					require.True(t, found, "%d hosts, loss %g", hosts, loss)
+					require.EqualValues(t, 4, h.Instance().Boot())
+				}
+			}
+		}
+	}
+}
+
 func TestPartitionedHostsContinueAndRejoin(t *testing.T) {
 	net, nodes := newNetwork(14)
 	for range rounds(10 * time.Second) {
--- a/gossiper/peer.go
+++ b/gossiper/peer.go
@@ -19,8 +19,15 @@
 	// listedLeaving is set while the platform's host list marks the instance as
 	// leaving.
 	listedLeaving bool
+	// superseded is the boot number of an instance that has failed and was followed by one
+	// with a lower boot number, zero if there is none.
+	superseded uint64
 }
 
+// follows reports whether a record is that of an instance that started after the known one
+// has failed, on a host whose clock was behind.
+func (p *peer) follows(r hostRecord, failed bool) bool { return failed && r.Boot < p.record.Boot }
+
 // changedRecently reports whether something other than the heartbeat changed within
 // recentChangeWindow.
 func (p *peer) changedRecently(now time.Time) bool { return now.Sub(p.changedAt) < recentChangeWindow }
@@ -40,9 +47,15 @@
 		g.byTag[p.tag] = p
 		return true
 	}
-	if !r.newer(p.record) {
+	failed := now.Sub(p.lastSeen) >= g.lifetimeLocked()
+	follows := p.follows(r, failed)
+	outdated := p.superseded != 0 && r.Boot == p.superseded
+	if outdated || (!follows && !r.newer(p.record)) {
 		return false
 	}
+	if follows {
+		p.superseded = p.record.Boot
+	}
 	wasLeaving := r.Boot == p.record.Boot && p.record.Leaving
 	if (r.Leaving && !wasLeaving) || (r.Boot == p.record.Boot && r.Detached != p.record.Detached) {
 		g.urgentRounds = urgentRounds
