Set a write deadline for each write to a caller

What callers saw: a caller that kept a connection idle for longer than the stall timeout (10 s, while connections may be idle for 15 s) and then sent a request with Expect: 100-continue had its connection closed without an answer. A chunked response of more than 1 MB whose server paused for longer than that before its end was cut off right before its last chunk, though complete.

The interim response and the last chunk were written with the deadline of an earlier write, which had passed, and the error of this host's own timer was taken for the caller's leaving.

Ruled out: the other writes to callers (responses, their parts, refusals) set their own deadline; connections to servers get theirs with each exchange, and idle ones have none.

--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -375,10 +375,17 @@
 	if !idle {
 		return nil
 	}
+	c.allowWriting()
 	_, err := io.WriteString(c.conn, "HTTP/1.1 100 Continue\r\n\r\n")
 	return err
 }
 
+// allowWriting sets the write deadline for the next part of a message. That of an earlier part
+// may have passed.
+func (c *connection) allowWriting() {
+	_ = c.conn.SetWriteDeadline(time.Now().Add(c.acceptor.config.StallTimeout))
+}
+
 // allowPart sets the read deadline for the next part of a body that a handler reads, also on
 // a connection that takes no further request.
 func (c *connection) allowPart() {
@@ -430,7 +437,7 @@
 	case <-c.ctx.Done():
 		return
 	}
-	_ = c.conn.SetWriteDeadline(time.Now().Add(c.acceptor.config.StallTimeout))
+	c.allowWriting()
 	head := http.Header{"Content-Type": {"text/plain"}}
 	_ = writeMessage(c.conn, message.fault.status(), head, []byte(message.text+"\n"), true, false)
 	c.mu.Lock()
--- a/acceptor/message.go
+++ b/acceptor/message.go
@@ -202,7 +202,7 @@
 		return err
 	}
 	for part := range slices.Chunk(body, maxPart) {
-		_ = conn.SetWriteDeadline(time.Now().Add(w.connection.acceptor.config.StallTimeout))
+		w.connection.allowWriting()
 		if _, err := conn.Write(part); err != nil {
 			return err
 		}
@@ -244,7 +244,7 @@
 		n, err := body.Read(buffer)
 		if n > 0 {
 			total += int64(n)
-			_ = conn.SetWriteDeadline(time.Now().Add(w.connection.acceptor.config.StallTimeout))
+			w.connection.allowWriting()
 			if werr := writePart(conn, buffer[:n], length < 0); werr != nil {
 				return werr
 			}
@@ -257,6 +257,7 @@
 		}
 	}
 	if length < 0 {
+		w.connection.allowWriting()
 		_, err := io.WriteString(conn, "0\r\n\r\n")
 		return err
 	}
@@ -302,7 +303,7 @@
 	if last || c.acceptor.draining.Load() {
 		c.closeLocked()
 	}
-	_ = c.conn.SetWriteDeadline(time.Now().Add(c.acceptor.config.StallTimeout))
+	c.allowWriting()
 	return last, nil
 }
 
