End the reading of a body with its request

What servers saw: a server could get a body with gaps, framed as whole, when a planned stop answered an upload that must not be repeated and left its attempt to complete. Callers had their connection held for 10 s more instead of 3 s.

Cause: Stop answers such a request (504) and the attempt runs on. It read the body on, while the connection, which lingers or waits for other responses, discarded what arrived: two readers of one connection share its bytes. The end of a chunked body, or bytes behind one of known length, then completed what had gaps. Since each read of a body also sets the read deadline, so the attempt overrode that of the linger.

A body can't be read once its request has been handled, and a part that arrives during that is dropped with an error. The sender then closes the connection to the server, as for any body that breaks off.

Ruled out: the time limit of a request ends its attempts with it, a response that comes before the end of the body closes the connection to its server, and a caller that leaves ends its connection, so that only Stop left a reader.

--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -178,7 +178,7 @@
 		c.abort(CutUnanswered, nil)
 	}
 	if r.stream != nil {
-		r.stream.finish()
+		r.stream.close()
 	}
 }
 
--- a/acceptor/message.go
+++ b/acceptor/message.go
@@ -123,18 +123,31 @@
 	complete  atomic.Bool
 	once      sync.Once
 	done      chan struct{}
+
+	mu sync.Mutex
+	// closed is set once the request has been handled.
+	closed bool
 }
 
 func newBodyStream(r io.Reader, limit int64, allow func()) *bodyStream {
 	return &bodyStream{reader: r, remaining: limit, allow: allow, done: make(chan struct{})}
 }
 
-var errBodyTooLarge = errors.New("acceptor: the body is too large")
+var (
+	errBodyTooLarge = errors.New("acceptor: the body is too large")
+	errBodyClosed   = errors.New("acceptor: the request has been handled")
+)
 
-// Read implements io.Reader.
+// Read implements io.Reader. It fails once the request has been handled: the rest of the body
+// is discarded, and a part of it may be already.
 func (b *bodyStream) Read(p []byte) (int, error) {
-	b.allow()
+	if !b.begin() {
+		return 0, errBodyClosed
+	}
 	n, err := b.reader.Read(p)
+	if b.isClosed() {
+		return 0, errBodyClosed
+	}
 	b.remaining -= int64(n)
 	if b.remaining < 0 {
 		b.finish()
@@ -149,6 +162,31 @@
 	return n, err
 }
 
+// begin sets the read deadline for the next part, unless the stream is closed.
+func (b *bodyStream) begin() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed {
+		return false
+	}
+	b.allow()
+	return true
+}
+
+func (b *bodyStream) isClosed() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.closed
+}
+
+// close ends reading by attempts that outlast the request.
+func (b *bodyStream) close() {
+	b.mu.Lock()
+	b.closed = true
+	b.mu.Unlock()
+	b.finish()
+}
+
 func (b *bodyStream) finish() { b.once.Do(func() { close(b.done) }) }
 
 // Response writes the response to one request.
