Let a closed connection of an entry host keep its own deadlines

What operators would see: a stopping entry host that waits until the end of its drain timeout (5 minutes by default) for a caller that has received everything and keeps its connection open, or until the idle timeout ends the read.

Cause: a connection that lingers in the background is still known to net/http, which sets read deadlines on it when it becomes idle and around background reads, from another goroutine than the one that closes it in Shutdown. Such a call replaced the deadline of the linger.

A deadline that is set after Close does nothing and returns net.ErrClosed, as on a connection of package net. Not seen in a whole host: the window in net/http is some instructions long; the test sets the deadline itself.

TestADeadlineAfterCloseDoesNotPreventItsEnd failed in both rows (still lingering after 8 s, at a delivery time of 2 s) and passes.

--- a/internal/closer/listener.go
+++ b/internal/closer/listener.go
@@ -46,7 +46,9 @@
 type lingeringConn struct {
 	*net.TCPConn
 	listener *Listener
-	closed   atomic.Bool
+	// closing is held while the connection is closed, and while the server sets a deadline.
+	closing sync.Mutex
+	closed  atomic.Bool
 	// reading is held while the server reads.
 	reading sync.Mutex
 }
@@ -65,9 +67,34 @@
 	return n, err
 }
 
+// SetDeadline implements net.Conn. After Close it does nothing.
+func (c *lingeringConn) SetDeadline(t time.Time) error {
+	return c.setDeadline(c.TCPConn.SetDeadline, t)
+}
+
+// SetReadDeadline implements net.Conn. After Close it does nothing.
+func (c *lingeringConn) SetReadDeadline(t time.Time) error {
+	return c.setDeadline(c.TCPConn.SetReadDeadline, t)
+}
+
+func (c *lingeringConn) setDeadline(set func(time.Time) error, t time.Time) error {
+	c.closing.Lock()
+	defer c.closing.Unlock()
+	if c.closed.Load() {
+		return net.ErrClosed
+	}
+	return set(t)
+}
+
+func (c *lingeringConn) markClosed() (first bool) {
+	c.closing.Lock()
+	defer c.closing.Unlock()
+	return !c.closed.Swap(true)
+}
+
 // Close implements net.Conn. It returns at once.
 func (c *lingeringConn) Close() error {
-	if c.closed.Swap(true) {
+	if !c.markClosed() {
 		return net.ErrClosed
 	}
 	if Undelivered(c.TCPConn) == 0 {
@@ -76,7 +103,7 @@
 	c.listener.lingering.Go(func() {
 		defer func() { _ = c.TCPConn.Close() }()
 		// The server may be waiting for a request.
-		_ = c.SetReadDeadline(time.Unix(1, 0))
+		_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0))
 		c.reading.Lock()
 		defer c.reading.Unlock()
 		Linger(c.TCPConn, c.listener.config)
--- /dev/null
+++ b/internal/closer/listener_test.go
@@ -0,0 +1,52 @@
+package closer
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a server that sets a deadline on a connection that another goroutine has
+// just closed, as net/http does when a connection becomes idle during Shutdown: the
+// connection, and the stop of the host, would wait for the caller without a limit.
+func TestADeadlineAfterCloseDoesNotPreventItsEnd(t *testing.T) {
+	cases := []struct {
+		name string
+		set  func(net.Conn)
+	}{
+		{"read deadline", func(c net.Conn) { _ = c.SetReadDeadline(time.Time{}) }},
+		{"deadline", func(c net.Conn) { _ = c.SetDeadline(time.Time{}) }},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			tcp, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			l := NewListener(tcp.(*net.TCPListener), Config{Bytes: 1 << 20, Delivery: 2 * time.Second})
+			defer func() { _ = l.Close() }()
+			caller, err := net.Dial("tcp", l.Addr().String())
+			require.NoError(t, err)
+			defer func() { _ = caller.Close() }()
+			conn, err := l.Accept()
+			require.NoError(t, err)
+			_ = conn.SetWriteDeadline(time.Now().Add(200 * time.Millisecond))
+			for err == nil {
+				_, err = conn.Write(make([]byte, 64<<10))
+			}
+			require.Positive(t, Undelivered(conn))
+			require.NoError(t, conn.Close())
+			time.Sleep(100 * time.Millisecond)
+			tc.set(conn)
+			// The caller reads everything and keeps its connection open.
+			go func() { _, _ = io.Copy(io.Discard, caller) }()
+			ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+			defer cancel()
+			l.Wait(ctx)
+			require.NoError(t, ctx.Err(), "the connection still lingers")
+		})
+	}
+}
