Let connections be closed while a stopping host waits for others

What operators would see: an entry host that ends by a panic ("sync: WaitGroup is reused before previous Wait has returned") in a planned stop, without its last line, if its drain timeout passes while connections linger and the server closes the others.

Cause: Listener.Wait waited for a sync.WaitGroup to which Close adds. The last connection that ends and another one that is closed before the waiter runs make it panic. A Wait that its context ends left its goroutine behind, too.

A counter that Wait polls, as AwaitTunnels does, has neither. The other WaitGroups of the request path get no additions once they are waited for.

--- a/internal/closer/listener.go
+++ b/internal/closer/listener.go
@@ -13,8 +13,10 @@
 // servers that close them at once.
 type Listener struct {
 	*net.TCPListener
-	config    Config
-	lingering sync.WaitGroup
+	config Config
+	// lingering is the number of connections that linger. A sync.WaitGroup must not be used
+	// anew while others wait for it.
+	lingering atomic.Int64
 }
 
 // NewListener returns a listener whose connections linger.
@@ -29,16 +31,19 @@
 	return &lingeringConn{TCPConn: conn, listener: l}, nil
 }
 
+// pollPeriod is the time between two looks at the connections that linger.
+const pollPeriod = 10 * time.Millisecond
+
 // Wait waits until no connection lingers, or until ctx is done.
 func (l *Listener) Wait(ctx context.Context) {
-	ended := make(chan struct{})
-	go func() {
-		l.lingering.Wait()
-		close(ended)
-	}()
-	select {
-	case <-ended:
-	case <-ctx.Done():
+	poll := time.NewTicker(pollPeriod)
+	defer poll.Stop()
+	for l.lingering.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-poll.C:
+		}
 	}
 }
 
@@ -100,13 +105,15 @@
 	if Undelivered(c.TCPConn) == 0 {
 		return c.TCPConn.Close()
 	}
-	c.listener.lingering.Go(func() {
+	c.listener.lingering.Add(1)
+	go func() {
+		defer c.listener.lingering.Add(-1)
 		defer func() { _ = c.TCPConn.Close() }()
 		// The server may be waiting for a request.
 		_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0))
 		c.reading.Lock()
 		defer c.reading.Unlock()
 		Linger(c.TCPConn, c.listener.config)
-	})
+	}()
 	return nil
 }
--- a/internal/closer/listener_test.go
+++ b/internal/closer/listener_test.go
@@ -50,3 +50,38 @@
 		})
 	}
 }
+
+// Guards against a panic of a stopping host that waits for connections to end while others are
+// closed.
+func TestConnectionsMayBeClosedWhileTheListenerWaits(t *testing.T) {
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := NewListener(tcp.(*net.TCPListener), Config{Bytes: 1 << 20, Delivery: time.Second})
+	defer func() { _ = l.Close() }()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for range 2000 {
+			caller, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				return
+			}
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Write(make([]byte, 128<<10))
+			_ = conn.Close()
+			_, _ = io.Copy(io.Discard, caller)
+			_ = caller.Close()
+		}
+	}()
+	for {
+		select {
+		case <-ended:
+			return
+		default:
+			l.Wait(context.Background())
+		}
+	}
+}
