--- a/internal/closer/listener.go
+++ b/internal/closer/listener.go
@@ -13,8 +13,10 @@
 // servers that close them at once.
 type Listener struct {
 	*net.TCPListener
-	config    Config
-	lingering sync.WaitGroup
+	config Config
+	// lingering is the number of connections that linger. A sync.WaitGroup must not be used
+	// anew while others wait for it.
+	lingering atomic.Int64
 }
 
 // NewListener returns a listener whose connections linger.
@@ -29,16 +31,19 @@
 	return &lingeringConn{TCPConn: conn, listener: l}, nil
 }
 
+// pollPeriod is the time between two looks at the connections that linger.
+const pollPeriod = 10 * time.Millisecond
+
 // Wait waits until no connection lingers, or until ctx is done.
 func (l *Listener) Wait(ctx context.Context) {
-	ended := make(chan struct{})
-	go func() {
-		l.lingering.Wait()
-		close(ended)
-	}()
-	select {
-	case <-ended:
-	case <-ctx.Done():
+	poll := time.NewTicker(pollPeriod)
+	defer poll.Stop()
+	for l.lingering.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-poll.C:
+		}
 	}
 }
 
@@ -46,7 +51,9 @@
 type lingeringConn struct {
 	*net.TCPConn
 	listener *Listener
-	closed   atomic.Bool
+	// closing is held while the connection is closed, and while the server sets a deadline.
+	closing sync.Mutex
+	closed  atomic.Bool
 	// reading is held while the server reads.
 	reading sync.Mutex
 }
@@ -65,21 +72,48 @@
 	return n, err
 }
 
+// SetDeadline implements net.Conn. After Close it does nothing.
+func (c *lingeringConn) SetDeadline(t time.Time) error {
+	return c.setDeadline(c.TCPConn.SetDeadline, t)
+}
+
+// SetReadDeadline implements net.Conn. After Close it does nothing.
+func (c *lingeringConn) SetReadDeadline(t time.Time) error {
+	return c.setDeadline(c.TCPConn.SetReadDeadline, t)
+}
+
+func (c *lingeringConn) setDeadline(set func(time.Time) error, t time.Time) error {
+	c.closing.Lock()
+	defer c.closing.Unlock()
+	if c.closed.Load() {
+		return net.ErrClosed
+	}
+	return set(t)
+}
+
+func (c *lingeringConn) markClosed() (first bool) {
+	c.closing.Lock()
+	defer c.closing.Unlock()
+	return !c.closed.Swap(true)
+}
+
 // Close implements net.Conn. It returns at once.
 func (c *lingeringConn) Close() error {
-	if c.closed.Swap(true) {
+	if !c.markClosed() {
 		return net.ErrClosed
 	}
 	if Undelivered(c.TCPConn) == 0 {
 		return c.TCPConn.Close()
 	}
-	c.listener.lingering.Go(func() {
+	c.listener.lingering.Add(1)
+	go func() {
+		defer c.listener.lingering.Add(-1)
 		defer func() { _ = c.TCPConn.Close() }()
 		// The server may be waiting for a request.
-		_ = c.SetReadDeadline(time.Unix(1, 0))
+		_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0))
 		c.reading.Lock()
 		defer c.reading.Unlock()
 		Linger(c.TCPConn, c.listener.config)
-	})
+	}()
 	return nil
 }
