Write the lines of an entry host without blocking

Callers saw: once the reader of an entry host's standard error stalled, its pipe filled up and everything that logs waited for it: no ticket took effect, and requests whose handling logs a line got no response.

Cause: an entry host wrote its lines directly, under one lock; a gateway has used the recorder's queue since long, of which docs/PROMISES.md says that logs never block.

Now both use that queue: at most 60 lines per event and second, 1,024 waiting, and 0.2 s for those left when the process ends. lines_left_out_total counts the others on both kinds of host.

Ruled out: a deadline for each write. Standard error is mostly a blocking descriptor, for which there are none.

Evidence: the test fails before ("the ticket takes effect", 30 s) and passes now, with -race; the process also ends in time.

Conclusion: the lines of neither kind of host can hold up requests.

--- a/commander/entry.go
+++ b/commander/entry.go
@@ -13,6 +13,7 @@
 	"github.com/verbenastand/verbenastand/configurer"
 	"github.com/verbenastand/verbenastand/internal/reloader"
 	"github.com/verbenastand/verbenastand/launcher"
+	"github.com/verbenastand/verbenastand/recorder"
 )
 
 type entryCommand struct {
@@ -27,17 +28,22 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	host, err := launcher.NewHost(ctx, e.Settings, e.config.Version, e.logger())
+	handler := recorder.NewHandler(e.lineHandler())
+	defer handler.Close()
+	logger := &log.Logger{Level: log.MustParseLevel(e.LogLevel), Handler: handler}
+	host, err := launcher.NewHost(ctx, launcher.HostConfig{
+		Settings: e.Settings, Version: e.config.Version, Log: logger.WithField("host", e.Host),
+		DroppedLines: handler.Dropped,
+	})
 	if err != nil {
 		return fmt.Errorf("commander: %w", err)
 	}
 	return host.Run(ctx, reloader.Signals())
 }
 
-func (e *entryCommand) logger() log.Interface {
-	logger := &log.Logger{Level: log.MustParseLevel(e.LogLevel), Handler: text.New(e.config.Stderr)}
+func (e *entryCommand) lineHandler() log.Handler {
 	if e.LogFormat == "json" {
-		logger.Handler = json.New(e.config.Stderr)
+		return json.New(e.config.Stderr)
 	}
-	return logger.WithField("host", e.Host)
+	return text.New(e.config.Stderr)
 }
--- a/internal/e2e/end_test.go
+++ b/internal/e2e/end_test.go
@@ -100,3 +100,40 @@
 	require.Equal(t, http.StatusOK, <-status)
 	require.True(t, e.running())
 }
+
+// Guards against an entry host that serves no request once the reader of its lines stalls.
+func TestAStalledOutputDelaysNoRequest(t *testing.T) {
+	t.Parallel()
+	k := newCluster(t, clusterConfig{deployment: smallDeployment()})
+	reader, writer, err := os.Pipe()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = reader.Close() })
+	k.addEntry(0, []string{"--drain-timeout", "1s"})
+	e := k.entries[0]
+	e.file = writer
+	e.start(t)
+	k.waitUntil("the host serves", func() bool { s := k.status(e); return s != nil && s.TicketNumber > 0 })
+	fillPipe(writer)
+	for range 3 {
+		k.ticket.Number++
+		k.publish(k.ticket)
+		k.waitUntil("the ticket takes effect", func() bool { s := k.status(e); return s != nil && s.TicketNumber == int64(k.ticket.Number) })
+	}
+	require.Equal(t, http.StatusOK, <-k.sendSlow(e, "stalled"))
+	e.signal(syscall.SIGTERM)
+	select {
+	case <-e.done:
+	case <-time.After(5 * time.Second):
+		require.FailNow(t, "the process did not end")
+	}
+}
+
+// fillPipe fills a pipe whose reader stalls, and closes the test's end once that has gone.
+func fillPipe(writer *os.File) {
+	const moreThanAPipeHolds = 4 << 20
+	go func() {
+		_, _ = writer.Write(make([]byte, moreThanAPipeHolds))
+		_ = writer.Close()
+	}()
+	time.Sleep(100 * time.Millisecond)
+}
--- a/launcher/event.go
+++ b/launcher/event.go
@@ -48,6 +48,7 @@
 
 func (h *Host) registerMetrics() {
 	h.meter.Counter("invariant_failures_total", "Assertions that failed.", func() float64 { return float64(verifier.Failures()) })
+	h.meter.Counter("lines_left_out_total", "Log lines that were not written.", func() float64 { return float64(h.droppedLines()) })
 	h.meter.Counter("platform_reads_total", "Reads of the platform's tickets.", func() float64 { return float64(h.watcher.Reads()) })
 	h.meter.Counter("gossip_sent_bytes_total", "Bytes of beliefs sent to other hosts.", func() float64 {
 		sent, _ := h.gossiper.TrafficBytes()
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -65,12 +65,22 @@
 
 var errNotReady = errors.New("launcher: the host is not ready")
 
+// HostConfig holds the settings and dependencies of a Host.
+type HostConfig struct {
+	Settings configurer.Settings
+	Version  string
+	Log      log.Interface
+	// DroppedLines returns the number of log lines that were not written.
+	DroppedLines func() int64
+}
+
 // Host is an entry host with its components.
 type Host struct {
-	settings configurer.Settings
-	version  string
-	log      log.Interface
-	self     verbenastand.Host
+	settings     configurer.Settings
+	version      string
+	log          log.Interface
+	droppedLines func() int64
+	self         verbenastand.Host
 
 	timer        *timer.Service
 	meter        *meter.Meter
@@ -102,14 +112,15 @@
 }
 
 // NewHost returns a host with the given settings, which must be valid.
-func NewHost(ctx context.Context, s configurer.Settings, version string, logger log.Interface) (*Host, error) {
+func NewHost(ctx context.Context, c HostConfig) (*Host, error) {
+	s := c.Settings
 	certificates, err := certifier.NewCertifier(certifier.Config{CertFile: s.CertFile, KeyFile: s.KeyFile, CAFile: s.CAFile})
 	if err != nil {
 		return nil, err
 	}
 	instance := verbenastand.NewInstance(verbenastand.HostID(s.Host), uint64(time.Now().UnixNano()))
 	h := &Host{
-		settings: s, version: version, log: logger, certifier: certificates,
+		settings: s, version: c.Version, log: c.Log, droppedLines: c.DroppedLines, certifier: certificates,
 		self: verbenastand.NewHost(verbenastand.HostConfig{
 			Instance: instance, Zone: verbenastand.Zone(s.Zone), CallAddress: s.CallAddress,
 			APIAddress: s.APIAddress, PeerAddress: cmp.Or(s.PeerAdvertise, s.PeerAddress),
@@ -128,7 +139,7 @@
 	h.subscribe()
 	h.registerMetrics()
 	verifier.SetStrict(s.Strict)
-	verifier.OnFailure(func(invariant string) { logger.WithField("invariant", invariant).Error("invariant violated") })
+	verifier.OnFailure(func(invariant string) { c.Log.WithField("invariant", invariant).Error("invariant violated") })
 	return h, nil
 }
 
