Let a panic end one request of a gateway instead of the process

Callers saw: nothing yet, no input is known that panics. But one that did would end the process with the pending requests of all callers, and the request would come again at the next host.

Cause: net/http recovers what its handlers panic with; the acceptor's handlers and the goroutines of attempts had nothing in its place.

Now carrier.Serve and the goroutines of attempts and delegations recover: the request ends with 502 (it may have run) or is sent again where that is allowed, the attempt's connection is closed and its place at the server given back, panics_total counts it, and a `panic` line has the first 4 KB of the stack. If a part of the response may have been sent, the connection is closed.

Ruled out: recovering in goroutines that keep state for all requests (health checks of the queue, gossip, follower, timers). A panic there may leave a lock held or a state half changed, which is worse than a restart; their inputs are fuzzed (FuzzDecode and others). HTTP/3 handlers of other hosts and the entry host's handlers run in net/http and quic-go, which recover.

Evidence: without the recovery the test process ends with the panic; with it, both cases pass, and the next request on the same connection and server gets 200. All tests of carrier, recorder and launcher pass with -race.

Conclusion: a fault in the handling of a request costs that request.

--- a/acceptor/message.go
+++ b/acceptor/message.go
@@ -259,6 +259,9 @@
 	return err
 }
 
+// Written reports whether a method that responds was called and has reached its turn.
+func (w *Response) Written() bool { return w.written }
+
 // Abort closes the connection without a response.
 func (w *Response) Abort() {
 	w.written = true
--- a/carrier/attempt.go
+++ b/carrier/attempt.go
@@ -70,7 +70,9 @@
 func (o *outcome) unreachable() bool { return errors.Is(o.err, sender.ErrUnreachable) }
 
 // attempt sends the request to the chosen server and reads its response.
-func (c *call) attempt(ctx context.Context, choice balancer.Choice, number int) *outcome {
+func (c *call) attempt(ctx context.Context, choice balancer.Choice, number int) (o *outcome) {
+	end := choice.Release
+	defer c.containPanic(&o, &end)
 	registration := choice.Server.Registration()
 	ctx, span := c.carrier.config.Tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
@@ -81,16 +83,24 @@
 		c.carrier.config.Reachability.Failed(registration)
 		return &outcome{server: choice.Server, err: err}
 	}
+	end = func() {
+		choice.Release()
+		connection.Close()
+	}
 	request := c.newRequest(registration.Server())
 	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(request.Header))
 	if request.Stream != nil {
 		c.bodyTaken.Store(true)
 	}
 	tracked := choice.Begin(c.route.Name())
+	end = func() {
+		tracked.End(balancer.Failed, nil)
+		connection.Close()
+	}
 	event := c.event(choice, number)
 	c.carrier.config.Observer.AttemptSent(event)
 	response, err := connection.Exchange(ctx, request)
-	o := &outcome{server: choice.Server, response: response, err: err}
+	o = &outcome{server: choice.Server, response: response, err: err}
 	if err == nil {
 		c.carrier.config.Reachability.Responded(registration, !connection.Reused())
 	}
@@ -104,13 +114,14 @@
 		o.err = c.readBody(o)
 	}
 	o.finish = func(err error) {
-		result := c.attemptResult(ctx, o, err)
+		result, report := c.attemptResult(ctx, o, err), c.loadReport(response)
+		end = func() {}
 		if err == nil {
 			c.carrier.config.Sender.PutIdle(connection)
 		} else {
 			connection.Close()
 		}
-		tracked.End(result, c.loadReport(response))
+		tracked.End(result, report)
 		event.Result = result
 		event.Err = err
 		event.Took = c.carrier.config.Clock.Now().Sub(event.At)
--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -52,6 +52,8 @@
 	Delegated(Event)
 	// RequestEnded is called once for each request, with its final result.
 	RequestEnded(Event)
+	// Panicked is called when the handling of a request has panicked, with the stack.
+	Panicked(id string, value any, stack []byte)
 }
 
 // Config is the configuration of a Carrier.
@@ -214,6 +216,7 @@
 
 // Serve implements acceptor.Handler.
 func (c *Carrier) Serve(ctx context.Context, w *acceptor.Response, r *acceptor.Request) {
+	defer c.containPanic(w, r)
 	select {
 	case c.semaphore <- struct{}{}:
 		defer func() { <-c.semaphore }()
@@ -258,8 +261,9 @@
 		incoming.refuse(err)
 		return
 	}
-	succeeded := incoming.run(ctx)
-	c.config.Quarantiner.Release(incoming.fingerprint, succeeded)
+	succeeded := false
+	defer func() { c.config.Quarantiner.Release(incoming.fingerprint, succeeded) }()
+	succeeded = incoming.run(ctx)
 }
 
 func (c *call) extractTrace(ctx context.Context) context.Context {
--- a/carrier/delegate.go
+++ b/carrier/delegate.go
@@ -126,13 +126,15 @@
 }
 
 // delegateTo sends the request to another host and reads its response.
-func (c *call) delegateTo(ctx context.Context, host verbenastand.Host, attempts int) *outcome {
-	o := &outcome{delegate: host.ID(), finish: func(error) {}}
+func (c *call) delegateTo(ctx context.Context, host verbenastand.Host, attempts int) (o *outcome) {
+	end := func() {}
+	defer c.containPanic(&o, &end)
+	o = &outcome{delegate: host.ID(), finish: func(error) {}}
 	event := Event{
 		ID: c.id, Fingerprint: c.fingerprint, Route: c.route.Name(), Version: c.version, Service: c.serviceName,
 		Delegate: host.ID(), Attempt: attempts + 1, At: c.carrier.config.Clock.Now(),
 	}
-	end := func(err error) {
+	report := func(err error) {
 		event.Err, event.Took = err, c.carrier.config.Clock.Now().Sub(event.At)
 		event.Result = balancer.Succeeded
 		if err != nil {
@@ -147,13 +149,14 @@
 	cancel()
 	if err != nil {
 		o.err = verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonServerFailed, errors.Join(sender.ErrUnreachable, err))
-		end(o.err)
+		report(o.err)
 		return o
 	}
 	connection := c.carrier.config.Sender.Adopt(conn, sender.Target{Address: host.PeerAddress()})
+	end = connection.Close
 	o.finish = func(err error) {
 		connection.Close()
-		end(err)
+		report(err)
 	}
 	request := c.newRequest("")
 	if request.Stream != nil {
--- a/carrier/harness_test.go
+++ b/carrier/harness_test.go
@@ -41,6 +41,9 @@
 }
 
 func (testHeaderFormat) ParseLoad(field string) (verbenastand.LoadReport, bool) {
+	if field == "panic" {
+		panic(field)
+	}
 	var r verbenastand.LoadReport
 	n, err := fmt.Sscanf(field, "%d,%d,%d,%g", &r.Running, &r.Waiting, &r.Slots, &r.Slowdown)
 	return r, err == nil && n == 4
@@ -86,6 +89,7 @@
 	limiter     *limiter.Limiter
 	excluder    *excluder.Excluder
 	events      []Event
+	panics      []string
 	hostCount   int
 	// callerAddress is the network address of the connections that connect opens.
 	callerAddress net.Addr
@@ -149,6 +153,13 @@
 	h.recordEvent(e)
 }
 
+// Panicked implements Observer.
+func (h *harness) Panicked(id string, _ any, _ []byte) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.panics = append(h.panics, id)
+}
+
 func (h *harness) recordEvent(e Event) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -24,6 +24,7 @@
 	forwards           *prometheus.CounterVec
 	probes             *prometheus.CounterVec
 	pauses             prometheus.Counter
+	panics             prometheus.Counter
 	connectionLosses   prometheus.Counter
 	truncatedResponses prometheus.Counter
 	joinedRetries      prometheus.Counter
@@ -56,6 +57,7 @@
 		attempts:           vector("attempts_total", "Requests sent to servers, by kind.", "service", "kind"),
 		forwards:           vector("forwards_total", "Requests forwarded to another host, by result.", "result"),
 		probes:             vector("probes_total", "Probes sent to servers, by result.", "service", "result"),
+		panics:             counter("panics_total", "Requests whose handling panicked."),
 		pauses:             counter("pauses_total", "Pauses of the process that were noticed."),
 		connectionLosses:   counter("server_losses_total", "Connections that a server closed while it ran a request."),
 		truncatedResponses: counter("truncated_answers_total", "Answers that a server cut short."),
@@ -123,6 +125,9 @@
 // Paused counts a pause of the process.
 func (m *Meter) Paused() { m.pauses.Inc() }
 
+// Panicked counts a request whose handling panicked.
+func (m *Meter) Panicked() { m.panics.Inc() }
+
 // ConnectionLost counts a connection that a server closed while it ran a request.
 func (m *Meter) ConnectionLost() { m.connectionLosses.Inc() }
 
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -1,6 +1,7 @@
 package recorder
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/apex/log"
@@ -31,11 +32,15 @@
 	eventReach       = "serviceReached"
 	eventLost        = "connectionLost"
 	eventExclusion   = "serverExcluded"
+	eventPanic       = "panic"
 )
 
 // maxLoggedTarget bounds the bytes of a request target in a log line.
 const maxLoggedTarget = 256
 
+// maxLoggedStack bounds the bytes of a stack in a log line.
+const maxLoggedStack = 4 << 10
+
 // Config holds the dependencies and settings of a Recorder.
 type Config struct {
 	Log   log.Interface
@@ -118,6 +123,14 @@
 	}).Info(eventAnswered)
 }
 
+// Panicked implements carrier.Observer.
+func (r *Recorder) Panicked(id string, value any, stack []byte) {
+	r.config.Meter.Panicked()
+	r.config.Log.WithFields(log.Fields{
+		"id": loggedTarget(id), "error": loggedTarget(fmt.Sprint(value)), "stack": string(stack[:min(len(stack), maxLoggedStack)]),
+	}).Error(eventPanic)
+}
+
 // entry returns a log entry with the fields common to all lines of a request.
 func (r *Recorder) entry(e carrier.Event) *log.Entry {
 	fields := log.Fields{
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -138,6 +138,7 @@
 		{"a suspected request", 0, func(r *Recorder) {
 			r.RequestSuspected(quarantiner.Suspect{Server: "s", Target: strings.Repeat("/", 1<<16)})
 		}, []string{eventSuspected}},
+		{"a panic", 0, func(r *Recorder) { r.Panicked("1", strings.Repeat("p", 1<<16), make([]byte, 1<<16)) }, []string{eventPanic}},
 		{"an event of the store", 0, func(r *Recorder) { r.Store(follower.Event{Name: "storeReturned"}) }, []string{eventStore}},
 	}
 	for _, tc := range cases {
