Respond to forwarded requests with a key when a host stops

Callers saw: in a planned stop of an entry host, requests whose idempotency key belongs to another host ended with their connection, without a response, at the end of the drain timeout.

Cause: Stop ends the contexts that withLimits makes; a request forwarded to the host of its key had one of its own. It was cut when the server closed the remaining connections.

A response whose head has arrived is delivered.

Ruled out: "not run". Only the host of a key knows that.

Evidence: the unit test fails before (2 s, the timeout, instead of 0) and passes now.

Conclusion: each request that an entry host has taken is answered, those that it has forwarded too.

--- a/dispatcher/forward.go
+++ b/dispatcher/forward.go
@@ -56,7 +56,8 @@
 // host is unreachable the verdict is mayHaveRun, because an earlier copy of the
 // request may have run there.
 func (d *Dispatcher) forwardKeyed(ctx context.Context, w http.ResponseWriter, req *proxiedRequest) {
-	ctx, cancel := context.WithTimeout(ctx, d.timeoutOf(req))
+	req.deadline = req.arrived.Add(d.timeoutOf(req))
+	ctx, unwatch, cancel := d.withLimits(ctx, req)
 	defer cancel()
 	owner, found := d.config.Membership.KeyOwner(req.key.Instance())
 	if req.forwarded || !found {
@@ -64,6 +65,11 @@
 		return
 	}
 	response, err := d.send(ctx, owner, req)
+	unwatch()
+	if err != nil && d.stopped.Err() != nil {
+		d.writeError(w, req.service, verbenastand.NewRequestError(verbenastand.MayHaveRun, verbenastand.ReasonDraining, err))
+		return
+	}
 	if err != nil {
 		d.writeError(w, req.service, keyOwnerUnreachableError(err))
 		return
--- a/dispatcher/stop_test.go
+++ b/dispatcher/stop_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	verbenastand "github.com/verbenastand/verbenastand"
+	"github.com/verbenastand/verbenastand/deduplicator"
 )
 
 // Guards against a planned stop that closes connections without a response (issue 36), or
@@ -99,3 +100,28 @@
 		require.Len(t, w.Body.String(), 1<<20)
 	})
 }
+
+// Guards against a planned stop that closes the connection of a request without a response
+// because another host, which has its idempotency key, is still running it (issue 40).
+func TestStopRespondsToForwardedRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newProxy(1, false)
+		p.hosts = append(p.hosts, otherHost)
+		p.peer = func(_ verbenastand.Host, r *http.Request) (*http.Response, error) {
+			<-r.Context().Done()
+			return nil, r.Context().Err()
+		}
+		done := make(chan struct{})
+		var w *httptest.ResponseRecorder
+		go func() {
+			w = p.do(newRequest(http.MethodPost, "/tin", "", deduplicator.Prefix(otherHost.Instance(), p.clock.Now().Add(time.Hour))+"a"))
+			close(done)
+		}()
+		synctest.Wait()
+		began := time.Now()
+		p.Stop()
+		<-done
+		require.Zero(t, time.Since(began))
+		requireVerdict(t, w, http.StatusGatewayTimeout, verbenastand.MayHaveRun, "draining")
+	})
+}
