Take late requests during a planned stop only if they end in time

Cause: the intake lasted as long as lookups are valid (5 s), whatever time was left.

Now, from 2.5 s after the signal, a request is taken only if its own time limit ends before the host responds to those that are left. The others are refused as not run, or, with the key of another host, as maybe run and without being forwarded. Long drain timeouts still serve all callers that use an earlier lookup; gateways end their intake after 2.5 s as before.

Ruled out: ending the intake of all after 2.5 s. Callers with a valid lookup would be turned away although the host has minutes left.

The unit test covers each kind of request.

Conclusion: what an entry host takes late, it can complete.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -65,8 +65,14 @@
 	// stopped ends when Stop is called.
 	stopped context.Context
 	stop    context.CancelFunc
+	// plannedStop is nil while Stop is not planned.
+	plannedStop atomic.Pointer[plannedStop]
 }
 
+// plannedStop tells when Stop will be called, and until when requests are taken that may not
+// be complete by then.
+type plannedStop struct{ openUntil, at time.Time }
+
 // NewDispatcher returns a dispatcher.
 func NewDispatcher(c Config) *Dispatcher {
 	if c.OnConnectionLost == nil {
@@ -80,6 +86,18 @@
 // notRun. Requests with a known idempotency key still get their stored response.
 func (d *Dispatcher) StartDraining() { d.draining.Store(true) }
 
+// StopAt announces that Stop will be called at a given time. From openUntil on, requests are
+// refused whose deadlines are later than that.
+func (d *Dispatcher) StopAt(openUntil, at time.Time) {
+	d.plannedStop.Store(&plannedStop{openUntil: openUntil, at: at})
+}
+
+// tooLate reports whether a request may not be complete when Stop is called.
+func (d *Dispatcher) tooLate(req *proxiedRequest) bool {
+	p := d.plannedStop.Load()
+	return p != nil && !d.config.Timer.Now().Before(p.openUntil) && req.deadline.After(p.at)
+}
+
 // Stop responds to all requests that wait for a server or for its response, with a verdict
 // that indicates whether they may have run.
 func (d *Dispatcher) Stop() { d.stop() }
@@ -260,6 +278,9 @@
 	}
 	req.class = req.components.Classifier().Classify(req.request.Method, req.request.URL.Path, req.keyed)
 	req.deadline = req.arrived.Add(d.timeoutOf(req))
+	if d.tooLate(req) {
+		return verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonDraining, nil)
+	}
 	return nil
 }
 
--- a/dispatcher/forward.go
+++ b/dispatcher/forward.go
@@ -57,6 +57,11 @@
 // request may have run there.
 func (d *Dispatcher) forwardKeyed(ctx context.Context, w http.ResponseWriter, req *proxiedRequest) {
 	req.deadline = req.arrived.Add(d.timeoutOf(req))
+	if d.tooLate(req) {
+		// An earlier copy of the request may have run.
+		d.writeError(w, req.service, verbenastand.NewRequestError(verbenastand.MayHaveRun, verbenastand.ReasonDraining, nil))
+		return
+	}
 	ctx, unwatch, cancel := d.withLimits(ctx, req)
 	defer cancel()
 	owner, found := d.config.Membership.KeyOwner(req.key.Instance())
--- a/dispatcher/stop_test.go
+++ b/dispatcher/stop_test.go
@@ -125,3 +125,44 @@
 		requireVerdict(t, w, http.StatusGatewayTimeout, verbenastand.MayHaveRun, "draining")
 	})
 }
+
+// Guards against a stopping host that takes a request late which it then has to break off
+// (issue 40): whatever it takes can end before the stop.
+func TestALateRequestIsTakenOnlyIfItEndsBeforeTheStop(t *testing.T) {
+	cases := []struct {
+		name, method string
+		key          verbenastand.Instance
+		stopIn       time.Duration
+		status       int
+		verdict      verbenastand.Verdict
+		sent         bool
+	}{
+		{"an idempotent request", http.MethodGet, verbenastand.Instance{}, time.Second, http.StatusServiceUnavailable, verbenastand.NotRun, false},
+		{"a request", http.MethodPost, verbenastand.Instance{}, time.Second, http.StatusServiceUnavailable, verbenastand.NotRun, false},
+		{"a request with a key", http.MethodPost, host.Instance(), time.Second, http.StatusServiceUnavailable, verbenastand.NotRun, false},
+		{"a request with the key of another host", http.MethodPost, otherHost.Instance(), time.Second, http.StatusGatewayTimeout, verbenastand.MayHaveRun, false},
+		{"a request that ends before", http.MethodPost, verbenastand.Instance{}, 3 * time.Second, http.StatusOK, verbenastand.Ran, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newProxy(1, false)
+				p.hosts = append(p.hosts, otherHost)
+				p.server = func(verbenastand.Server, *http.Request) (*http.Response, error) { return okResponse("tin"), nil }
+				p.peer = func(verbenastand.Host, *http.Request) (*http.Response, error) {
+					p.sent.Add(1)
+					return okResponse("tin"), nil
+				}
+				key := ""
+				if tc.key != (verbenastand.Instance{}) {
+					key = deduplicator.Prefix(tc.key, p.clock.Now().Add(time.Minute)) + "a"
+				}
+				p.StopAt(p.clock.Now(), p.clock.Now().Add(tc.stopIn))
+				w := p.do(newRequest(tc.method, "/tin", "", key))
+				require.Equal(t, tc.status, w.Code)
+				require.Equal(t, tc.verdict.String(), w.Header().Get(verbenastand.HeaderVerdict))
+				require.Equal(t, tc.sent, p.sent.Load() > 0)
+			})
+		})
+	}
+}
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -59,6 +60,7 @@
 		if out, err := command.CombinedOutput(); err != nil {
 			binaries.err = fmt.Errorf("%w: %s", err, out)
 		}
+		binaries.entry = cmp.Or(os.Getenv("ENTRY_BINARY"), binaries.entry)
 	})
 	require.NoError(t, binaries.err)
 }
--- a/launcher/run.go
+++ b/launcher/run.go
@@ -104,8 +104,8 @@
 }
 
 // drain shuts the host down gracefully. First, lookup responses no longer contain this
-// host, while callers with a cached response are still served. At the end of the intake it
-// closes the connections that are idle, and refuses what arrives completely only later.
+// host, while callers with a cached response are still served; late requests only if their
+// time limits end before the servers' time does. At the end of the intake it closes the connections that are idle, and refuses what arrives completely only later.
 // Requests that are still being handled at the end get a response that says whether they
 // may have run. Then the host transfers its idempotency keys.
 func (h *Host) drain() {
@@ -117,6 +117,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), stop.exit)
 	defer cancel()
 	h.responder.SetState(responder.Draining)
+	h.dispatcher.StopAt(started.Add(stop.open), started.Add(stop.handling))
 	h.background.Go(func() { h.gossiper.Leave(ctx) })
 	stopDispatcher := time.AfterFunc(stop.handling, h.stopDispatcher)
 	defer stopDispatcher.Stop()
--- a/launcher/stop_plan.go
+++ b/launcher/stop_plan.go
@@ -4,7 +4,8 @@
 
 const (
 	// maxGatewayIntake is how long a gateway takes requests in long grace periods, so that
-	// what arrives late need not be broken off.
+	// what arrives late need not be broken off. An entry host takes those that end in time
+	// for longer.
 	maxGatewayIntake = 2500 * time.Millisecond
 	// intakeFraction bounds the intake in short grace periods.
 	intakeFraction = 0.5
@@ -20,6 +21,8 @@
 type stopPlan struct {
 	// intake is how long requests are still taken.
 	intake time.Duration
+	// open is how long requests are taken that may not be complete by the end of handling.
+	open time.Duration
 	// handling is how long servers may take for requests.
 	handling time.Duration
 	// exit is when connections are closed, whatever is under way.
@@ -29,8 +32,10 @@
 // newStopPlan divides a grace period, with an intake of at most maxIntake.
 func newStopPlan(grace, maxIntake time.Duration) stopPlan {
 	reserve := min(exitTime+deliveryTime, time.Duration(reserveFraction*float64(grace)))
+	intake := min(maxIntake, time.Duration(intakeFraction*float64(grace)))
 	return stopPlan{
-		intake:   min(maxIntake, time.Duration(intakeFraction*float64(grace))),
+		intake:   intake,
+		open:     min(intake, maxGatewayIntake),
 		handling: grace - reserve,
 		exit:     grace - reserve*exitTime/(exitTime+deliveryTime),
 	}
--- a/launcher/stop_plan_test.go
+++ b/launcher/stop_plan_test.go
@@ -34,6 +34,8 @@
 		{0, 5 * time.Second, 0},
 	}
 	for _, tc := range cases {
-		require.Equal(t, tc.intake, newStopPlan(tc.grace, tc.validity).intake, tc.grace)
+		p := newStopPlan(tc.grace, tc.validity)
+		require.Equal(t, tc.intake, p.intake, tc.grace)
+		require.Equal(t, min(tc.intake, maxGatewayIntake), p.open, "whatever is taken later must be over in time")
 	}
 }
