Do not interrupt a response that is being delivered when a host stops

Cause: the attempts of repeatable requests ran under the context that Stop ends, so the body that was being copied failed. The comment on Stop said otherwise. Attempts now end with the caller, or when the request has been responded to; the requests that wait at Stop get their response as before and cancel their attempts.

TestStopInterruptsNoDelivery failed (2 of 4 MB arrived, repeatable route) and passes; the row of a route that may run once passed before.

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -201,6 +201,9 @@
 	// fingerprint is a hash of the caller and the request, used for quarantine.
 	fingerprint quarantiner.Fingerprint
 
+	// caller ends when the caller disconnects. The context of the request also ends with
+	// Stop, but a response whose delivery has begun is read to its end.
+	caller context.Context
 	// bodyTaken is set once an attempt may have read a part of a body that is not in
 	// memory. The request can't be sent to another server afterwards.
 	bodyTaken atomic.Bool
@@ -234,6 +237,7 @@
 	}
 	ctx, incoming.span = c.config.Tracer.Start(incoming.extractTrace(ctx), "call", trace.WithSpanKind(trace.SpanKindServer))
 	defer incoming.span.End()
+	incoming.caller = ctx
 	ctx, release := c.withStop(ctx)
 	defer release()
 	// The context is checked below.
--- a/carrier/delegate.go
+++ b/carrier/delegate.go
@@ -110,7 +110,7 @@
 	}
 	r.delegates = append(r.delegates, host.ID())
 	r.delegating = true
-	base := r.ctx
+	base := r.caller
 	if !r.route.Retryable() {
 		base = context.WithoutCancel(base)
 	}
--- a/carrier/run.go
+++ b/carrier/run.go
@@ -162,7 +162,7 @@
 
 // startAttempt sends the request to the chosen server.
 func (r *runner) startAttempt(choice balancer.Choice) {
-	base := r.ctx
+	base := r.caller
 	if !r.route.Retryable() {
 		base = context.WithoutCancel(base)
 	}
