Let responses to forwarded requests arrive before an entry host ends

Callers saw: when an entry host stopped, the last responses to requests that another entry host had forwarded to it broke off.

Cause: the host ends once no request is being handled. By then a response may still be in the buffers of its QUIC connection, which Close discards. Mostly the transfer of the idempotency keys gave it time; if the other host is leaving too, there is none.

Now the server counts forwarded requests as it counts tunnels, and an entry host waits as a gateway does (AwaitResponses, AwaitTunnels before): 0.3 s after the last one, and no longer than its drain timeout allows.

Ruled out: http3.Server.Shutdown. It waits until the other hosts close their connections, which they keep for gossip.

Conclusion: what a stopping host has answered for another one arrives.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -285,9 +285,10 @@
 	http3  *http3.Server
 
 	mu sync.Mutex
-	// tunnels counts the open tunnels, and tunnelEnded is when the last one ended.
-	tunnels     int
-	tunnelEnded time.Time
+	// responses counts the open tunnels and the forwarded requests that are being handled,
+	// and responseEnded is when the last one ended.
+	responses     int
+	responseEnded time.Time
 }
 
 // NewServer returns a server that does nothing until Serve is called.
@@ -324,6 +325,8 @@
 		s.serveTickets(w, r)
 	case purposeForward:
 		r.Header.Del(purposeHeader)
+		s.beginResponse()
+		defer s.endResponse()
 		s.config.ForwardHandler.ServeHTTP(w, r)
 	case purposeRelay:
 		s.serveMessage(w, r, maxRelayBytes, s.config.Relay)
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -145,7 +145,7 @@
 			<-written
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 			defer cancel()
-			server.AwaitTunnels(ctx)
+			server.AwaitResponses(ctx)
 			_ = server.Close()
 		}()
 		_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
@@ -158,8 +158,43 @@
 	}
 }
 
+// Guards against a stopping host that loses its last responses to forwarded requests: they are
+// still on their way when nothing more is pending (issue 40).
+func TestAResponseToAForwardedRequestOutlivesItsHandler(t *testing.T) {
+	const size = 200 << 10
+	certificates, err := certifier.NewSharedCertifier("a secret")
+	require.NoError(t, err)
+	for range 20 {
+		written := make(chan struct{})
+		server := NewServer(ServerConfig{Certifier: certificates, ForwardHandler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write(make([]byte, size))
+			close(written)
+		})})
+		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+		require.NoError(t, err)
+		go func() { _ = server.Serve(conn) }()
+		go func() {
+			<-written
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			server.AwaitResponses(ctx)
+			_ = server.Close()
+		}()
+		f := NewForwarder(Config{Certifier: certificates})
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://a/", nil)
+		require.NoError(t, err)
+		response, err := f.Forward(verbenastand.NewHost(verbenastand.HostConfig{PeerAddress: conn.LocalAddr().String()}), r)
+		require.NoError(t, err)
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.Len(t, body, size)
+		_ = f.Close()
+		_ = server.Close()
+	}
+}
+
 // Checks that a tunnel which does not end delays a stop only for a bounded time.
-func TestAwaitTunnelsIsBounded(t *testing.T) {
+func TestAwaitResponsesIsBounded(t *testing.T) {
 	f, peer, server := newTunnelServer(t, func(net.Conn, verbenastand.Origin) bool { return true })
 	conn, err := f.Tunnel(t.Context(), peer, verbenastand.Origin{Caller: "c"})
 	require.NoError(t, err)
@@ -168,7 +203,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), limit)
 	defer cancel()
 	started := time.Now()
-	server.AwaitTunnels(ctx)
+	server.AwaitResponses(ctx)
 	require.GreaterOrEqual(t, time.Since(started), limit)
 	require.Less(t, time.Since(started), limit+5*time.Second)
 }
--- a/forwarder/tunnel.go
+++ b/forwarder/tunnel.go
@@ -20,10 +20,10 @@
 	attemptsHeader = verbenastand.HeaderAttempt
 	// tunnelBuffer is the size of each of the two buffers of a tunnel.
 	tunnelBuffer = 16 << 10
-	// tunnelLinger is how long what was sent over a tunnel may take to arrive, with a few
+	// arrivalTime is how long what was sent to a peer may take to arrive, with a few
 	// retransmissions.
-	tunnelLinger     = 300 * time.Millisecond
-	tunnelPollPeriod = 10 * time.Millisecond
+	arrivalTime       = 300 * time.Millisecond
+	arrivalPollPeriod = 10 * time.Millisecond
 )
 
 // Tunnel opens a connection to the acceptor of a peer on behalf of a caller. Nothing is
@@ -111,8 +111,8 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	s.beginTunnel()
-	defer s.endTunnel()
+	s.beginResponse()
+	defer s.endResponse()
 	near, far := net.Pipe()
 	if !s.config.Tunnel(far, origin) {
 		http.Error(w, "no requests are accepted", http.StatusServiceUnavailable)
@@ -132,25 +132,25 @@
 	reading.Wait()
 }
 
-func (s *Server) beginTunnel() {
+func (s *Server) beginResponse() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.tunnels++
+	s.responses++
 }
 
-func (s *Server) endTunnel() {
+func (s *Server) endResponse() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.tunnels--
-	s.tunnelEnded = time.Now()
+	s.responses--
+	s.responseEnded = time.Now()
 }
 
-// AwaitTunnels waits until all tunnels have ended and what was sent over the last of them
-// has had time to arrive, or until ctx is done. Close would discard it.
-func (s *Server) AwaitTunnels(ctx context.Context) {
-	poll := time.NewTicker(tunnelPollPeriod)
+// AwaitResponses waits until all tunnels and forwarded requests have ended and what was sent
+// to the last of them has had time to arrive, or until ctx is done. Close would discard it.
+func (s *Server) AwaitResponses(ctx context.Context) {
+	poll := time.NewTicker(arrivalPollPeriod)
 	defer poll.Stop()
-	for !s.tunnelsEnded() {
+	for !s.responsesArrived() {
 		select {
 		case <-ctx.Done():
 			return
@@ -159,10 +159,10 @@
 	}
 }
 
-func (s *Server) tunnelsEnded() bool {
+func (s *Server) responsesArrived() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.tunnels == 0 && time.Since(s.tunnelEnded) >= tunnelLinger
+	return s.responses == 0 && time.Since(s.responseEnded) >= arrivalTime
 }
 
 // flushedWriter sends each write at once.
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -141,6 +141,8 @@
 	ticket          merger.Ticket
 	started         time.Time
 	partitioned     atomic.Bool
+	// relayDelay is how long what a host sends back to another one is on its way.
+	relayDelay time.Duration
 }
 
 // clusterConfig specifies the cluster of a test.
@@ -150,7 +152,8 @@
 	flags      []string
 	// relayed puts a UDP relay in front of each host's peer address, so that the
 	// hosts can be partitioned.
-	relayed bool
+	relayed    bool
+	relayDelay time.Duration
 }
 
 // Ports are below the ephemeral port range of the operating system. Otherwise an
@@ -191,7 +194,7 @@
 	k := &cluster{
 		t: t, deployment: c.deployment, started: time.Now(), platformAddress: freeAddress(t, "tcp"), files: files,
 		servers: make(map[verbenastand.ServerID]*process), serverAddresses: make(map[verbenastand.ServerID]string),
-		recordFile: filepath.Join(directory, "record"),
+		recordFile: filepath.Join(directory, "record"), relayDelay: c.relayDelay,
 	}
 	t.Cleanup(k.stop)
 	k.platform = &process{name: "platform", args: []string{binaries.emulator, "platform", "--address", k.platformAddress}}
--- a/internal/e2e/late_test.go
+++ b/internal/e2e/late_test.go
@@ -236,3 +236,48 @@
 	require.Positive(t, answered)
 	require.Positive(t, late)
 }
+
+// Guards against a stopping entry host that ends before the responses to requests that another
+// host has forwarded have arrived there (issue 40).
+func TestAStoppingEntryHostDeliversForwardedResponses(t *testing.T) {
+	t.Parallel()
+	const grace, work, requests, size = 6 * time.Second, 2500 * time.Millisecond, 6, 400_000
+	k := newCluster(t, clusterConfig{deployment: smallDeployment(), entries: 2, relayed: true, relayDelay: 50 * time.Millisecond, flags: []string{
+		"--drain-timeout", grace.String(), "--answer-validity", "1s",
+	}})
+	k.publish(merger.Ticket{Number: 2, Services: []merger.ServiceObject{{Name: "catalogue", Timeout: "10m", Homes: 1}}})
+	k.waitUntil("one home", func() bool { homes, _ := k.homes("catalogue"); return len(homes) == 1 })
+	homes, forwarding := k.homes("catalogue")
+	c := newStopCallers(k, forwarding, work)
+	c.signalled = time.Now()
+	var bodies [requests]int
+	for i := range requests {
+		c.sending.Go(func() {
+			s := &sentRequest{name: fmt.Sprint("forwarded", i)}
+			r := c.request(s.name, http.MethodGet, "", c.workMs)
+			r.URL.RawQuery += fmt.Sprint("&size=", size)
+			response, err := (&http.Transport{}).RoundTrip(r)
+			if err == nil {
+				var data []byte
+				data, err = io.ReadAll(response.Body)
+				bodies[i], s.verdict = len(data), response.Header.Get(verbenastand.HeaderVerdict)
+			}
+			s.err = err
+			c.record(s)
+		})
+	}
+	k.waitUntil("the requests run", func() bool { return k.runsWithID("forwarded0") > 0 })
+	// No other host stays, which would get the idempotency keys first.
+	forwarding.signal(syscall.SIGTERM)
+	time.Sleep(100 * time.Millisecond)
+	homes[0].signal(syscall.SIGTERM)
+	c.sending.Wait()
+	for _, s := range c.requests {
+		require.NoError(t, s.err, s.name)
+		require.Equal(t, verbenastand.Ran.String(), s.verdict, s.name)
+	}
+	for _, n := range bodies {
+		require.Equal(t, size, n)
+	}
+	<-homes[0].done
+}
--- a/internal/e2e/partition_test.go
+++ b/internal/e2e/partition_test.go
@@ -1,11 +1,13 @@
 package e2e
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"strconv"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -70,7 +72,8 @@
 			return
 		}
 		if !k.partitioned.Load() {
-			_, _ = front.WriteTo(buffer[:n], to)
+			datagram := bytes.Clone(buffer[:n])
+			time.AfterFunc(k.relayDelay, func() { _, _ = front.WriteTo(datagram, to) })
 		}
 	}
 }
--- a/launcher/gateway_run.go
+++ b/launcher/gateway_run.go
@@ -206,7 +206,7 @@
 	for ctx.Err() == nil && g.acceptor.Connections() > 0 {
 		sleep(ctx, drainPollPeriod)
 	}
-	g.peerServer.AwaitTunnels(ctx)
+	g.peerServer.AwaitResponses(ctx)
 	g.log.WithField("tookMs", time.Since(started).Milliseconds()).WithField("unanswered", g.carrier.InFlight()).Info("drained")
 }
 
--- a/launcher/run.go
+++ b/launcher/run.go
@@ -145,6 +145,7 @@
 	for h.dispatcher.InFlight() > 0 && ctx.Err() == nil {
 		sleep(ctx, drainPollPeriod)
 	}
+	h.peerServer.AwaitResponses(ctx)
 	h.callListener.Wait(ctx)
 	h.log.WithField("tookMs", time.Since(started).Milliseconds()).WithField("unanswered", h.dispatcher.InFlight()).Info("drained")
 	h.transferKeys(context.Background())
