Test a stopping entry host with requests that stay unread

The first response during a stop announces the close, and requests that a caller has sent behind it stay unread. A connection that is closed with unread bytes is reset, and the response before them lost.

Conclusion: nothing changes but the test.

--- a/internal/e2e/late_test.go
+++ b/internal/e2e/late_test.go
@@ -281,3 +281,33 @@
 	}
 	<-homes[0].done
 }
+
+// Guards against a stopping entry host that resets a connection on which requests are unread,
+// and so discards the response before them (issue 40).
+func TestAStoppingEntryHostDeliversResponsesBeforeUnreadRequests(t *testing.T) {
+	t.Parallel()
+	const size = 1 << 20
+	k := newCluster(t, clusterConfig{deployment: smallDeployment(), entries: 1, flags: []string{
+		"--drain-timeout", "6s", "--answer-validity", "1s",
+	}})
+	e := k.entries[0]
+	for i := range 5 {
+		conn, err := net.Dial("tcp", e.call)
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		if i == 0 {
+			e.signal(syscall.SIGTERM)
+		}
+		for j := range 3 {
+			_, err = fmt.Fprintf(conn, "GET /tins?id=p%d-%d&workMs=100&size=%d HTTP/1.1\r\nHost: catalogue\r\n%s: 60000\r\n\r\n", i, j, size, verbenastand.HeaderTimeout)
+			require.NoError(t, err)
+		}
+		time.Sleep(200 * time.Millisecond)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.Len(t, body, size)
+	}
+}
