--- a/internal/e2e/late_test.go
+++ b/internal/e2e/late_test.go
@@ -236,3 +236,78 @@
 	require.Positive(t, answered)
 	require.Positive(t, late)
 }
+
+// Guards against a stopping entry host that ends before the responses to requests that another
+// host has forwarded have arrived there (issue 40).
+func TestAStoppingEntryHostDeliversForwardedResponses(t *testing.T) {
+	t.Parallel()
+	const grace, work, requests, size = 6 * time.Second, 2500 * time.Millisecond, 6, 400_000
+	k := newCluster(t, clusterConfig{deployment: smallDeployment(), entries: 2, relayed: true, relayDelay: 50 * time.Millisecond, flags: []string{
+		"--drain-timeout", grace.String(), "--answer-validity", "1s",
+	}})
+	k.publish(merger.Ticket{Number: 2, Services: []merger.ServiceObject{{Name: "catalogue", Timeout: "10m", Homes: 1}}})
+	k.waitUntil("one home", func() bool { homes, _ := k.homes("catalogue"); return len(homes) == 1 })
+	homes, forwarding := k.homes("catalogue")
+	c := newStopCallers(k, forwarding, work)
+	c.signalled = time.Now()
+	var bodies [requests]int
+	for i := range requests {
+		c.sending.Go(func() {
+			s := &sentRequest{name: fmt.Sprint("forwarded", i)}
+			r := c.request(s.name, http.MethodGet, "", c.workMs)
+			r.URL.RawQuery += fmt.Sprint("&size=", size)
+			response, err := (&http.Transport{}).RoundTrip(r)
+			if err == nil {
+				var data []byte
+				data, err = io.ReadAll(response.Body)
+				bodies[i], s.verdict = len(data), response.Header.Get(verbenastand.HeaderVerdict)
+			}
+			s.err = err
+			c.record(s)
+		})
+	}
+	k.waitUntil("the requests run", func() bool { return k.runsWithID("forwarded0") > 0 })
+	// No other host stays, which would get the idempotency keys first.
+	forwarding.signal(syscall.SIGTERM)
+	time.Sleep(100 * time.Millisecond)
+	homes[0].signal(syscall.SIGTERM)
+	c.sending.Wait()
+	for _, s := range c.requests {
+		require.NoError(t, s.err, s.name)
+		require.Equal(t, verbenastand.Ran.String(), s.verdict, s.name)
+	}
+	for _, n := range bodies {
+		require.Equal(t, size, n)
+	}
+	<-homes[0].done
+}
+
+// Guards against a stopping entry host that resets a connection on which requests are unread,
+// and so discards the response before them (issue 40).
+func TestAStoppingEntryHostDeliversResponsesBeforeUnreadRequests(t *testing.T) {
+	t.Parallel()
+	const size = 1 << 20
+	k := newCluster(t, clusterConfig{deployment: smallDeployment(), entries: 1, flags: []string{
+		"--drain-timeout", "6s", "--answer-validity", "1s",
+	}})
+	e := k.entries[0]
+	for i := range 5 {
+		conn, err := net.Dial("tcp", e.call)
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		if i == 0 {
+			e.signal(syscall.SIGTERM)
+		}
+		for j := range 3 {
+			_, err = fmt.Fprintf(conn, "GET /tins?id=p%d-%d&workMs=100&size=%d HTTP/1.1\r\nHost: catalogue\r\n%s: 60000\r\n\r\n", i, j, size, verbenastand.HeaderTimeout)
+			require.NoError(t, err)
+		}
+		time.Sleep(200 * time.Millisecond)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.Len(t, body, size)
+	}
+}
