Report no cut for a caller that has its response and leaves

What was seen: 104 to 154 of 3000 connections whose callers read their response and close at once were reported as connectionCut, callerLeft, one pending.

Cause: a request was pending until its handler had returned, after its response was written; a refused message for good. The response that is being written no longer counts when the caller leaves: if it has not arrived, writing it fails, which is reported.

TestACallerThatHasItsResponseIsNoCut failed and passes.

--- a/acceptor/closing.go
+++ b/acceptor/closing.go
@@ -107,12 +107,16 @@
 	return c.stopped && c.pending == 0 && errors.Is(c.limited.Err(), os.ErrDeadlineExceeded)
 }
 
-// cut cancels the handlers of pending requests, whose responses can't be delivered.
+// cut cancels the handlers of pending requests, whose responses can't be delivered. A response
+// that is being written may have arrived: if it has not, writing it fails.
 func (c *connection) cut(reason CutReason, cause error) {
 	c.mu.Lock()
-	report := !c.wasCut && c.pending > 0
-	c.wasCut = true
 	pending := c.pending
+	if c.writing && reason == CutCallerLeft {
+		pending--
+	}
+	report := !c.wasCut && pending > 0
+	c.wasCut = c.wasCut || report
 	c.mu.Unlock()
 	c.cancelHandlers(errCallerDisconnected)
 	if report {
--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -61,6 +61,8 @@
 	received bool
 	// wasCut is set once the pending handlers were cancelled.
 	wasCut bool
+	// writing is set while the response to the first pending request is written.
+	writing bool
 	// streaming is set while a handler reads the body of a request.
 	streaming bool
 }
@@ -166,6 +168,7 @@
 		<-c.pipelineSlots
 		c.mu.Lock()
 		c.pending--
+		c.writing = false
 		c.idleSince, c.responded = time.Now(), true
 		c.mu.Unlock()
 		r.buffer.Release()
@@ -380,6 +383,12 @@
 	return err
 }
 
+func (c *connection) setWriting(writing bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = writing
+}
+
 // allowWriting sets the write deadline for the next part of a message. That of an earlier part
 // may have passed.
 func (c *connection) allowWriting() {
@@ -437,10 +446,13 @@
 	case <-c.ctx.Done():
 		return
 	}
+	c.setWriting(true)
 	c.allowWriting()
 	head := http.Header{"Content-Type": {"text/plain"}}
 	_ = writeMessage(c.conn, message.fault.status(), head, []byte(message.text+"\n"), true, false)
 	c.mu.Lock()
+	c.pending--
+	c.writing = false
 	c.idleSince, c.responded = time.Now(), true
 	c.mu.Unlock()
 }
--- a/acceptor/message.go
+++ b/acceptor/message.go
@@ -213,12 +213,18 @@
 		err = w.writeParts(status, header, body, last)
 	}
 	if err != nil {
-		// A part may have been sent, behind which the next response would follow.
-		w.connection.abort(cutReason(err), err)
+		w.fail(err)
 	}
 	return err
 }
 
+// fail ends the connection after a failed write: a part may have been sent, behind which the
+// next response would follow.
+func (w *Response) fail(err error) {
+	w.connection.setWriting(false)
+	w.connection.abort(cutReason(err), err)
+}
+
 // cutReason returns why a response could not be delivered.
 func cutReason(err error) CutReason {
 	switch {
@@ -262,7 +268,7 @@
 		err = w.copyBody(conn, length, body)
 	}
 	if err != nil {
-		w.connection.abort(cutReason(err), err)
+		w.fail(err)
 	}
 	return err
 }
@@ -337,6 +343,7 @@
 	c := w.connection
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.writing = true
 	onlyPending := c.pending == 1
 	// What is left of a body must not be taken for the next request.
 	bodyUnread := w.request.stream != nil && !w.request.stream.complete.Load()
--- a/acceptor/observer_test.go
+++ b/acceptor/observer_test.go
@@ -1,7 +1,10 @@
 package acceptor
 
 import (
+	"bufio"
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -10,6 +13,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	verbenastand "github.com/verbenastand/verbenastand"
 )
 
 // observed collects what an acceptor reports.
@@ -80,3 +85,34 @@
 		})
 	}
 }
+
+// Guards against reports of cut connections whose callers have received all responses and
+// leave at once.
+func TestACallerThatHasItsResponseIsNoCut(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var o observed
+	a := NewAcceptor(Config{Handler: HandlerFunc(echoPath), Observer: &o, Limits: func() verbenastand.CallerLimits { return testLimits }})
+	go func() { _ = a.Serve(listener) }()
+	for i := range 1000 {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		require.NoError(t, err)
+		sent := get("/a")
+		if i%2 == 1 {
+			sent = "GET /%zz HTTP/1.1\r\nHost: a\r\n\r\n"
+		}
+		_, err = io.WriteString(conn, sent)
+		require.NoError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		require.NoError(t, err)
+		require.NoError(t, conn.Close())
+	}
+	require.NoError(t, listener.Close())
+	require.Eventually(t, func() bool { return a.Connections() == 0 }, 5*time.Second, time.Millisecond)
+	a.Close()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	require.Empty(t, o.cuts)
+}
