Count malformed responses of servers as no closed connections

Callers saw: after two malformed responses an entry host refused a request for two minutes as one that crashes servers, although all servers ran.

Lost connections are evidence against the request.

Now the connection itself records its end, where no other errors occur: end of file and failed reads and writes, but no timeouts and no close by this host. RoundTrip and the body of the response classify by that; what remains on an open connection is a malformed response, 502, may have run, a failure of the server as before, and no evidence.

Ruled out: naming the errors of the parser. Most have no type, and the list would be one of net/http's.

A response cut at any byte is a lost connection as before.

Conclusion: only the end of a connection counts as one on an entry host.

--- a/connector/conn.go
+++ b/connector/conn.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -16,6 +18,37 @@
 	// requests counts the requests that used the connection.
 	requests atomic.Int64
 	refused  atomic.Bool
+	// lost is set once the server has closed or reset the connection, and stalled once it
+	// has timed out.
+	lost, stalled atomic.Bool
+}
+
+// Read implements net.Conn.
+func (c *serverConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.observe(err)
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *serverConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.observe(err)
+	return n, err
+}
+
+// observe records the end of the connection. Only here is it known that an error is one of
+// the connection: errors of other kinds, which bytes of the server or the caller can bring
+// about, may look the same.
+func (c *serverConn) observe(err error) {
+	var netErr net.Error
+	switch {
+	case err == nil, errors.Is(err, net.ErrClosed):
+	case errors.As(err, &netErr) && netErr.Timeout():
+		c.stalled.Store(true)
+	default:
+		c.lost.Store(true)
+	}
 }
 
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
@@ -44,6 +77,37 @@
 	return &use{conn: c, number: c.requests.Add(1)}
 }
 
+// classify joins ErrConnectionLost to err if the server has closed the connection, and
+// ErrMalformedResponse if the connection was still open. A deadline and a caller that has
+// left are neither.
+func (u *use) classify(ctx context.Context, err error) error {
+	switch {
+	case ctx.Err() != nil || u == nil:
+		return err
+	case u.conn.lost.Load():
+		return errors.Join(ErrConnectionLost, err)
+	case u.conn.stalled.Load():
+		return err
+	}
+	return errors.Join(ErrMalformedResponse, err)
+}
+
+// responseBody classifies the errors of a response body.
+type responseBody struct {
+	io.ReadCloser
+	ctx context.Context
+	use *use
+}
+
+// Read implements io.Reader.
+func (b *responseBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		err = b.use.classify(b.ctx, err)
+	}
+	return n, err
+}
+
 // acceptRefusal ends the connection after a refusal without a request ID, and reports
 // whether that can only be the response to this request. A connection that carries the next
 // request already stays open, and accepts no further such refusal.
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -63,6 +63,10 @@
 // ErrConnectionLost means that a server closed the connection during a request.
 var ErrConnectionLost = errors.New("connector: the server closed the connection")
 
+// ErrMalformedResponse means that a server sent what is no response, over a connection that
+// was still open.
+var ErrMalformedResponse = errors.New("connector: the response is malformed")
+
 // ErrUnexpectedResponse means that a server sent the response to another request.
 var ErrUnexpectedResponse = errors.New("connector: the response belongs to another request")
 
@@ -103,12 +107,13 @@
 		return nil, verbenastand.NewRequestError(verbenastand.MayHaveRun, verbenastand.ReasonInvalidResponse, ErrUnexpectedResponse)
 	}
 	if err == nil {
+		response.Body = &responseBody{ReadCloser: response.Body, ctx: r.Context(), use: used.Load()}
 		return matchResponse(response, id)
 	}
 	if !connected.Load() {
 		return nil, verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonServerFailed, err)
 	}
-	return nil, verbenastand.NewRequestError(verbenastand.MayHaveRun, verbenastand.ReasonServerFailed, Classify(r.Context(), err))
+	return nil, verbenastand.NewRequestError(verbenastand.MayHaveRun, verbenastand.ReasonServerFailed, used.Load().classify(r.Context(), err))
 }
 
 // matchResponse rejects the response to another request: a server may send one late,
@@ -126,15 +131,5 @@
 	return nil, verbenastand.NewRequestError(verbenastand.MayHaveRun, verbenastand.ReasonInvalidResponse, ErrUnexpectedResponse)
 }
 
-// Classify joins ErrConnectionLost to err if the connection was closed by the
-// server, not because of a deadline or a cancelled caller.
-func Classify(ctx context.Context, err error) error {
-	var netErr net.Error
-	if ctx.Err() != nil || (errors.As(err, &netErr) && netErr.Timeout()) {
-		return err
-	}
-	return errors.Join(ErrConnectionLost, err)
-}
-
 // Close closes idle connections.
 func (c *Connector) Close() { c.transport.CloseIdleConnections() }
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -103,11 +102,14 @@
 }
 
 func TestDeadlineIsNotAClosedConnection(t *testing.T) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Nanosecond)
+	address := listen(t, func(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) })
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	<-ctx.Done()
-	require.NotErrorIs(t, Classify(ctx, errors.New("reset")), ErrConnectionLost)
-	require.ErrorIs(t, Classify(context.Background(), errors.New(strings.Repeat("x", 3))), ErrConnectionLost)
+	_, err := NewConnector(Config{MaxConnections: 1}).RoundTrip(
+		verbenastand.NewServer(verbenastand.ServerConfig{Address: address}), keyedRequest(t, address).WithContext(ctx))
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	require.NotErrorIs(t, err, ErrConnectionLost)
+	require.NotErrorIs(t, err, ErrMalformedResponse)
 }
 
 // TestALateCopyOfAResponseIsDiscarded: a server sends a second copy of a response on a
--- a/dispatcher/execute.go
+++ b/dispatcher/execute.go
@@ -242,7 +242,7 @@
 		if resp.response != nil {
 			d.config.Meter.Truncated()
 		}
-	case re.Verdict() == verbenastand.NotRun && ctx.Err() == nil:
+	case errors.Is(re, connector.ErrMalformedResponse), re.Verdict() == verbenastand.NotRun && ctx.Err() == nil:
 		resp.result = estimator.Failed
 	default:
 		resp.result = estimator.Abandoned
@@ -257,7 +257,7 @@
 func (resp *serverResponse) requestError(ctx context.Context, err error) *verbenastand.RequestError {
 	var re *verbenastand.RequestError
 	if !errors.As(err, &re) {
-		re = verbenastand.NewRequestError(verbenastand.MayHaveRun, verbenastand.ReasonServerFailed, connector.Classify(ctx, err))
+		re = verbenastand.NewRequestError(verbenastand.MayHaveRun, verbenastand.ReasonServerFailed, err)
 	}
 	switch ctx.Err() {
 	case context.DeadlineExceeded:
--- a/dispatcher/write.go
+++ b/dispatcher/write.go
@@ -134,7 +134,7 @@
 	return err
 }
 
-// serverBodyReader reads the body from the server and classifies read errors, to
+// serverBodyReader reads the body from the server and counts read errors, to
 // distinguish them from errors of the caller's connection.
 type serverBodyReader struct{ serverResponse *serverResponse }
 
@@ -144,9 +144,8 @@
 	if err == nil || errors.Is(err, io.EOF) {
 		return n, err
 	}
-	err = connector.Classify(resp.response.Request.Context(), err)
 	resp.result = estimator.Abandoned
-	if errors.Is(err, connector.ErrConnectionLost) {
+	if errors.Is(err, connector.ErrConnectionLost) || errors.Is(err, connector.ErrMalformedResponse) {
 		resp.result = estimator.Failed
 		resp.dispatcher.config.Meter.Truncated()
 	}
