Count a caller's broken upload as no closed connection of a server

Callers saw: an upload whose chunks are malformed, or which breaks off, counted as a crash of the server that was receiving it; after two of them the same request was refused for two minutes, and the server had failures that were none.

Cause: the transport returns the error of reading the request body as its own.

Now the connector remembers whether the body could not be read. Such a request ends with 400, may have run, and counts neither for the server nor as evidence.

Ruled out: the context of the request. It ends when the caller's connection does, but not for malformed chunks, and not always before the transport returns.

Evidence: the test fails before (ErrConnectionLost) and passes now, three times with -race; the dispatcher's tests pass.

Conclusion: neither side's bytes name a closed connection in the connector.

--- a/connector/conn.go
+++ b/connector/conn.go
@@ -108,6 +108,24 @@
 	return n, err
 }
 
+// sourceBody is the body of a request. It remembers whether it could not be read, which is
+// no failure of the server that it is sent to.
+type sourceBody struct {
+	io.ReadCloser
+	err atomic.Bool
+}
+
+// Read implements io.Reader.
+func (b *sourceBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		b.err.Store(true)
+	}
+	return n, err
+}
+
+func (b *sourceBody) failed() bool { return b != nil && b.err.Load() }
+
 // acceptRefusal ends the connection after a refusal without a request ID, and reports
 // whether that can only be the response to this request. A connection that carries the next
 // request already stays open, and accepts no further such refusal.
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -93,6 +93,11 @@
 	out.URL.Host = server.Address()
 	out.RequestURI = ""
 	out.GetBody = nil
+	var source *sourceBody
+	if out.Body != nil && out.Body != http.NoBody {
+		source = &sourceBody{ReadCloser: out.Body}
+		out.Body = source
+	}
 	keyed := out.Header.Get(verbenastand.HeaderIdempotencyKey) != ""
 	if keyed && (out.Body == nil || out.Body == http.NoBody) {
 		out.Body = emptyBody{}
@@ -113,6 +118,9 @@
 	if !connected.Load() {
 		return nil, verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonServerFailed, err)
 	}
+	if source.failed() {
+		return nil, verbenastand.NewRequestError(verbenastand.MayHaveRun, verbenastand.ReasonBadRequest, err)
+	}
 	return nil, verbenastand.NewRequestError(verbenastand.MayHaveRun, verbenastand.ReasonServerFailed, used.Load().classify(r.Context(), err))
 }
 
--- a/connector/malformed_test.go
+++ b/connector/malformed_test.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -86,3 +88,23 @@
 	_, err = io.Copy(io.Discard, response.Body)
 	return err
 }
+
+// Guards against a caller whose malformed or interrupted upload counts as a crash of the server
+// that received it (issue 41).
+func TestABodyThatCannotBeReadIsNoLostConnection(t *testing.T) {
+	address := listen(t, func(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) })
+	broken := errors.New("malformed chunked encoding")
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address+"/", io.MultiReader(strings.NewReader("first"), failingReader{broken}))
+	require.NoError(t, err)
+	r.ContentLength = -1
+	_, err = NewConnector(Config{MaxConnections: 1}).RoundTrip(verbenastand.NewServer(verbenastand.ServerConfig{Address: address}), r)
+	require.ErrorIs(t, err, broken)
+	require.NotErrorIs(t, err, ErrConnectionLost)
+	require.NotErrorIs(t, err, ErrMalformedResponse)
+	require.Equal(t, verbenastand.MayHaveRun, verbenastand.VerdictOf(err))
+}
+
+type failingReader struct{ err error }
+
+// Read implements io.Reader.
+func (r failingReader) Read([]byte) (int, error) { return 0, fmt.Errorf("body: %w", r.err) }
