Keep the connection of a delegated request open

Cause: gateways close connections to other hosts after 5 s without traffic, and send nothing to keep them open; a tunnel that waits for its server is no traffic.

Now a host sends an empty message every 2 s over the connection of a tunnel while the tunnel is open. Tunnels that end sooner, as most do, cost nothing.

Ruled out: keep-alive packets of QUIC for all connections (large deployments would keep one open between all hosts), or a longer idle timeout (failed connections would be noticed later).

Evidence: the test, a response after 6 s, fails before ("unexpected EOF" after 5.2 s) and passes now; all tests of forwarder with -race.

Conclusion: shown and fixed.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -41,6 +41,7 @@
 	purposeForward   = "forward"
 	purposeHandover  = "handover"
 	purposeRelay     = "relay"
+	purposeKeepAlive = "keepAlive"
 	afterParameter   = "after"
 	maxTicketsBytes  = 64 << 20
 	maxMessageBytes  = 64 << 10
@@ -332,6 +333,8 @@
 		s.serveMessage(w, r, maxRelayBytes, s.config.Relay)
 	case purposeTunnel:
 		s.serveTunnel(w, r)
+	case purposeKeepAlive:
+		// The response is traffic on the connection.
 	}
 }
 
@@ -350,6 +353,8 @@
 		return s.config.Relay != nil
 	case purposeTunnel:
 		return s.config.Tunnel != nil
+	case purposeKeepAlive:
+		return true
 	}
 	return false
 }
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -193,6 +193,29 @@
 	}
 }
 
+// Guards against a delegated request that gets no response because it takes longer than the idle
+// timeout of the connection, while the hosts exchange nothing else (issue 37).
+func TestATunnelOutlivesTheIdleTimeout(t *testing.T) {
+	t.Parallel()
+	f, peer, _ := newTunnelServer(t, func(conn net.Conn, _ verbenastand.Origin) bool {
+		go func() {
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			time.Sleep(idleTimeout + time.Second)
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}()
+		return true
+	})
+	conn, err := f.Tunnel(t.Context(), peer, verbenastand.Origin{Caller: "c"})
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.NoError(t, response.Body.Close())
+}
+
 // Checks that a tunnel which does not end delays a stop only for a bounded time.
 func TestAwaitResponsesIsBounded(t *testing.T) {
 	f, peer, server := newTunnelServer(t, func(net.Conn, verbenastand.Origin) bool { return true })
--- a/forwarder/tunnel.go
+++ b/forwarder/tunnel.go
@@ -32,7 +32,8 @@
 	streamCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	stop := context.AfterFunc(ctx, cancel)
 	body, toPeer := io.Pipe()
-	response, err := f.openTunnel(streamCtx, peer, origin, body)
+	c, _ := f.connection(peer)
+	response, err := f.openTunnel(streamCtx, c, peer, origin, body)
 	if !stop() && err == nil {
 		err = context.Cause(ctx)
 		_ = response.Body.Close()
@@ -42,6 +43,9 @@
 		_ = toPeer.Close()
 		return nil, err
 	}
+	if f.config.CloseIdle {
+		go f.keepAlive(streamCtx, c, peer)
+	}
 	near, far := net.Pipe()
 	go func() {
 		copyTunnel(toPeer, far)
@@ -57,7 +61,7 @@
 	return near, nil
 }
 
-func (f *Forwarder) openTunnel(ctx context.Context, peer verbenastand.Host, origin verbenastand.Origin, body io.Reader) (*http.Response, error) {
+func (f *Forwarder) openTunnel(ctx context.Context, c *peerConn, peer verbenastand.Host, origin verbenastand.Origin, body io.Reader) (*http.Response, error) {
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, peerScheme+"://"+peer.PeerAddress()+"/", io.NopCloser(body))
 	if err != nil {
 		return nil, fmt.Errorf("forwarder: %w", err)
@@ -68,7 +72,6 @@
 	r.Header.Set(callerHeader, origin.Caller)
 	r.Header.Set(verbenastand.HeaderService, string(origin.Service))
 	r.Header.Set(attemptsHeader, strconv.Itoa(origin.Attempts))
-	c, _ := f.connection(peer)
 	response, err := c.transport.RoundTrip(r)
 	if err != nil {
 		if ctx.Err() == nil {
@@ -83,6 +86,26 @@
 	return response, nil
 }
 
+// keepAlive sends messages over a connection until ctx is done. It would otherwise be closed
+// as idle while the peer waits for a server.
+func (f *Forwarder) keepAlive(ctx context.Context, c *peerConn, peer verbenastand.Host) {
+	ticker := time.NewTicker(keepAlive)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		response, err := f.roundTrip(ctx, c, peer, purposeKeepAlive, "", nil)
+		if err != nil {
+			// The tunnel ends with the connection.
+			return
+		}
+		_ = response.Body.Close()
+	}
+}
+
 func copyTunnel(to io.Writer, from io.Reader) {
 	// The end of a tunnel shows on the connection of either side.
 	_, _ = io.CopyBuffer(struct{ io.Writer }{to}, struct{ io.Reader }{from}, make([]byte, tunnelBuffer))
