Respond to requests whose body is malformed or stalls

Callers saw: an entry host closed the connection without a response if the body of a request with a key, or a small one with a length, had malformed chunks or stalled for longer than the stall timeout.

Now they get 400, or 504 for one that stalls, with the verdict not run: nothing was passed on. With an idempotency key it is may have run, since an earlier copy may have. On HTTP/1.1 the response announces the close. If the caller has left, the response is lost, as it was.

Ruled out: telling a closed connection by the type of the error, as the acceptor did. The response costs nothing if nobody reads it.

Conclusion: a caller that can read gets a response.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -148,8 +148,9 @@
 	defer span.End()
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(d.config.StallTimeout))
 	if err := req.readBody(); err != nil {
-		if errors.Is(err, errBodyTruncated) {
-			panic(http.ErrAbortHandler)
+		if r.ProtoMajor == 1 {
+			// What is left of the body must not be taken for the next request.
+			w.Header().Set("Connection", "close")
 		}
 		d.writeError(w, req.service, err)
 		return
--- a/dispatcher/request.go
+++ b/dispatcher/request.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -74,10 +75,6 @@
 	return verbenastand.NewRequestError(verbenastand.MayHaveRun, re.Reason(), err).WithRetryAfter(re.RetryAfter())
 }
 
-// errBodyTruncated means that the caller's connection ended within the request
-// body.
-var errBodyTruncated = errors.New("dispatcher: the request body ended early")
-
 // parse validates the request without using any state of the host, so that every
 // copy of a request is refused in the same way.
 func (d *Dispatcher) parse(r *http.Request, forwarded bool) (*proxiedRequest, error) {
@@ -184,7 +181,7 @@
 	if hasBody && (req.keyed || (req.request.ContentLength > 0 && req.request.ContentLength <= limit)) {
 		body, err := io.ReadAll(io.LimitReader(req.request.Body, limit+1))
 		if err != nil {
-			return fmt.Errorf("%w: %w", errBodyTruncated, err)
+			return req.bodyError(err)
 		}
 		if int64(len(body)) > limit {
 			return verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonTooLarge, nil)
@@ -197,6 +194,20 @@
 	return nil
 }
 
+// bodyError returns the error for a body that could not be read. Its sender gets a response,
+// since it may be there still: bytes that can't be parsed are no end of its connection. An
+// earlier copy of a request with an idempotency key may have run.
+func (req *proxiedRequest) bodyError(err error) error {
+	verdict, reason := verbenastand.NotRun, verbenastand.ReasonBadRequest
+	if req.keyed {
+		verdict = verbenastand.MayHaveRun
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		reason = verbenastand.ReasonDeadline
+	}
+	return verbenastand.NewRequestError(verdict, reason, err)
+}
+
 // computeKeyFingerprint returns a hash of the service, method, URI and body. It does
 // not depend on the host name or the idempotency key, so that requests for the same
 // operation have the same fingerprint.
