Let a delegated retry avoid the servers that the request has lost

Cause: a host whose request has crashed a server is cut off at that moment and delegates the retry. The other host knows nothing of the first attempt. In one of eight runs it chooses the same server, which has started again under its ID and is not registered yet. This second crash names the same process, a moment later, and counts as the same crash. The next copy therefore meets evidence of one crash and crashes two more servers. What was suspected before, that the losses of the first host are not proved yet, is not the cause: where the servers differ, the second copy examines them and is refused.

Now the tunnel of a delegated request brings the connections that its attempts have lost. The host that sends the request chooses their servers only if there are no others, as on one host, and adds to its evidence what has been found of them, so that it need not wait for the exchange of evidence.

The tests TestADelegatedRetryAvoidsTheServerThatWasLost, TestADelegatedRetryBringsItsEvidence and TestADelegatedRetryCrashesNoServerTwice fail without the fix.

The entry host delegates without such a list too; no failure by it was seen.

--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -61,6 +61,9 @@
 	Route verbenastand.Route
 	// Tried holds servers that must not be chosen again.
 	Tried []*Server
+	// Avoided are losses of connections by the request on other hosts. Their servers are
+	// chosen only if there are no others.
+	Avoided []verbenastand.Loss
 	// CheckLimit bounds the health checks, MaxChecks if zero.
 	CheckLimit int
 	// LocalWithin is positive for a request that transfers much: a server of the local
@@ -69,6 +72,12 @@
 	LocalWithin time.Duration
 }
 
+// avoids reports whether a server is chosen only if there are no others.
+func (q Query) avoids(s *Server) bool {
+	r := s.Registration()
+	return slices.ContainsFunc(q.Avoided, func(l verbenastand.Loss) bool { return l.From(r) })
+}
+
 // Choice is the server chosen for a request.
 type Choice struct {
 	Server *Server
@@ -99,7 +108,7 @@
 // candidate is the state of a server when a choice begins.
 type candidate struct {
 	server *Server
-	// tier orders candidates: preferred, degraded, ejected.
+	// tier orders candidates: preferred, degraded, ejected, avoided.
 	tier int
 	// crossZone is set if the server is in another availability zone than this host.
 	crossZone bool
@@ -114,6 +123,7 @@
 	tierPreferred = iota
 	tierDegraded
 	tierEjected
+	tierAvoided
 )
 
 // Choose returns the first lightly loaded server, starting with the local
@@ -134,7 +144,7 @@
 		if checks >= limit || ctx.Err() != nil {
 			break
 		}
-		if c.tier == tierEjected && best.Server != nil {
+		if c.tier >= tierEjected && best.Server != nil {
 			break
 		}
 		if c.crossZone && best.Server != nil && best.Estimate <= q.LocalWithin && !best.Full {
@@ -203,6 +213,9 @@
 			}
 			continue
 		}
+		if q.avoids(server) {
+			c.tier = tierAvoided
+		}
 		c.connected = s.balancer.config.HealthChecker.Connected(server)
 		list = append(list, c)
 	}
@@ -359,6 +372,9 @@
 func (s *Service) chooseWithoutReports(q Query, candidates []candidate) (Choice, error) {
 	best := Choice{}
 	for _, c := range candidates[:min(2, len(candidates))] {
+		if c.tier == tierAvoided && best.Server != nil {
+			break
+		}
 		choice := c.server.estimateWithoutReport(s.Expected(q.Route))
 		if best.Server == nil || choice.Estimate < best.Estimate {
 			best = choice
--- a/carrier/admit.go
+++ b/carrier/admit.go
@@ -57,13 +57,13 @@
 // response can still be in time. If other requests wait too, one that can't be in
 // time is refused at once, since it would take capacity from those that can.
 func (c *call) chooseFirst(ctx context.Context) (balancer.Choice, error) {
-	query := balancer.Query{Route: c.route}
+	query := balancer.Query{Route: c.route, Avoided: c.avoided()}
 	margin := time.Duration(targetMargin * float64(c.route.Target()))
 	if c.largeBody() {
 		query.LocalWithin = c.targetTime.Add(-margin).Sub(c.carrier.config.Clock.Now())
 	}
 	expected := time.Duration(waitFactor * float64(c.service.Expected(c.route)))
-	choice, err := c.service.Admit(ctx, query, c.beforeStop(c.targetTime.Add(-margin)).Add(-expected))
+	choice, err := c.chooseOrWait(ctx, query, c.beforeStop(c.targetTime.Add(-margin)).Add(-expected))
 	overloaded := errors.Is(err, balancer.ErrNoCapacity) && choice.Server == nil
 	if overloaded {
 		query.CheckLimit = lateChecks
@@ -100,6 +100,15 @@
 	return choice, nil
 }
 
+// chooseOrWait waits for a lightly loaded server unless the request has lost a connection
+// before: like any retry, it then takes the best server.
+func (c *call) chooseOrWait(ctx context.Context, q balancer.Query, startBy time.Time) (balancer.Choice, error) {
+	if len(q.Avoided) > 0 {
+		return c.service.Choose(ctx, q)
+	}
+	return c.service.Admit(ctx, q, startBy)
+}
+
 // errStopsSooner means that a request is not expected to complete before the host stops.
 var errStopsSooner = errors.New("carrier: the host stops before a server could respond")
 
--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -211,6 +211,8 @@
 	// crashChecks are closed when it is known whether the servers crashed that closed
 	// the connections of attempts.
 	crashChecks []<-chan struct{}
+	// losses are the connections that attempts of this host have lost.
+	losses []verbenastand.LossFinding
 	// rejected is the choice that was considered when the request was refused.
 	rejected balancer.Choice
 	// retryDenied is the reason why a failed request was not retried.
@@ -256,6 +258,7 @@
 		return
 	}
 	defer releaseDelegated()
+	incoming.learnLosses()
 	incoming.reconsider(ctx)
 	if err := c.config.Quarantiner.Acquire(ctx, incoming.fingerprint); err != nil {
 		if ctx.Err() != nil {
--- a/carrier/delegate.go
+++ b/carrier/delegate.go
@@ -145,6 +145,7 @@
 	connectCtx, cancel := context.WithTimeout(ctx, connectTimeout)
 	conn, err := c.carrier.config.Delegator.Connect(connectCtx, host, verbenastand.Origin{
 		Host: c.carrier.config.Self, Caller: c.request.Remote(), Service: c.serviceName, Attempts: attempts,
+		Losses: c.possibleCrashes(),
 	})
 	cancel()
 	if err != nil {
--- a/carrier/delegate_test.go
+++ b/carrier/delegate_test.go
@@ -627,6 +627,109 @@
 	})
 }
 
+// sendDelegated sends a request to a host as another one does that has lost the connection to
+// a server.
+func (h *harness) sendDelegated(path string, losses ...verbenastand.LossFinding) *http.Response {
+	near, far := net.Pipe()
+	defer func() { _ = near.Close() }()
+	h.acceptor.ServeDelegated(far, verbenastand.Origin{Host: "h9", Caller: "10.0.0.1:1", Service: "svc", Attempts: len(losses), Losses: losses})
+	_, _ = fmt.Fprintf(near, "GET %s HTTP/1.1\r\nHost: a.example\r\nX-Id: delegated\r\n\r\n", path)
+	response, err := http.ReadResponse(bufio.NewReader(near), nil)
+	require.NoError(h.t, err)
+	return response
+}
+
+// lossOf returns the loss of a connection to a backend a moment ago.
+func lossOf(server string, state verbenastand.ProcessState) verbenastand.LossFinding {
+	return verbenastand.LossFinding{Examined: true, State: state, Loss: verbenastand.NewLoss(verbenastand.LossConfig{
+		Server: verbenastand.ServerID(server), Service: "svc", Address: "10.0.0." + server[1:] + ":80", At: time.Now(),
+	})}
+}
+
+// Guards against a delegated retry that is sent to the server under which the request has just
+// lost its connection (issue 29, BUDGET). The only server is used all the same.
+func TestADelegatedRetryAvoidsTheServerThatWasLost(t *testing.T) {
+	const requests = 20
+	for _, count := range []int{1, 2, 8} {
+		for _, report := range []string{"1,0,6,1", "none"} {
+			var servers []*backend
+			for range count {
+				servers = append(servers, &backend{serve: reply(delay), report: func() string { return report }})
+			}
+			withHarness(t, nil, servers, func(h *harness) {
+				require.Equal(t, http.StatusOK, h.sendDelegated("/x/first").StatusCode)
+				lost := h.requests()[0].server
+				for i := range requests {
+					response := h.sendDelegated(fmt.Sprint("/x/", i), lossOf(lost, verbenastand.ProcessUnknown))
+					require.Equal(t, http.StatusOK, response.StatusCode)
+					received := h.requests()
+					require.Len(t, received, i+2)
+					require.Equal(t, count == 1, received[i+1].server == lost, "%d servers", count)
+					lost = received[i+1].server
+				}
+			})
+		}
+	}
+}
+
+// Guards against a delegated retry that crashes a server too many, because the host that sends
+// it does not know yet which servers it has crashed on the host before (issue 29, BUDGET).
+func TestADelegatedRetryBringsItsEvidence(t *testing.T) {
+	cases := []struct {
+		state  verbenastand.ProcessState
+		served bool
+	}{
+		{verbenastand.ProcessEnded, false},
+		// The server turns out to be running.
+		{verbenastand.ProcessUnknown, true},
+		{verbenastand.ProcessResponding, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.state.String(), func(t *testing.T) {
+			withHarness(t, nil, []*backend{{serve: reply(delay)}, {serve: reply(delay)}}, func(h *harness) {
+				require.Equal(t, http.StatusOK, h.sendDelegated("/x/1").StatusCode)
+				time.Sleep(3 * time.Second)
+				before := h.requests()
+				recordCrash(h.carrier.config.Quarantiner, h.lastFingerprint(), "gone")
+				response := h.sendDelegated("/x/1", lossOf(before[0].server, tc.state))
+				if tc.served {
+					require.Equal(t, http.StatusOK, response.StatusCode)
+					return
+				}
+				require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+				require.Equal(t, "quarantined", response.Header.Get(verbenastand.HeaderReason))
+				require.Len(t, h.requests(), len(before))
+			})
+		})
+	}
+}
+
+// Guards against a busy server that counts as possibly crashed because the loss of a connection
+// to it was sent with a delegated retry before it was examined.
+func TestALossIsNoEvidenceBeforeItsExamination(t *testing.T) {
+	for _, examined := range []bool{false, true} {
+		var assign *harness
+		var fingerprint quarantiner.Fingerprint
+		var suspected atomic.Bool
+		serve := func(conn net.Conn, r *http.Request) {
+			suspected.Store(assign.carrier.config.Quarantiner.PossiblySuspected(fingerprint))
+			reply(delay)(conn, r)
+		}
+		withHarness(t, nil, []*backend{{serve: serve}, {serve: serve}}, func(h *harness) {
+			assign = h
+			_ = h.sendDelegated("/x/1")
+			fingerprint = h.lastFingerprint()
+			// The success of the first request clears evidence.
+			time.Sleep(time.Second)
+			loss := lossOf("s0", verbenastand.ProcessUnknown)
+			loss.Examined = examined
+			_ = h.sendDelegated("/x/1", loss)
+			require.Len(t, h.requests(), 2)
+			require.Equal(t, examined, suspected.Load())
+		})
+	}
+}
+
 // Guards against a request that reaches more servers than its route allows, because this
 // host delegates it once more while another host may still be sending it.
 func TestARequestIsDelegatedOnceAtATime(t *testing.T) {
--- a/carrier/examine.go
+++ b/carrier/examine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	verbenastand "github.com/verbenastand/verbenastand"
@@ -93,15 +94,69 @@
 		Caller: c.request.Remote(), Method: c.request.Method, Target: c.request.RequestURI,
 	}
 	carrier := c.carrier
+	setState := c.addLoss(lost)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		suspect.State = carrier.examine(context.Background(), lost, false)
+		setState(suspect.State)
 		carrier.reportLoss(suspect, lost)
 	}()
 	return done
 }
 
+// addLoss adds a loss that is about to be examined, and returns a function that stores what
+// has been found.
+func (c *call) addLoss(lost verbenastand.Loss) (setState func(verbenastand.ProcessState)) {
+	c.crashMu.Lock()
+	defer c.crashMu.Unlock()
+	i := len(c.losses)
+	c.losses = append(c.losses, verbenastand.LossFinding{Loss: lost})
+	return func(state verbenastand.ProcessState) {
+		c.crashMu.Lock()
+		defer c.crashMu.Unlock()
+		c.losses[i].State, c.losses[i].Examined = state, true
+	}
+}
+
+// possibleCrashes returns the losses of this host after which the server is not known to be
+// running.
+func (c *call) possibleCrashes() []verbenastand.LossFinding {
+	c.crashMu.Lock()
+	defer c.crashMu.Unlock()
+	return slices.DeleteFunc(slices.Clone(c.losses), func(f verbenastand.LossFinding) bool {
+		return f.Examined && f.State == verbenastand.ProcessRunning
+	})
+}
+
+// learnLosses adds to the evidence what the host that has delegated the request has found. What
+// it has not yet examined, it will report itself.
+func (c *call) learnLosses() {
+	origin := c.request.Origin()
+	if origin == nil {
+		return
+	}
+	for _, f := range origin.Losses {
+		if f.Examined && (f.State == verbenastand.ProcessEnded || f.State == verbenastand.ProcessUnknown) {
+			c.carrier.config.Quarantiner.LearnLoss(c.fingerprint, f.Loss, f.State)
+		}
+	}
+}
+
+// avoided returns the losses of the host that has delegated the request: their servers have
+// had it, and may have started again.
+func (c *call) avoided() []verbenastand.Loss {
+	origin := c.request.Origin()
+	if origin == nil {
+		return nil
+	}
+	var losses []verbenastand.Loss
+	for _, f := range origin.Losses {
+		losses = append(losses, f.Loss)
+	}
+	return losses
+}
+
 func (c *Carrier) reportLoss(suspect quarantiner.Suspect, lost verbenastand.Loss) {
 	isNew := false
 	switch suspect.State {
--- a/carrier/restart_test.go
+++ b/carrier/restart_test.go
@@ -525,3 +525,26 @@
 		})
 	}
 }
+
+// Guards against two crashes of one server that count as one, because the host to which a
+// retry is delegated sends it to the same server, which has started again and is not registered
+// yet (issue 29, BUDGET).
+func TestADelegatedRetryCrashesNoServerTwice(t *testing.T) {
+	const rounds = 10
+	for round := range rounds {
+		withRestartingService(t, 14, restartConfig{servers: 2, cutAtCrash: true, sameID: true}, func(s *restartingService) {
+			s.warm()
+			began := time.Now().UnixMilli()
+			_, _, _ = s.fleet.send(0, "GET", "crash")
+			s.mu.Lock()
+			restarted := 0
+			for _, server := range s.servers {
+				if server.startTime >= began {
+					restarted++
+				}
+			}
+			s.mu.Unlock()
+			require.Equal(s.fleet.t, s.crashes("/x/crash"), restarted, "round %d", round)
+		})
+	}
+}
--- a/carrier/run.go
+++ b/carrier/run.go
@@ -242,7 +242,7 @@
 	if r.cut() {
 		return r.retryByDelegate()
 	}
-	choice, err := r.service.Choose(r.ctx, balancer.Query{Route: r.route, Tried: r.tried})
+	choice, err := r.service.Choose(r.ctx, balancer.Query{Route: r.route, Tried: r.tried, Avoided: r.avoided()})
 	if errors.Is(err, balancer.ErrNoServer) && r.mayDelegate(r.ctx) {
 		return r.retryByDelegate()
 	}
@@ -340,7 +340,7 @@
 	if suspected || r.budget.Available() < hedgeReserve || r.service.Waiting() > 0 {
 		return balancer.Choice{}, false
 	}
-	choice, err := r.service.Choose(r.ctx, balancer.Query{Route: r.route, Tried: r.tried, CheckLimit: hedgeChecks})
+	choice, err := r.service.Choose(r.ctx, balancer.Query{Route: r.route, Tried: r.tried, Avoided: r.avoided(), CheckLimit: hedgeChecks})
 	if err != nil {
 		return choice, false
 	}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"encoding/base64"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
 	verbenastand "github.com/verbenastand/verbenastand"
@@ -105,6 +108,71 @@
 	}
 }
 
+// Guards against a delegated retry of which the peer does not learn under which servers it has
+// lost its connections (issue 29, BUDGET).
+func TestATunnelCarriesLosses(t *testing.T) {
+	const age = time.Second
+	sent := verbenastand.LossConfig{Server: "s-1", Service: "s", Address: "10.0.0.1:80", StartTime: 4711, Instance: "i", At: time.Now().Add(-age)}
+	origins := make(chan verbenastand.Origin, 1)
+	f, peer, _ := newTunnelServer(t, func(conn net.Conn, origin verbenastand.Origin) bool {
+		origins <- origin
+		_ = conn.Close()
+		return true
+	})
+	began := time.Now()
+	conn, err := f.Tunnel(t.Context(), peer, verbenastand.Origin{
+		Caller: "c", Losses: []verbenastand.LossFinding{{Loss: verbenastand.NewLoss(sent), Examined: true, State: verbenastand.ProcessEnded}},
+	})
+	require.NoError(t, err)
+	_ = conn.Close()
+	received := (<-origins).Losses
+	require.Len(t, received, 1)
+	require.True(t, received[0].Examined)
+	require.Equal(t, verbenastand.ProcessEnded, received[0].State)
+	require.WithinRange(t, received[0].Loss.At(), sent.At, sent.At.Add(time.Since(began)))
+	sent.At = received[0].Loss.At()
+	require.Equal(t, verbenastand.NewLoss(sent), received[0].Loss)
+}
+
+// TestMalformedLosses: a peer that sends what can't be read gets an error, one of an earlier
+// version sends nothing.
+func TestMalformedLosses(t *testing.T) {
+	encode := func(objects ...lossObject) string {
+		data, err := cbor.Marshal(objects)
+		require.NoError(t, err)
+		return base64.RawStdEncoding.EncodeToString(data)
+	}
+	cases := []struct {
+		name, text string
+		count      int
+		malformed  bool
+	}{
+		{"nothing", "", 0, false},
+		{"one", encode(lossObject{Server: "a"}), 1, false},
+		{"as many as allowed", encode(make([]lossObject, maxLosses)...), maxLosses, false},
+		{"too many", encode(make([]lossObject, maxLosses+1)...), 0, true},
+		{"no base64", "*", 0, true},
+		{"no CBOR", "AAAA", 0, true},
+		{"nested deeply", base64.RawStdEncoding.EncodeToString(bytes.Repeat([]byte{0x81}, 4096)), 0, true},
+		{"a negative age", encode(lossObject{Age: -1}), 0, true},
+		{"an unknown state", encode(lossObject{State: verbenastand.ProcessRunning + 1}), 0, true},
+		{"a negative state", encode(lossObject{State: -1}), 0, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			losses, err := decodeLosses(tc.text, time.Now())
+			require.Equal(t, tc.malformed, err != nil, "%v", err)
+			require.Len(t, losses, tc.count)
+		})
+	}
+	many := make([]verbenastand.LossFinding, maxLosses+1)
+	text, err := encodeLosses(many, time.Now())
+	require.NoError(t, err)
+	losses, err := decodeLosses(text, time.Now())
+	require.NoError(t, err)
+	require.Len(t, losses, maxLosses)
+}
+
 // TestAPeerThatEndsATunnel: a response that breaks off must not look complete.
 func TestAPeerThatEndsATunnel(t *testing.T) {
 	f, peer, _ := newTunnelServer(t, func(conn net.Conn, _ verbenastand.Origin) bool {
--- a/forwarder/tunnel.go
+++ b/forwarder/tunnel.go
@@ -68,6 +68,13 @@
 	r.Header.Set(callerHeader, origin.Caller)
 	r.Header.Set(verbenastand.HeaderService, string(origin.Service))
 	r.Header.Set(attemptsHeader, strconv.Itoa(origin.Attempts))
+	if len(origin.Losses) > 0 {
+		losses, err := encodeLosses(origin.Losses, time.Now())
+		if err != nil {
+			return nil, err
+		}
+		r.Header.Set(lossesHeader, losses)
+	}
 	c, _ := f.connection(peer)
 	response, err := c.transport.RoundTrip(r)
 	if err != nil {
@@ -100,7 +107,8 @@
 	if err != nil || attempts < 0 || origin.Caller == "" {
 		return origin, errMalformedOrigin
 	}
-	return origin, nil
+	origin.Losses, err = decodeLosses(h.Get(lossesHeader), time.Now())
+	return origin, err
 }
 
 // serveTunnel passes the connection of a tunnel to the acceptor of this host, and returns
--- a/loss.go
+++ b/loss.go
@@ -42,6 +42,19 @@
 // At returns when the connection was lost.
 func (l Loss) At() time.Time { return l.c.At }
 
+// From reports whether the connection was one to the process that is registered.
+func (l Loss) From(r Registration) bool {
+	return l.c.Server == r.Server() && l.c.StartTime == r.StartTime()
+}
+
+// LossFinding is a loss with what has become of the process of the server.
+type LossFinding struct {
+	Loss Loss
+	// Examined is set once the process has been examined. State is valid only then.
+	Examined bool
+	State    ProcessState
+}
+
 // ProcessState tells what has become of a server process to which a connection was lost.
 // Of two findings, the greater one holds.
 type ProcessState int
--- a/origin.go
+++ b/origin.go
@@ -10,4 +10,6 @@
 	Service ServiceName
 	// Attempts is the number of servers that the request has been sent to.
 	Attempts int
+	// Losses are the connections to servers that were lost while the request ran.
+	Losses []LossFinding
 }
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -246,12 +246,19 @@
 // and what is known about the server. It reports whether that was new.
 func (q *Quarantiner) RecordLoss(f Fingerprint, lost verbenastand.Loss, state verbenastand.ProcessState) bool {
 	l := newLoss(lost, state)
-	ofCaller := q.record(f.perCaller, PerCaller, l)
-	ofAll := q.record(f.allCallers, AllCallers, l)
+	ofCaller := q.record(f.perCaller, PerCaller, l, Recorded)
+	ofAll := q.record(f.allCallers, AllCallers, l, Recorded)
 	return ofCaller || ofAll
 }
 
-func (q *Quarantiner) record(k key, scope Scope, l loss) bool {
+// LearnLoss is RecordLoss for a loss of another host, which has sent it with the request.
+func (q *Quarantiner) LearnLoss(f Fingerprint, lost verbenastand.Loss, state verbenastand.ProcessState) {
+	l := newLoss(lost, state)
+	q.record(f.perCaller, PerCaller, l, Learned)
+	q.record(f.allCallers, AllCallers, l, Learned)
+}
+
+func (q *Quarantiner) record(k key, scope Scope, l loss, kind ChangeKind) bool {
 	q.mu.Lock()
 	e := Evidence{Fingerprint: k, Scope: scope}
 	if s := q.findLocked(k); s != nil {
@@ -260,7 +267,7 @@
 	c, changed := q.insertLocked(e, []loss{l})
 	q.mu.Unlock()
 	if changed {
-		c.Kind = Recorded
+		c.Kind = kind
 		q.notify(c)
 	}
 	return changed
