Play the skipping of an unresponsive home in virtual time

Cause: the test gives its request 200 ms of real time, of which the home that does not respond takes its share; a pause of the machine uses up the rest.

--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -12,6 +12,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -375,32 +376,36 @@
 func TestUnresponsiveHomeIsSkipped(t *testing.T) {
 	for _, homes := range []int{1, 2} {
 		t.Run(fmt.Sprint(homes, " homes"), func(t *testing.T) {
-			p := newProxy(1, false)
-			p.server = func(verbenastand.Server, *http.Request) (*http.Response, error) { return okResponse("own"), nil }
-			p.hosts = []verbenastand.Host{otherHost}
-			if homes == 2 {
-				p.hosts = append(p.hosts, verbenastand.NewHost(verbenastand.HostConfig{Instance: verbenastand.NewInstance("host-c", 1), Zone: "zone-c"}))
-			}
-			p.applyTicket(2, 1, false)
-			var contacted []verbenastand.HostID
-			p.peer = func(h verbenastand.Host, r *http.Request) (*http.Response, error) {
-				contacted = append(contacted, h.ID())
-				if len(contacted) == 1 {
-					<-r.Context().Done()
-					return nil, r.Context().Err()
-				}
-				return newResponse(http.StatusOK, nil, strings.NewReader("next"), 4), nil
-			}
-			r := newRequest(http.MethodGet, "/tin", "", "")
-			r.Header.Set(verbenastand.HeaderTimeout, "200")
-			w := p.do(r)
-			require.Equal(t, http.StatusOK, w.Code)
-			require.Equal(t, map[int]string{1: "own", 2: "next"}[homes], w.Body.String())
-			require.Len(t, contacted, homes)
+			synctest.Test(t, func(t *testing.T) { testUnresponsiveHome(t, homes) })
 		})
 	}
 }
 
+func testUnresponsiveHome(t *testing.T, homes int) {
+	p := newProxy(1, false)
+	p.server = func(verbenastand.Server, *http.Request) (*http.Response, error) { return okResponse("own"), nil }
+	p.hosts = []verbenastand.Host{otherHost}
+	if homes == 2 {
+		p.hosts = append(p.hosts, verbenastand.NewHost(verbenastand.HostConfig{Instance: verbenastand.NewInstance("host-c", 1), Zone: "zone-c"}))
+	}
+	p.applyTicket(2, 1, false)
+	var contacted []verbenastand.HostID
+	p.peer = func(h verbenastand.Host, r *http.Request) (*http.Response, error) {
+		contacted = append(contacted, h.ID())
+		if len(contacted) == 1 {
+			<-r.Context().Done()
+			return nil, r.Context().Err()
+		}
+		return newResponse(http.StatusOK, nil, strings.NewReader("next"), 4), nil
+	}
+	r := newRequest(http.MethodGet, "/tin", "", "")
+	r.Header.Set(verbenastand.HeaderTimeout, "200")
+	w := p.do(r)
+	require.Equal(t, http.StatusOK, w.Code)
+	require.Equal(t, map[int]string{1: "own", 2: "next"}[homes], w.Body.String())
+	require.Len(t, contacted, homes)
+}
+
 func TestRequestThatCrashesServersIsQuarantined(t *testing.T) {
 	p := newProxy(8, false)
 	p.server = func(verbenastand.Server, *http.Request) (*http.Response, error) { return nil, connectionLost() }
