End the identification of a server while connections are returned

Callers saw: nothing yet.

Cause: Identify went on as long as there was an idle connection.

Now it tries as many as the pool holds for a server, 16, then opens one of its own as before.

Ruled out: trying fewer. A connection from before the loss that responds proves that the process runs, and any of them may.

The goroutines of carrier/examine.go are not looked at here.

--- a/carrier/check.go
+++ b/carrier/check.go
@@ -77,7 +77,8 @@
 // connection was opened over which it does. The error is ErrUnreachable only if no new
 // connection is accepted: connections that are open may hang, and a busy server responds late.
 func (h *HealthChecker) Identify(ctx context.Context, r verbenastand.Registration, healthPath string) (opened time.Time, err error) {
-	for h.Sender.HasIdle(targetOf(r)) {
+	// Requests may return connections meanwhile on which health checks fail as well.
+	for checks := 0; checks < sender.DefaultMaxIdle && h.Sender.HasIdle(targetOf(r)); checks++ {
 		opened, err = h.identifyOver(ctx, r, healthPath, h.Sender.Connect)
 		if err == nil || errors.Is(err, sender.ErrInstanceMismatch) || ctx.Err() != nil {
 			return opened, err
