Release no request behind one that ends without a response

What callers saw: of requests sent behind a long response that its server broke off, one was at times passed on to a server and lost with the connection.

Cause: a request waits for the one ahead to say whether it must wait for its turn. When a connection is cut, its context reaches the requests one after the other. One whose wait had ended by that said "need not wait", and the next one, whose own context had not ended yet, was passed on. The same holds at Stop.

A request whose wait ends early now lets those behind wait for its turn, which comes only after the cut has reached all of them.

Ruled out: requests that must not run twice also wait for the turn itself, so they were not passed on.

--- a/acceptor/message.go
+++ b/acceptor/message.go
@@ -97,9 +97,10 @@
 
 // AwaitAhead waits until the earlier requests of the connection that ask for it have been
 // responded to. waited lets the next requests wait for this one: if its response may break
-// off while it is delivered, the connection ends, and with it the requests behind.
-func (r *Request) AwaitAhead(ctx context.Context, waited bool) error {
-	defer r.own.set(waited)
+// off while it is delivered, the connection ends, and with it the requests behind. They also
+// wait for this one if ctx ends, since theirs may end a moment later.
+func (r *Request) AwaitAhead(ctx context.Context, waited bool) (err error) {
+	defer func() { r.own.set(waited || err != nil) }()
 	if r.ahead == nil {
 		return nil
 	}
