--- a/launcher/run.go
+++ b/launcher/run.go
@@ -205,8 +205,8 @@
 	_ = peerConn.Close()
 	h.connector.Close()
 	_ = h.stopTracer(ctx)
-	h.gossiper.Wait()
 	h.background.Wait()
+	h.gossiper.Wait()
 	h.log.Info("stopped")
 }
 
