Restart hosts of the tests of crashes only while they handle nothing

What was seen: the race detector failed TestCrashesAreProvedBesideRestartsAndCutsOfTheirHosts/hosts_restart,_the_host_is_cut_off in 1 of 6 runs beside load. The test's own restart replaces the quarantiner in the configuration of a carrier whose handler still reads it, after its response was written.

--- a/carrier/restart_test.go
+++ b/carrier/restart_test.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -112,8 +113,10 @@
 	})
 }
 
-// restartHost discards what a host knows of evidence.
+// restartHost discards what a host knows of evidence, once it handles nothing: handlers read
+// the configuration that is replaced after their responses were written.
 func (s *restartingService) restartHost(i int) {
+	synctest.Wait()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.evidence[i] = quarantiner.NewQuarantiner(quarantiner.Config{Clock: wallClock{}})
