Route delegated requests by the table of the host that received them

What callers saw: a host that reaches no server delegates the requests of its callers. The other host looked up their route in its own table. If that one was older, a request ran at the service of an earlier table although its callers' host had already used the new one, or was refused (503, noRoute) though its route had been added; if it was newer, the change showed and was undone again with the next request.

Class: two hosts decide on one request by different states. Only the service was sent along, and used only if the other host's table named it.

Fix: the route and the version of the table are sent with the request (a header field of the tunnel), and the other host uses them. Hosts of earlier versions send none and ignore it, so builds work side by side as before.

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -281,18 +281,9 @@
 func (c *call) resolve() bool {
 	cr := c.carrier
 	r := c.request
-	table := cr.config.Router.Table()
-	if table == nil {
-		cr.refuseEarly(c.writer, r, http.StatusServiceUnavailable, verbenastand.ReasonStarting, earlyRetryAfter)
-		return false
-	}
-	c.version = table.Version()
-	match, found := cr.config.Router.Find(r.Host, r.URL.Path)
-	if !found {
-		cr.refuseEarly(c.writer, r, http.StatusNotFound, verbenastand.ReasonNoRoute, 0)
+	if !c.findRoute() {
 		return false
 	}
-	c.route = match.Route()
 	timeout, err := cr.requestTimeout(c.route, r.Header)
 	if err != nil {
 		cr.refuseEarly(c.writer, r, http.StatusBadRequest, verbenastand.ReasonBadRequest, 0)
@@ -300,7 +291,6 @@
 	}
 	c.deadline = c.arrived.Add(timeout)
 	c.targetTime = c.arrived.Add(min(c.route.Target(), timeout))
-	c.serviceName = c.chooseService(match)
 	c.service = cr.config.Balancer.Service(c.serviceName)
 	c.budget = cr.Budget(c.serviceName)
 	c.header = c.forwardedHeader()
@@ -308,6 +298,31 @@
 	return true
 }
 
+// findRoute finds the route and chooses the service of the request, or refuses it. The host
+// that delegates a request has done both: the tables of two hosts may differ for a while, and
+// callers of one host must not see a change undone.
+func (c *call) findRoute() bool {
+	if origin := c.request.Origin(); origin != nil && origin.Route != nil {
+		c.route, c.version, c.serviceName = *origin.Route, origin.Table, origin.Service
+		return true
+	}
+	cr, r := c.carrier, c.request
+	table := cr.config.Router.Table()
+	if table == nil {
+		cr.refuseEarly(c.writer, r, http.StatusServiceUnavailable, verbenastand.ReasonStarting, earlyRetryAfter)
+		return false
+	}
+	c.version = table.Version()
+	match, found := cr.config.Router.Find(r.Host, r.URL.Path)
+	if !found {
+		cr.refuseEarly(c.writer, r, http.StatusNotFound, verbenastand.ReasonNoRoute, 0)
+		return false
+	}
+	c.route = match.Route()
+	c.serviceName = c.chooseService(match)
+	return true
+}
+
 // RequestTimeout returns the time limit of a request, zero if there is none or the request
 // is refused anyway.
 func (c *Carrier) RequestTimeout(r *http.Request) time.Duration {
--- a/carrier/delegate.go
+++ b/carrier/delegate.go
@@ -78,7 +78,8 @@
 }
 
 // chooseService returns the service for the request: the next one of the route's split,
-// unless another host has drawn it.
+// unless another host has drawn it. Hosts that send the route with a delegated request
+// choose the service themselves.
 func (c *call) chooseService(m *router.Match) verbenastand.ServiceName {
 	if origin := c.request.Origin(); origin != nil {
 		for _, part := range m.Route().Split() {
@@ -144,8 +145,8 @@
 	}
 	connectCtx, cancel := context.WithTimeout(ctx, connectTimeout)
 	conn, err := c.carrier.config.Delegator.Connect(connectCtx, host, verbenastand.Origin{
-		Host: c.carrier.config.Self, Caller: c.request.Remote(), Service: c.serviceName, Attempts: attempts,
-		Losses: c.possibleCrashes(),
+		Host: c.carrier.config.Self, Caller: c.request.Remote(), Service: c.serviceName, Route: &c.route, Table: c.version,
+		Attempts: attempts, Losses: c.possibleCrashes(),
 	})
 	cancel()
 	if err != nil {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -108,6 +108,57 @@
 	}
 }
 
+// Guards against a delegated request that the peer routes by its own table, which may be
+// another one (issue 44, CONFIG).
+func TestATunnelCarriesTheRoute(t *testing.T) {
+	origins := make(chan verbenastand.Origin, 1)
+	f, peer, _ := newTunnelServer(t, func(conn net.Conn, origin verbenastand.Origin) bool {
+		origins <- origin
+		_ = conn.Close()
+		return true
+	})
+	route := verbenastand.NewRoute(verbenastand.RouteConfig{
+		Name: "r", HostName: "a.example", PathPrefix: "/x/", RetrySafety: verbenastand.Bulk, Timeout: time.Second,
+		Target: 300 * time.Millisecond, MaxAttempts: 2, PriorityLevel: 1,
+	})
+	sent := verbenastand.Origin{Caller: "c", Service: "s", Route: &route, Table: 7}
+	conn, err := f.Tunnel(t.Context(), peer, sent)
+	require.NoError(t, err)
+	_ = conn.Close()
+	require.Equal(t, sent, <-origins)
+}
+
+func TestRoutesOfPeersAreValidated(t *testing.T) {
+	valid := verbenastand.RouteConfig{Name: "r", HostName: "a", PathPrefix: "/", Timeout: time.Second, MaxAttempts: 1}
+	cases := []struct {
+		name   string
+		change func(*verbenastand.RouteConfig)
+	}{
+		{"no time limit", func(c *verbenastand.RouteConfig) { c.Timeout = 0 }},
+		{"a negative target", func(c *verbenastand.RouteConfig) { c.Target = -1 }},
+		{"no attempts", func(c *verbenastand.RouteConfig) { c.MaxAttempts = 0 }},
+		{"an unknown retry safety", func(c *verbenastand.RouteConfig) { c.RetrySafety = verbenastand.Bulk + 1 }},
+		{"a negative retry safety", func(c *verbenastand.RouteConfig) { c.RetrySafety = -1 }},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := valid
+			tc.change(&c)
+			text, err := encodeRoute(verbenastand.NewRoute(c), 1)
+			require.NoError(t, err)
+			_, _, err = decodeRoute(text)
+			require.Error(t, err)
+		})
+	}
+	for _, text := range []string{"!", "AA", "/w"} {
+		_, _, err := decodeRoute(text)
+		require.Error(t, err, text)
+	}
+	route, _, err := decodeRoute("")
+	require.NoError(t, err, "hosts of earlier versions send none")
+	require.Nil(t, route)
+}
+
 // Guards against a delegated retry of which the peer does not learn under which servers it has
 // lost its connections (issue 29, BUDGET).
 func TestATunnelCarriesLosses(t *testing.T) {
--- a/forwarder/tunnel.go
+++ b/forwarder/tunnel.go
@@ -72,6 +72,13 @@
 	r.Header.Set(callerHeader, origin.Caller)
 	r.Header.Set(verbenastand.HeaderService, string(origin.Service))
 	r.Header.Set(attemptsHeader, strconv.Itoa(origin.Attempts))
+	if origin.Route != nil {
+		route, err := encodeRoute(*origin.Route, origin.Table)
+		if err != nil {
+			return nil, err
+		}
+		r.Header.Set(routeHeader, route)
+	}
 	if len(origin.Losses) > 0 {
 		losses, err := encodeLosses(origin.Losses, time.Now())
 		if err != nil {
@@ -130,6 +137,9 @@
 	if err != nil || attempts < 0 || origin.Caller == "" {
 		return origin, errMalformedOrigin
 	}
+	if origin.Route, origin.Table, err = decodeRoute(h.Get(routeHeader)); err != nil {
+		return origin, err
+	}
 	origin.Losses, err = decodeLosses(h.Get(lossesHeader), time.Now())
 	return origin, err
 }
