Encode a large table once for all peers

Cause: a host encoded and compressed the same changes again for each peer, nine times at a reader, six times at each forwarding host. On 0.16 of a core that took longer than the transmission. Class: work that grows with the peers of a host.

Fix: the changes are encoded and compressed once for each state and starting position.

--- a/follower/batch.go
+++ b/follower/batch.go
@@ -25,6 +25,8 @@
 	held []heldChange
 	// forwardTo are the hosts to which the receiver forwards the batch.
 	forwardTo []verbenastand.HostID
+	// encoded are the encoded changes if other peers receive them too, or nil.
+	encoded *encodedChanges
 }
 
 // position returns the position up to which the changes are complete.
@@ -49,6 +51,35 @@
 	return routes+len(b.changes) > largeBatchSize
 }
 
+// encodingKey identifies the changes of a batch that changesSince returns.
+type encodingKey struct {
+	// generation numbers the states of the objects.
+	generation uint64
+	full       bool
+	after      verbenastand.Revision
+}
+
+// encodedLocked returns the encoded changes for all peers that lack the same ones of the
+// current state.
+func (f *Follower) encodedLocked(b batch) *encodedChanges {
+	key := encodingKey{generation: f.generation, full: b.full, after: b.after}
+	e := f.encodings[key]
+	if e == nil {
+		if len(f.encodings) >= maxEncodings {
+			clear(f.encodings)
+		}
+		e = &encodedChanges{}
+		f.encodings[key] = e
+	}
+	return e
+}
+
+// objectsChangedLocked discards the encoded changes of earlier states.
+func (f *Follower) objectsChangedLocked() {
+	f.generation++
+	clear(f.encodings)
+}
+
 // apply applies a batch. It returns false if changes before it are missing, or if it
 // is from an earlier era than this host's.
 func (f *Follower) apply(b batch) bool {
@@ -89,6 +120,9 @@
 			events = append(events, event)
 		}
 	}
+	if len(b.changes)+len(b.held) > 0 || f.entering || f.revision < b.revision {
+		f.objectsChangedLocked()
+	}
 	f.revision = max(f.revision, b.revision)
 	f.mu.Unlock()
 	for _, e := range events {
@@ -148,6 +182,7 @@
 	if position.Era != f.era || !f.contiguousLocked(after) {
 		b.full, b.after = true, 0
 	}
+	b.encoded = f.encodedLocked(b)
 	for key, o := range f.objects {
 		if f.held[key] != nil && b.full {
 			continue
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -87,6 +87,10 @@
 	confirmedAt       time.Time
 	recoveredAt       time.Time
 	storeCalls        int
+	// generation changes with the objects. encodings are their encoded changes since the
+	// positions of other hosts.
+	generation uint64
+	encodings  map[encodingKey]*encodedChanges
 
 	publishMu sync.Mutex
 	// largeSends is a semaphore that bounds the large batches sent concurrently.
@@ -98,7 +102,7 @@
 	if c.OnEvent == nil {
 		c.OnEvent = func(Event) {}
 	}
-	f := &Follower{config: c, startedAt: c.Clock.Now(), objects: make(map[string]*object), held: make(map[string]*object), largeSends: make(chan struct{}, fanOut)}
+	f := &Follower{config: c, startedAt: c.Clock.Now(), objects: make(map[string]*object), held: make(map[string]*object), encodings: make(map[encodingKey]*encodedChanges), largeSends: make(chan struct{}, fanOut)}
 	f.view.Store(verbenastand.NewView(verbenastand.ViewConfig{}))
 	return f
 }
@@ -168,6 +172,9 @@
 			events = append(events, event)
 		}
 	}
+	if changed {
+		f.objectsChangedLocked()
+	}
 	f.mu.Unlock()
 	for _, e := range events {
 		f.config.OnEvent(e)
--- a/follower/message.go
+++ b/follower/message.go
@@ -114,8 +114,10 @@
 }
 
 // encode encodes a batch, with its staleness at the given time.
-func encode(b batch, now time.Time) ([]byte, error) { return encodeMessage(messageOf(b, now)) }
+func encode(b batch, now time.Time) ([]byte, error) { return encodeBatch(messageOf(b, now), b) }
 
+// messageOf returns the message of a batch without its changes, which are encoded once for
+// all peers.
 func messageOf(b batch, now time.Time) message {
 	m := message{
 		Version: messageVersion, After: uint64(b.after), Full: b.full, Era: uint64(b.era), Revision: uint64(b.revision),
@@ -127,9 +129,6 @@
 	for _, id := range b.forwardTo {
 		m.ForwardTo = append(m.ForwardTo, string(id))
 	}
-	for _, c := range b.changes {
-		m.Changes = append(m.Changes, changeRecordOf(c))
-	}
 	for _, h := range b.held {
 		m.Held = append(m.Held, heldRecordOf(h))
 	}
@@ -149,6 +148,32 @@
 	return marshal(message{Version: messageVersion, Compressed: compressed})
 }
 
+// encodeBatch encodes the message of a batch with its changes, compressed if they are large.
+func encodeBatch(m message, b batch) ([]byte, error) {
+	if len(b.changes) == 0 {
+		return encodeMessage(m)
+	}
+	changes := b.encoded
+	if changes == nil {
+		changes = &encodedChanges{}
+	}
+	changes.once.Do(func() { changes.encode(b.changes) })
+	if changes.err != nil {
+		return nil, changes.err
+	}
+	head, err := marshal(m)
+	if err != nil {
+		return nil, err
+	}
+	if head, err = extendMap(head); err != nil {
+		return nil, err
+	}
+	if changes.compressed == nil {
+		return append(head, changes.plain...), nil
+	}
+	return marshal(message{Version: messageVersion, Compressed: append(storedBlocks(head), changes.compressed...)})
+}
+
 func marshal(m message) ([]byte, error) {
 	data, err := cbor.Marshal(m)
 	if err != nil {
--- a/follower/read.go
+++ b/follower/read.go
@@ -68,6 +68,8 @@
 	// largeBatchSize is the number of objects and routes above which a batch is large;
 	// compressed, each takes about 20 bytes.
 	largeBatchSize = 100
+	// maxEncodings bounds the encoded changes that are kept for other peers.
+	maxEncodings = 4
 	// pullTimeout bounds the request of a starting host to a peer.
 	pullTimeout = 300 * time.Millisecond
 	// maxDirectHosts is the largest number of hosts with which readers send to every
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -86,6 +86,9 @@
 
 // sendAll sends a batch to the root of each subtree, without waiting for the end.
 func (f *Follower) sendAll(ctx context.Context, b batch, subtrees []subtree) {
+	if b.encoded == nil {
+		b.encoded = &encodedChanges{}
+	}
 	for _, to := range subtrees {
 		go f.send(ctx, b, to)
 	}
@@ -149,7 +152,7 @@
 func (f *Follower) relay(ctx context.Context, b batch, peer verbenastand.Host) (message, error) {
 	request := messageOf(b, f.config.Clock.Now())
 	request.HeldDigest = f.heldDigest()
-	data, err := encodeMessage(request)
+	data, err := encodeBatch(request, b)
 	if err != nil {
 		return message{}, err
 	}
