Replace a forwarding host that does not respond in time

What callers saw: changes that were not in force in time in whole availability zones (CONFIG).

Cause: above 24 hosts, one host forwards a reader's batches in each availability zone (a large one over a tree of hosts). If it was killed, frozen, cut off or slow, its descendants waited for the next broadcast of the other reader, or until they read the store themselves, 1.3 to 1.9 s later; a send to a host that was gone also kept one of the six places for large batches. Class: a step that depends on one host, with a timeout that is a large part of the bound of the whole.

Fix: if a host does not respond to a message within 250 ms (and the time that its transmission may take), the sender hands its descendants to the next of them. A large batch takes its place only once the announcement has been answered.

--- a/follower/fake_fleet_test.go
+++ b/follower/fake_fleet_test.go
@@ -186,6 +186,10 @@
 	followers   map[verbenastand.HostID]*Follower
 	mu          sync.Mutex
 	partitioned map[verbenastand.HostID]bool
+	// unresponsive hosts send and answer nothing, and nobody is told.
+	unresponsive map[verbenastand.HostID]bool
+	// handlingTime is how long a host takes to handle a message.
+	handlingTime map[verbenastand.HostID]time.Duration
 	// ctx ends with the test, and each of stops ends the process of a host.
 	ctx   context.Context
 	stops map[verbenastand.HostID]context.CancelFunc
@@ -256,6 +260,8 @@
 func (r fakeRelay) Relay(ctx context.Context, peer verbenastand.Host, message []byte) ([]byte, error) {
 	r.fleet.mu.Lock()
 	partitioned := r.fleet.partitioned[r.from] || r.fleet.partitioned[peer.ID()]
+	unresponsive := r.fleet.unresponsive[r.from] || r.fleet.unresponsive[peer.ID()]
+	handlingTime := r.fleet.handlingTime[peer.ID()]
 	if r.fleet.zoneOf(r.from) != peer.Zone() {
 		r.fleet.crossZone++
 	}
@@ -263,15 +269,19 @@
 	if partitioned {
 		return nil, errors.New("partitioned")
 	}
+	if unresponsive {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	if err := r.fleet.transmit(ctx, r.from, len(message)); err != nil {
 		return nil, err
 	}
-	time.Sleep(2 * time.Millisecond)
+	time.Sleep(2*time.Millisecond + handlingTime)
 	return r.fleet.follower(peer.ID()).HandleMessage(message)
 }
 
 func newFleet(size int) *fleet {
-	f := &fleet{store: newFakeStore(), followers: make(map[verbenastand.HostID]*Follower), partitioned: make(map[verbenastand.HostID]bool), linkFree: make(map[verbenastand.HostID]time.Time), stops: make(map[verbenastand.HostID]context.CancelFunc)}
+	f := &fleet{store: newFakeStore(), followers: make(map[verbenastand.HostID]*Follower), partitioned: make(map[verbenastand.HostID]bool), linkFree: make(map[verbenastand.HostID]time.Time), unresponsive: make(map[verbenastand.HostID]bool), handlingTime: make(map[verbenastand.HostID]time.Duration), stops: make(map[verbenastand.HostID]context.CancelFunc)}
 	for i := range size {
 		id := verbenastand.HostID(fmt.Sprintf("h%d", i))
 		zone := verbenastand.Zone(fmt.Sprintf("z%d", i%3))
@@ -348,6 +358,18 @@
 	return ""
 }
 
+// forwardingHosts returns the hosts to which a reader of the given index sends batches for
+// other availability zones.
+func (f *fleet) forwardingHosts(readerIndex int) (ids []verbenastand.HostID) {
+	reader := f.followers[f.hostOfRank(readerIndex-readers)]
+	for zone, members := range reader.byZone(f.hosts) {
+		if zone != reader.config.Self.Zone() {
+			ids = append(ids, members[0].ID())
+		}
+	}
+	return ids
+}
+
 // stopFleet stops the followers of a test and waits until their messages have
 // arrived.
 func stopFleet(cancel context.CancelFunc) {
--- a/follower/fleet_test.go
+++ b/follower/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -258,40 +259,85 @@
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				defer stopFleet(cancel)
-				const size = 129
-				f := newFleet(size)
-				f.linkBytesPerSecond = 10_000_000 / 8
-				f.store.write(func(r verbenastand.Revision) verbenastand.Change { return table(r, 1) })
-				f.run(ctx)
-				time.Sleep(10 * time.Second)
-				// The worst time is right after a confirmation, when standby hosts wait longest.
-				for f.followers["h5"].Staleness() > 100*time.Millisecond {
-					time.Sleep(10 * time.Millisecond)
-				}
-				f.mu.Lock()
-				f.store.mu.Lock()
-				f.store.responseDelay = 800 * time.Millisecond
-				tc.disturb(f)
-				partitioned := len(f.partitioned)
-				f.store.mu.Unlock()
-				f.mu.Unlock()
-				f.store.write(func(r verbenastand.Revision) verbenastand.Change { return largeTable(r, 1480) })
-				time.Sleep(2500 * time.Millisecond)
-				behind := 0
-				for _, member := range f.followers {
-					if member.View().Table().Version() != 2 {
-						behind++
-					}
-				}
-				require.LessOrEqual(t, behind, partitioned)
-			})
+			testLargeTable(t, fullLink, 800*time.Millisecond, tc.disturb)
+		})
+	}
+}
+
+// Guards against hosts that wait for the next broadcast, or until they read the store
+// themselves, because the host that forwards changes to them is gone or slow (issue 44, CONFIG).
+func TestLargeTableBesideFailedForwardingHosts(t *testing.T) {
+	cases := []struct {
+		name    string
+		disturb func(f *fleet)
+	}{
+		{"the forwarding hosts of both readers do not respond", func(f *fleet) {
+			for _, id := range slices.Concat(f.forwardingHosts(0), f.forwardingHosts(1)) {
+				f.unresponsive[id] = true
+			}
+		}},
+		{"the forwarding hosts of one reader do not respond, and the other reader is partitioned", func(f *fleet) {
+			for _, id := range f.forwardingHosts(0) {
+				f.unresponsive[id] = true
+			}
+			second := f.hostOfRank(-1)
+			f.partitioned[second], f.store.down[second] = true, true
+		}},
+		{"the forwarding hosts of both readers are slow", func(f *fleet) {
+			for _, id := range slices.Concat(f.forwardingHosts(0), f.forwardingHosts(1)) {
+				f.handlingTime[id] = time.Second
+			}
+		}},
+	}
+	// Requests of callers take three quarters of each link, so that the table takes longer to
+	// arrive from the store.
+	const link, responseDelay = fullLink / 4, 1300 * time.Millisecond
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			testLargeTable(t, link, responseDelay, tc.disturb)
 		})
 	}
 }
 
+// fullLink is the rate of a 10 Mbit/s link in bytes per second.
+const fullLink = 10_000_000 / 8
+
+// testLargeTable checks that a table of 1,480 routes is in effect in time on all of 129 hosts
+// but the disturbed ones.
+func testLargeTable(t *testing.T, link int, responseDelay time.Duration, disturb func(f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer stopFleet(cancel)
+		const size = 129
+		f := newFleet(size)
+		f.linkBytesPerSecond = link
+		f.store.write(func(r verbenastand.Revision) verbenastand.Change { return table(r, 1) })
+		f.run(ctx)
+		time.Sleep(10 * time.Second)
+		// The worst time is right after a confirmation, when standby hosts wait longest.
+		for f.followers["h5"].Staleness() > 100*time.Millisecond {
+			time.Sleep(10 * time.Millisecond)
+		}
+		f.mu.Lock()
+		f.store.mu.Lock()
+		f.store.responseDelay = responseDelay
+		disturb(f)
+		disturbed := len(f.partitioned) + len(f.unresponsive) + len(f.handlingTime)
+		f.store.mu.Unlock()
+		f.mu.Unlock()
+		f.store.write(func(r verbenastand.Revision) verbenastand.Change { return largeTable(r, 1480) })
+		time.Sleep(2500 * time.Millisecond)
+		behind := 0
+		for _, member := range f.followers {
+			if member.View().Table().Version() != 2 {
+				behind++
+			}
+		}
+		require.LessOrEqual(t, behind, disturbed)
+	})
+}
+
 // largeTable returns version 2 of the table, with the given number of routes.
 func largeTable(revision verbenastand.Revision, routes int) verbenastand.Change {
 	c := verbenastand.RouteTableConfig{Version: 2, Services: make(map[verbenastand.ServiceName]verbenastand.ServiceSettings)}
--- a/follower/read.go
+++ b/follower/read.go
@@ -59,6 +59,9 @@
 	standbyMaxBackoff = 3 * time.Second
 	// relayTimeout bounds a short message to a peer.
 	relayTimeout = 600 * time.Millisecond
+	// relayResponseTime is how long a peer usually takes to respond to a short message. A host
+	// that takes longer is slow or gone, and another one forwards in its place.
+	relayResponseTime = 250 * time.Millisecond
 	// minRelayRate is the rate, in bytes per second, below which a longer message is
 	// abandoned: a tenth of a 10 Mbit/s link.
 	minRelayRate = 125_000
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	verbenastand "github.com/verbenastand/verbenastand"
@@ -96,38 +97,71 @@
 
 // send sends a batch to a peer, followed by the changes that the peer still lacks.
 // A large batch is announced first, since the peer may have received it from
-// another host.
+// another host. If the peer does not respond soon, another one forwards the batch in its
+// place.
 func (f *Follower) send(ctx context.Context, b batch, to subtree) {
+	late := sync.OnceFunc(func() { f.replaceRoot(ctx, b, to) })
 	if !b.large() {
-		known, err := f.exchange(ctx, b, to)
+		known, err := f.exchange(ctx, b, to, late)
 		if err != nil || !known.Before(b.position()) {
 			return
 		}
 		b = f.changesSince(known)
 	}
 	if b.large() {
-		f.largeSends <- struct{}{}
-		defer func() { <-f.largeSends }()
-		known, err := f.exchange(ctx, b.announcement(), to)
+		known, release, err := f.announce(ctx, b, to, late)
+		defer release()
 		if err != nil || !known.Before(b.position()) {
 			return
 		}
 		b = f.changesSince(known)
 	}
-	_, err := f.exchange(ctx, b, to)
+	_, err := f.exchange(ctx, b, to, late)
 	if err != nil {
 		f.config.OnEvent(Event{Name: "relayFailed", Key: string(to.root.ID()), Position: b.position(), Err: err})
 	}
 }
 
+// replaceRoot sends a batch to the descendants of a peer that does not respond.
+func (f *Follower) replaceRoot(ctx context.Context, b batch, to subtree) {
+	if len(to.descendants) == 0 {
+		return
+	}
+	f.config.OnEvent(Event{Name: "relayReplaced", Key: string(to.root.ID()), Position: b.position(), Staleness: f.Staleness()})
+	go f.send(ctx, b, subtree{root: to.descendants[0], descendants: to.descendants[1:]})
+}
+
+// announce returns the position known at a peer. If that is before the batch, it has
+// reserved one of the concurrent sends of large batches, which release ends. A peer that
+// does not respond takes none.
+func (f *Follower) announce(ctx context.Context, b batch, to subtree, late func()) (known verbenastand.Position, release func(), err error) {
+	release = func() {}
+	known, err = f.exchange(ctx, b.announcement(), to, late)
+	if err != nil || !known.Before(b.position()) {
+		return known, release, err
+	}
+	release = func() { <-f.largeSends }
+	select {
+	case f.largeSends <- struct{}{}:
+		return known, release, nil
+	default:
+	}
+	f.largeSends <- struct{}{}
+	// The peer may have received the batch from another host meanwhile.
+	known, err = f.exchange(ctx, b.announcement(), to, late)
+	return known, release, err
+}
+
 // exchange sends a batch to a peer and returns the position known there. If the peer
-// holds other states than this host, both learn of them.
-func (f *Follower) exchange(ctx context.Context, b batch, to subtree) (verbenastand.Position, error) {
+// holds other states than this host, both learn of them. late is called if there is no
+// response, or none in time.
+func (f *Follower) exchange(ctx context.Context, b batch, to subtree, late func()) (verbenastand.Position, error) {
 	for _, h := range to.descendants {
 		b.forwardTo = append(b.forwardTo, h.ID())
 	}
-	m, err := f.relay(ctx, b, to.root)
+	m, err := f.relay(ctx, b, to.root, late)
 	if err != nil {
+		late()
 		return verbenastand.Position{}, err
 	}
 	f.noteNewest(m.position())
@@ -136,7 +170,7 @@
 	}
 	f.apply(batch{era: m.position().Era, after: m.position().Revision, revision: m.position().Revision, held: m.heldChanges()})
 	if m.HeldDigest != f.heldDigest() {
-		_, err = f.relay(ctx, f.heldBatch(), to.root)
+		_, err = f.relay(ctx, f.heldBatch(), to.root, func() {})
 	}
 	return m.position(), err
 }
@@ -148,16 +182,19 @@
 	return batch{era: f.era, after: f.revision, revision: f.revision, held: f.heldChangesLocked()}
 }
 
-// relay sends a batch to a peer and returns its response.
-func (f *Follower) relay(ctx context.Context, b batch, peer verbenastand.Host) (message, error) {
+// relay sends a batch to a peer and returns its response. late is called if the response
+// takes longer than usual.
+func (f *Follower) relay(ctx context.Context, b batch, peer verbenastand.Host, late func()) (message, error) {
 	request := messageOf(b, f.config.Clock.Now())
 	request.HeldDigest = f.heldDigest()
 	data, err := encodeBatch(request, b)
 	if err != nil {
 		return message{}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, relayTimeout+time.Duration(len(data))*time.Second/minRelayRate)
+	transmission := time.Duration(len(data)) * time.Second / minRelayRate
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout+transmission)
 	defer cancel()
+	defer time.AfterFunc(relayResponseTime+transmission, late).Stop()
 	response, err := f.config.Relay.Relay(ctx, peer, data)
 	if err != nil {
 		return message{}, err
