Keep the batch that a replaced host's descendants get unchanged

The changes that a peer lacks now have a variable of their own; ./follower passes with the race detector.

--- a/follower/relay.go
+++ b/follower/relay.go
@@ -101,24 +101,25 @@
 // place.
 func (f *Follower) send(ctx context.Context, b batch, to subtree) {
 	late := sync.OnceFunc(func() { f.replaceRoot(ctx, b, to) })
-	if !b.large() {
-		known, err := f.exchange(ctx, b, to, late)
+	lacking := b
+	if !lacking.large() {
+		known, err := f.exchange(ctx, lacking, to, late)
 		if err != nil || !known.Before(b.position()) {
 			return
 		}
-		b = f.changesSince(known)
+		lacking = f.changesSince(known)
 	}
-	if b.large() {
-		known, release, err := f.announce(ctx, b, to, late)
+	if lacking.large() {
+		known, release, err := f.announce(ctx, lacking, to, late)
 		defer release()
-		if err != nil || !known.Before(b.position()) {
+		if err != nil || !known.Before(lacking.position()) {
 			return
 		}
-		b = f.changesSince(known)
+		lacking = f.changesSince(known)
 	}
-	_, err := f.exchange(ctx, b, to, late)
+	_, err := f.exchange(ctx, lacking, to, late)
 	if err != nil {
-		f.config.OnEvent(Event{Name: "relayFailed", Key: string(to.root.ID()), Position: b.position(), Err: err})
+		f.config.OnEvent(Event{Name: "relayFailed", Key: string(to.root.ID()), Position: lacking.position(), Err: err})
 	}
 }
 
