Let hosts with fast links read the store and forward changes

What callers saw: changes of large tables in force late (CONFIG).

Each host now advertises the bandwidth of its link (--link-mbps; on the users' platform from its settings), and the order in which hosts take on a task puts those with at least half of the fastest link first, still alternating availability zones. Without the setting, the order is as before. The second reader begins with the second host of a zone, so that both readers' forwarding hosts are fast and still differ. Hosts of earlier versions ignore the field and are taken for slow; while builds change, up to four hosts read.

--- a/configurer/gateway.go
+++ b/configurer/gateway.go
@@ -31,6 +31,8 @@
 	RetryAllowance float64       `long:"retry-allowance" env:"VERBENASTAND_RETRY_ALLOWANCE" default:"10" description:"Additional retries that all hosts together may send to a service in a window"`
 	RetryWindow    time.Duration `long:"retry-window" env:"VERBENASTAND_RETRY_WINDOW" default:"10s" description:"Window over which retries are counted"`
 
+	LinkMbps float64 `long:"link-mbps" env:"VERBENASTAND_LINK_MBPS" default:"0" description:"Bandwidth of the link of this host in Mbit/s, 0 if unknown; hosts with fast links read the store and forward changes for the others"`
+
 	MaxConcurrent int `long:"max-concurrent" env:"VERBENASTAND_MAX_CONCURRENT" default:"2000" description:"Maximum number of concurrent requests on this host"`
 
 	TraceEndpoint string  `long:"trace-endpoint" env:"VERBENASTAND_TRACE_ENDPOINT" description:"URL of an OTLP/HTTP collector; no tracing if empty"`
@@ -63,6 +65,7 @@
 		{"retry-ratio", g.RetryRatio, 0, 10},
 		{"retry-allowance", g.RetryAllowance, 0, 1e6},
 		{"max-concurrent", float64(g.MaxConcurrent), 1, 1e6},
+		{"link-mbps", g.LinkMbps, 0, 1e6},
 		{"trace-share", g.TraceShare, 0, 1},
 		{"log-share", g.LogShare, 0, 1},
 	})
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -7,7 +7,6 @@
 	"time"
 
 	verbenastand "github.com/verbenastand/verbenastand"
-	"github.com/verbenastand/verbenastand/placer"
 )
 
 // broadcast sends a batch to every peer. With more than maxDirectHosts hosts it sends
@@ -43,18 +42,28 @@
 // loss of one host delays only what one of them sends.
 func (f *Follower) byZone(hosts []verbenastand.Host) map[verbenastand.Zone][]verbenastand.Host {
 	zones := make(map[verbenastand.Zone][]verbenastand.Host)
-	for _, h := range f.others(placer.Homes(relayOrderKey, len(hosts), hosts)) {
+	for _, h := range f.others(order(relayOrderKey, hosts)) {
 		zones[h.Zone()] = append(zones[h.Zone()], h)
 	}
 	if readerIndex := max(0, f.rank()+readers) % readers; readerIndex > 0 {
 		for zone, members := range zones {
-			start := len(members) / readers * readerIndex
-			zones[zone] = slices.Concat(members[start:], members[:start])
+			zones[zone] = alternative(members)
 		}
 	}
 	return zones
 }
 
+// alternative returns hosts in another order, which begins with the second one and then
+// with hosts from the middle.
+func alternative(hosts []verbenastand.Host) []verbenastand.Host {
+	if len(hosts) < 2 {
+		return hosts
+	}
+	others := hosts[2:]
+	middle := len(others) / 2
+	return slices.Concat(hosts[1:2], others[middle:], others[:middle], hosts[:1])
+}
+
 // others returns the hosts except this one.
 func (f *Follower) others(hosts []verbenastand.Host) []verbenastand.Host {
 	others := make([]verbenastand.Host, 0, len(hosts))
--- a/follower/schedule.go
+++ b/follower/schedule.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"slices"
 	"time"
 
 	verbenastand "github.com/verbenastand/verbenastand"
@@ -24,6 +25,28 @@
 	return staleness > maxStaleness+wait
 }
 
+// order returns the hosts in the order in which they take on a task of the deployment, those
+// with fast links first. Leaving hosts are left out unless all are leaving.
+func order(key verbenastand.ServiceName, hosts []verbenastand.Host) []verbenastand.Host {
+	staying := slices.DeleteFunc(slices.Clone(hosts), verbenastand.Host.Leaving)
+	if len(staying) == 0 {
+		staying = hosts
+	}
+	fastest := 0
+	for _, h := range staying {
+		fastest = max(fastest, h.LinkMbps())
+	}
+	var fast, slow []verbenastand.Host
+	for _, h := range staying {
+		if h.LinkMbps() >= fastest/2 {
+			fast = append(fast, h)
+			continue
+		}
+		slow = append(slow, h)
+	}
+	return slices.Concat(placer.Homes(key, len(fast), fast), placer.Homes(key, len(slow), slow))
+}
+
 // readers is the number of hosts that regularly read the store.
 const readers = 2
 
@@ -42,7 +65,7 @@
 		return c.rank
 	}
 	c := &cachedRank{hosts: hosts, rank: len(hosts)}
-	for i, h := range placer.Homes(readerOrderKey, len(hosts), hosts) {
+	for i, h := range order(readerOrderKey, hosts) {
 		if h.ID() == f.config.Self.ID() {
 			c.rank = i - readers
 		}
--- a/gossiper/message.go
+++ b/gossiper/message.go
@@ -40,6 +40,8 @@
 	ImportedFrom []string `cbor:"11,keyasint,omitempty"`
 	// Detached is set while the host reaches no backend server.
 	Detached bool `cbor:"12,keyasint,omitempty"`
+	// LinkMbps is the bandwidth of the host's link in Mbit/s.
+	LinkMbps int `cbor:"13,keyasint,omitempty"`
 }
 
 // noticeRecord is the encoded form of a Notice.
@@ -109,7 +111,7 @@
 	return hostRecord{
 		Host: string(h.ID()), Boot: h.Instance().Boot(), Zone: string(h.Zone()),
 		CallAddress: h.CallAddress(), APIAddress: h.APIAddress(),
-		PeerAddress: h.PeerAddress(), Leaving: h.Leaving(), Detached: h.Detached(),
+		PeerAddress: h.PeerAddress(), Leaving: h.Leaving(), Detached: h.Detached(), LinkMbps: h.LinkMbps(),
 	}
 }
 
@@ -117,7 +119,7 @@
 	return verbenastand.NewHost(verbenastand.HostConfig{
 		Instance: verbenastand.NewInstance(verbenastand.HostID(r.Host), r.Boot), Zone: verbenastand.Zone(r.Zone),
 		CallAddress: r.CallAddress, APIAddress: r.APIAddress,
-		PeerAddress: r.PeerAddress, Leaving: r.Leaving, Detached: r.Detached,
+		PeerAddress: r.PeerAddress, Leaving: r.Leaving, Detached: r.Detached, LinkMbps: r.LinkMbps,
 	})
 }
 
--- a/host.go
+++ b/host.go
@@ -10,6 +10,7 @@
 	peerAddress string
 	leaving     bool
 	detached    bool
+	linkMbps    int
 }
 
 // HostConfig holds the values of a Host.
@@ -27,13 +28,15 @@
 	Leaving bool
 	// Detached is set while the host reaches no backend server.
 	Detached bool
+	// LinkMbps is the bandwidth of the host's link in Mbit/s, zero if unknown.
+	LinkMbps int
 }
 
 // NewHost returns a host.
 func NewHost(c HostConfig) Host {
 	return Host{
 		instance: c.Instance, zone: c.Zone, callAddress: c.CallAddress,
-		apiAddress: c.APIAddress, peerAddress: c.PeerAddress, leaving: c.Leaving, detached: c.Detached,
+		apiAddress: c.APIAddress, peerAddress: c.PeerAddress, leaving: c.Leaving, detached: c.Detached, linkMbps: c.LinkMbps,
 	}
 }
 
@@ -60,3 +63,6 @@
 
 // Detached reports whether the host reaches no backend server.
 func (h Host) Detached() bool { return h.detached }
+
+// LinkMbps returns the bandwidth of the host's link in Mbit/s, zero if unknown.
+func (h Host) LinkMbps() int { return h.linkMbps }
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -134,6 +134,7 @@
 		self: verbenastand.NewHost(verbenastand.HostConfig{
 			Instance: instance, Zone: verbenastand.Zone(s.Zone), CallAddress: s.CallAddress,
 			APIAddress: s.DirectoryAddress, PeerAddress: cmp.Or(s.PeerAdvertise, s.PeerAddress),
+			LinkMbps: int(s.LinkMbps),
 		}),
 	}
 	g.recorder = recorder.NewRecorder(recorder.Config{Log: c.Log, Meter: g.meter, Share: s.LogShare})
