Take over the hosts that a forwarding host does not know

What callers saw: changes late in an availability zone (CONFIG), where the host that forwards there has just started or returned from a partition. It forwarded only to the hosts of its own membership and still acknowledged the batch, so the others waited for the other reader, or until they read the store themselves. Class: an acknowledgement of more than has been done.

The response now names the hosts that were skipped, and the sender hands them to the next one. A host forwards in the order that it was given. At most three hosts in a row are replaced, so that a slow deployment is not flooded.

--- a/follower/convergence_test.go
+++ b/follower/convergence_test.go
@@ -162,7 +162,7 @@
 func (h *history) exchange(from *Follower, to verbenastand.Host) {
 	if from.config.Self.ID() != to.ID() {
 		f := from.changesSince(from.Position())
-		_, _ = from.exchange(context.Background(), f, subtree{root: to}, func() {})
+		_, _ = from.exchange(context.Background(), f, subtree{root: to})
 	}
 }
 
--- a/follower/fake_fleet_test.go
+++ b/follower/fake_fleet_test.go
@@ -188,6 +188,8 @@
 	partitioned map[verbenastand.HostID]bool
 	// unresponsive hosts send and answer nothing, and nobody is told.
 	unresponsive map[verbenastand.HostID]bool
+	// forgetful hosts know no other hosts, as after a long partition.
+	forgetful sync.Map
 	// handlingTime is how long a host takes to handle a message.
 	handlingTime map[verbenastand.HostID]time.Duration
 	// ctx ends with the test, and each of stops ends the process of a host.
@@ -203,6 +205,19 @@
 // Hosts implements the membership of every follower.
 func (f *fleet) Hosts() []verbenastand.Host { return f.hosts }
 
+// fleetMembership is the membership as one host knows it.
+type fleetMembership struct {
+	fleet *fleet
+	self  verbenastand.Host
+}
+
+func (m fleetMembership) Hosts() []verbenastand.Host {
+	if _, forgetful := m.fleet.forgetful.Load(m.self.ID()); forgetful {
+		return []verbenastand.Host{m.self}
+	}
+	return m.fleet.hosts
+}
+
 // delayedMembership holds only one host until the others are discovered.
 type delayedMembership struct {
 	fleet        *fleet
@@ -296,7 +311,7 @@
 func (f *fleet) newFollower(h verbenastand.Host) *Follower {
 	return NewFollower(Config{
 		Clock: wallClock{}, Store: storeClient{f.store, h.ID()}, Relay: fakeRelay{f, h.ID()},
-		Membership: f, Self: h, OnView: func(*verbenastand.View) {}, RegistrationLifetime: 4500 * time.Millisecond,
+		Membership: fleetMembership{f, h}, Self: h, OnView: func(*verbenastand.View) {}, RegistrationLifetime: 4500 * time.Millisecond,
 	})
 }
 
--- a/follower/fleet_test.go
+++ b/follower/fleet_test.go
@@ -283,6 +283,11 @@
 			second := f.hostOfRank(-1)
 			f.partitioned[second], f.store.down[second] = true, true
 		}},
+		{"the forwarding hosts of both readers know no other hosts", func(f *fleet) {
+			for _, id := range slices.Concat(f.forwardingHosts(0), f.forwardingHosts(1)) {
+				f.forgetful.Store(id, true)
+			}
+		}},
 		{"the forwarding hosts of both readers are slow", func(f *fleet) {
 			for _, id := range slices.Concat(f.forwardingHosts(0), f.forwardingHosts(1)) {
 				f.handlingTime[id] = time.Second
--- a/follower/message.go
+++ b/follower/message.go
@@ -44,6 +44,8 @@
 	// HeldDigest identifies all of them.
 	Held       []heldRecord `cbor:"12,keyasint,omitempty"`
 	HeldDigest uint64       `cbor:"13,keyasint,omitempty"`
+	// Skipped are, in a response, the hosts of ForwardTo that the receiver does not know.
+	Skipped []string `cbor:"14,keyasint,omitempty"`
 }
 
 type heldRecord struct {
--- a/follower/read.go
+++ b/follower/read.go
@@ -62,6 +62,8 @@
 	// relayResponseTime is how long a peer usually takes to respond to a short message. A host
 	// that takes longer is slow or gone, and another one forwards in its place.
 	relayResponseTime = 250 * time.Millisecond
+	// maxReplacements bounds the hosts that take the place of one that does not forward.
+	maxReplacements = 3
 	// minRelayRate is the rate, in bytes per second, below which a longer message is
 	// abandoned: a tenth of a 10 Mbit/s link.
 	minRelayRate = 125_000
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -35,6 +35,18 @@
 type subtree struct {
 	root        verbenastand.Host
 	descendants []verbenastand.Host
+	// handOver sends a batch to descendants to which the root does not forward it; nil if
+	// there are none.
+	handOver func(descendants []verbenastand.Host)
+	// replaced counts the peers that were to forward the batch before.
+	replaced int
+}
+
+// replaceRoot hands all descendants over.
+func (s subtree) replaceRoot() {
+	if s.handOver != nil {
+		s.handOver(s.descendants)
+	}
 }
 
 // byZone returns the other hosts of each availability zone. In another zone, the
@@ -109,44 +121,50 @@
 // another host. If the peer does not respond soon, another one forwards the batch in its
 // place.
 func (f *Follower) send(ctx context.Context, b batch, to subtree) {
-	late := sync.OnceFunc(func() { f.replaceRoot(ctx, b, to) })
+	to.handOver = f.handOver(ctx, b, to)
 	lacking := b
 	if !lacking.large() {
-		known, err := f.exchange(ctx, lacking, to, late)
+		known, err := f.exchange(ctx, lacking, to)
 		if err != nil || !known.Before(b.position()) {
 			return
 		}
 		lacking = f.changesSince(known)
 	}
 	if lacking.large() {
-		known, release, err := f.announce(ctx, lacking, to, late)
+		known, release, err := f.announce(ctx, lacking, to)
 		defer release()
 		if err != nil || !known.Before(lacking.position()) {
 			return
 		}
 		lacking = f.changesSince(known)
 	}
-	_, err := f.exchange(ctx, lacking, to, late)
+	_, err := f.exchange(ctx, lacking, to)
 	if err != nil {
 		f.config.OnEvent(Event{Name: "relayFailed", Key: string(to.root.ID()), Position: lacking.position(), Err: err})
 	}
 }
 
-// replaceRoot sends a batch to the descendants of a peer that does not respond.
-func (f *Follower) replaceRoot(ctx context.Context, b batch, to subtree) {
-	if len(to.descendants) == 0 {
-		return
+// handOver returns a function that sends a batch to descendants of a peer that does not
+// forward it to them. Only its first call has an effect.
+func (f *Follower) handOver(ctx context.Context, b batch, to subtree) func(descendants []verbenastand.Host) {
+	var once sync.Once
+	return func(descendants []verbenastand.Host) {
+		if len(descendants) == 0 || to.replaced == maxReplacements {
+			return
+		}
+		once.Do(func() {
+			f.config.OnEvent(Event{Name: "relayReplaced", Key: string(to.root.ID()), Position: b.position(), Staleness: f.Staleness()})
+			go f.send(ctx, b, subtree{root: descendants[0], descendants: descendants[1:], replaced: to.replaced + 1})
+		})
 	}
-	f.config.OnEvent(Event{Name: "relayReplaced", Key: string(to.root.ID()), Position: b.position(), Staleness: f.Staleness()})
-	go f.send(ctx, b, subtree{root: to.descendants[0], descendants: to.descendants[1:]})
 }
 
 // announce returns the position known at a peer. If that is before the batch, it has
 // reserved one of the concurrent sends of large batches, which release ends. A peer that
 // does not respond takes none.
-func (f *Follower) announce(ctx context.Context, b batch, to subtree, late func()) (known verbenastand.Position, release func(), err error) {
+func (f *Follower) announce(ctx context.Context, b batch, to subtree) (known verbenastand.Position, release func(), err error) {
 	release = func() {}
-	known, err = f.exchange(ctx, b.announcement(), to, late)
+	known, err = f.exchange(ctx, b.announcement(), to)
 	if err != nil || !known.Before(b.position()) {
 		return known, release, err
 	}
@@ -158,29 +176,34 @@
 	}
 	f.largeSends <- struct{}{}
 	// The peer may have received the batch from another host meanwhile.
-	known, err = f.exchange(ctx, b.announcement(), to, late)
+	known, err = f.exchange(ctx, b.announcement(), to)
 	return known, release, err
 }
 
 // exchange sends a batch to a peer and returns the position known there. If the peer
-// holds other states than this host, both learn of them. late is called if there is no
-// response, or none in time.
-func (f *Follower) exchange(ctx context.Context, b batch, to subtree, late func()) (verbenastand.Position, error) {
+// holds other states than this host, both learn of them. Descendants to which the peer
+// does not forward the batch, or not in time, are handed over.
+func (f *Follower) exchange(ctx context.Context, b batch, to subtree) (verbenastand.Position, error) {
 	for _, h := range to.descendants {
 		b.forwardTo = append(b.forwardTo, h.ID())
 	}
-	m, err := f.relay(ctx, b, to.root, late)
+	m, err := f.relay(ctx, b, to)
 	if err != nil {
-		late()
+		to.replaceRoot()
 		return verbenastand.Position{}, err
 	}
+	if len(m.Skipped) > 0 && to.handOver != nil {
+		to.handOver(slices.DeleteFunc(slices.Clone(to.descendants), func(h verbenastand.Host) bool {
+			return !slices.Contains(m.Skipped, string(h.ID()))
+		}))
+	}
 	f.noteNewest(m.position())
 	if m.position() != f.Position() || m.HeldDigest == f.heldDigest() {
 		return m.position(), nil
 	}
 	f.apply(batch{era: m.position().Era, after: m.position().Revision, revision: m.position().Revision, held: m.heldChanges()})
 	if m.HeldDigest != f.heldDigest() {
-		_, err = f.relay(ctx, f.heldBatch(), to.root, func() {})
+		_, err = f.relay(ctx, f.heldBatch(), subtree{root: to.root})
 	}
 	return m.position(), err
 }
@@ -192,9 +215,9 @@
 	return batch{era: f.era, after: f.revision, revision: f.revision, held: f.heldChangesLocked()}
 }
 
-// relay sends a batch to a peer and returns its response. late is called if the response
-// takes longer than usual.
-func (f *Follower) relay(ctx context.Context, b batch, peer verbenastand.Host, late func()) (message, error) {
+// relay sends a batch to the root of a subtree and returns its response. The root is
+// replaced if its response takes longer than usual.
+func (f *Follower) relay(ctx context.Context, b batch, to subtree) (message, error) {
 	request := messageOf(b, f.config.Clock.Now())
 	request.HeldDigest = f.heldDigest()
 	data, err := encodeBatch(request, b)
@@ -204,26 +227,32 @@
 	transmission := time.Duration(len(data)) * time.Second / minRelayRate
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout+transmission)
 	defer cancel()
-	defer time.AfterFunc(relayResponseTime+transmission, late).Stop()
-	response, err := f.config.Relay.Relay(ctx, peer, data)
+	defer time.AfterFunc(relayResponseTime+transmission, to.replaceRoot).Stop()
+	response, err := f.config.Relay.Relay(ctx, to.root, data)
 	if err != nil {
 		return message{}, err
 	}
 	return decode(response)
 }
 
-// forward sends a batch to the peers that its sender delegated to this host. Those
-// that are not in the membership of this host yet receive the changes from the next
-// reader.
-func (f *Follower) forward(b batch) {
-	var peers []verbenastand.Host
+// forward sends a batch to the peers that its sender delegated to this host. It returns
+// those that are not in the membership of this host, which has just started or was cut off.
+func (f *Follower) forward(b batch) (skipped []string) {
+	byID := make(map[verbenastand.HostID]verbenastand.Host)
 	for _, h := range f.others(f.config.Membership.Hosts()) {
-		if slices.Contains(b.forwardTo, h.ID()) {
+		byID[h.ID()] = h
+	}
+	var peers []verbenastand.Host
+	for _, id := range b.forwardTo {
+		if h, known := byID[id]; known {
 			peers = append(peers, h)
+			continue
 		}
+		skipped = append(skipped, string(id))
 	}
 	b.forwardTo = nil
 	f.sendAll(context.Background(), b, f.subtrees(b, peers))
+	return skipped
 }
 
 // pull requests the changes that a peer knows and applies them.
@@ -256,10 +285,13 @@
 		return encode(f.changesSince(verbenastand.Position{Era: verbenastand.Era(m.Era), Revision: verbenastand.Revision(m.After)}), now)
 	}
 	b := m.batch(now)
+	var skipped []string
 	if f.apply(b) {
-		f.forward(b)
+		skipped = f.forward(b)
 	}
-	return encodeMessage(f.response(m))
+	response := f.response(m)
+	response.Skipped = skipped
+	return encodeMessage(response)
 }
 
 // response returns this host's position, and the states that it holds if the sender of a
