--- a/follower/fake_fleet_test.go
+++ b/follower/fake_fleet_test.go
@@ -186,7 +186,7 @@
 	followers   map[verbenastand.HostID]*Follower
 	mu          sync.Mutex
 	partitioned map[verbenastand.HostID]bool
-	// unresponsive hosts send and answer nothing, and nobody is told.
+	// unresponsive hosts neither send nor answer messages.
 	unresponsive map[verbenastand.HostID]bool
 	// forgetful hosts know no other hosts, as after a long partition.
 	forgetful sync.Map
