--- a/carrier/load_test.go
+++ b/carrier/load_test.go
@@ -42,7 +42,11 @@
 	slow       int
 	slowFactor float64
 	// load is the request rate as a multiple of the servers' capacity.
-	load   float64
+	load float64
+	// retries is the number of times that a caller returns after a refusal.
+	retries int
+	// seed changes arrivals and servers.
+	seed   uint64
 	length time.Duration
 	// bulkShare is the fraction of the requests that are less urgent and take bulkWork.
 	bulkShare float64
@@ -57,7 +61,7 @@
 	c := modelConfig{
 		hosts: 14, servers: 12, slots: 6, queue: 12, work: 76 * time.Millisecond,
 		noise: 0.25, noiseFactor: 5, noisePhase: 150 * time.Millisecond, saturationPoint: 0.8, saturationFactor: 1.7,
-		load: 0.7, length: 4 * time.Second,
+		load: 0.7, retries: 1, length: 4 * time.Second,
 	}
 	change(&c)
 	return c
@@ -185,14 +189,17 @@
 	late         atomic.Int64
 	refused      atomic.Int64
 	slowRefusals atomic.Int64
-	callers      sync.WaitGroup
+	// refusals counts the responses that refuse a request, also those to retries, and
+	// heldNanos is the time that callers waited for them.
+	refusals, heldNanos atomic.Int64
+	callers             sync.WaitGroup
 }
 
 func newModel(t *testing.T, c modelConfig) *model {
 	m := &model{config: c}
 	var shared []*backend
 	for i := range c.servers {
-		s := &modelServer{config: c, factor: 1, slowdown: 1, random: rand.New(rand.NewPCG(uint64(i), 1)), noise: rand.New(rand.NewPCG(uint64(i), 2))}
+		s := &modelServer{config: c, factor: 1, slowdown: 1, random: rand.New(rand.NewPCG(uint64(i), 1+2*c.seed)), noise: rand.New(rand.NewPCG(uint64(i), 2+2*c.seed))}
 		if i < c.slow {
 			s.factor = c.slowFactor
 		}
@@ -207,25 +214,37 @@
 	return m
 }
 
-// call is one request of a caller, with a single retry after the Retry-After delay.
+// callerTimeout is how long a caller waits for a response, with all of its retries.
+const callerTimeout = 1200 * time.Millisecond
+
+// call is one request of a caller that returns after the Retry-After delay if it has the
+// time.
 func (m *model) call(host int, id string) {
 	began := time.Now()
 	m.offered.Add(1)
-	for try := range 2 {
+	for try := 0; ; try++ {
+		left := callerTimeout - time.Since(began)
+		tried := time.Now()
 		conn := m.harnesses[host].connect()
-		_, _ = io.WriteString(conn, "GET /x/1 HTTP/1.1\r\nHost: a.example\r\nX-Id: "+id+"\r\nX-Deadline: 1200\r\n\r\n")
+		_, _ = fmt.Fprintf(conn, "GET /x/1 HTTP/1.1\r\nHost: a.example\r\nX-Id: %s\r\nX-Deadline: %d\r\n\r\n", id, left.Milliseconds())
 		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 		_ = conn.Close()
 		if err != nil || response.StatusCode != http.StatusServiceUnavailable {
 			m.countResponse(response, err, time.Since(began))
 			return
 		}
+		m.heldNanos.Add(int64(time.Since(tried)))
+		m.refusals.Add(1)
 		if try == 0 && time.Since(began) > target/2 {
 			m.slowRefusals.Add(1)
 		}
 		var seconds float64
 		_, _ = fmt.Sscan(response.Header.Get("Retry-After"), &seconds)
-		time.Sleep(time.Duration(seconds * float64(time.Second)))
+		delay := time.Duration(seconds * float64(time.Second))
+		if try == m.config.retries || time.Since(began)+delay >= callerTimeout {
+			break
+		}
+		time.Sleep(delay)
 	}
 	m.refused.Add(1)
 }
@@ -247,7 +266,7 @@
 	for _, s := range m.servers {
 		go s.simulateNoise(ctx)
 	}
-	random := rand.New(rand.NewPCG(7, 7))
+	random := rand.New(rand.NewPCG(7, 7+m.config.seed))
 	rate := m.config.load * m.config.capacity()
 	end := time.Now().Add(m.config.length)
 	for i := 0; time.Now().Before(end); i++ {
