Let a request wait for its caller's time, those in time first

Callers saw: requests refused 124 ms after their arrival whose callers had 1.5 s left, while the servers were free 200 ms later.

Cause: a request waited for a lightly loaded server only until its target latency could no longer be met, and was then refused if other requests waited, too. The target latency is the time for full use of a response. It orders requests; it does not end the time of a caller. Whoever was refused so also overtook the queue: a last choice of a server was made without it.

Now a request waits as long as it is expected to be served before its deadline. The queue sends by priority level, then those that can still meet their target before those that can only meet their deadline, so that late ones make no others late, then by the time by which they have to be sent. A request is refused as soon as those ahead of it almost certainly take longer than it has (two standard deviations of the time between grants, counted per level and for late requests apart: what goes to requests ahead of a class takes time from it). Servers that give nothing to anybody tell nothing of how long that lasts. Limits that all servers name tell it exactly. A full queue refuses its last request in order, not the newest.

A server that is slower than usual is taken once no lightly loaded one was found for as long as waiting for one can gain. That replaces the last choice of two servers (lateChecks).

--- /dev/null
+++ b/balancer/admit.go
@@ -0,0 +1,175 @@
+package balancer
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+)
+
+// ErrNoCapacity means that no server is expected to respond before the deadline.
+var ErrNoCapacity = errors.New("balancer: no server is expected to respond before the deadline")
+
+// NoCapacityError is the ErrNoCapacity of a request that would have had to wait.
+type NoCapacityError struct {
+	// Wait is the expected time until the requests ahead have been sent.
+	Wait time.Duration
+}
+
+// Error implements error.
+func (e *NoCapacityError) Error() string { return ErrNoCapacity.Error() }
+
+// Is implements the interface of errors.Is.
+func (e *NoCapacityError) Is(target error) bool { return target == ErrNoCapacity }
+
+// Admit returns a server for a first attempt. If there is no lightly loaded or sufficient one,
+// it waits, at most until Query.StartBy. It returns a NoCapacityError as soon as no server is
+// expected to respond before the deadline.
+func (s *Service) Admit(ctx context.Context, q Query) (Choice, error) {
+	w := &waiter{query: q, arrived: s.clock.Now(), granted: make(chan grant, 1)}
+	if s.isNext(w) {
+		choice, err := s.Choose(ctx, q)
+		excluded := errors.Is(err, ErrLimited) || errors.Is(err, ErrPaused)
+		allowedSoon := excluded && s.clock.Now().Add(s.Wait()).Before(q.StartBy)
+		if !allowedSoon && (err != nil || s.take(w, choice)) {
+			return choice, err
+		}
+		choice.Release()
+	}
+	if err := s.enqueue(w); err != nil {
+		return Choice{}, err
+	}
+	timer := time.NewTimer(q.StartBy.Sub(s.clock.Now()))
+	defer timer.Stop()
+	var err error = &NoCapacityError{}
+	select {
+	case g := <-w.granted:
+		return g.choice, g.err
+	case <-timer.C:
+	case <-ctx.Done():
+		err = context.Cause(ctx)
+	}
+	if s.dequeue(w) {
+		return Choice{}, err
+	}
+	g := <-w.granted
+	return g.choice, g.err
+}
+
+// isNext reports whether no request waits that goes before a new one.
+func (s *Service) isNext(w *waiter) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !slices.ContainsFunc(s.queue.waiters, func(other *waiter) bool { return other.before(w, w.arrived) })
+}
+
+// take reports whether a request is sent to the server of a choice rather than to wait.
+func (s *Service) take(w *waiter, c Choice) bool {
+	if c.Sufficient {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	if c.LightlyLoaded {
+		s.queue.lightlyLoadedAt = now
+		return true
+	}
+	return s.takesSlowLocked(w, c, now)
+}
+
+// Waiting returns the number of requests that wait.
+func (s *Service) Waiting() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.queue.waiters)
+}
+
+// enqueue adds a request, unless it is expected to be sent too late. If the queue is full, the
+// last one in order is refused.
+func (s *Service) enqueue(w *waiter) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q := &s.queue
+	now := s.clock.Now()
+	if len(q.waiters) == 0 {
+		q.begin(now)
+	}
+	if err := s.expectLocked(w, s.allowance(), now); err != nil {
+		return err
+	}
+	q.waiters = append(q.waiters, w)
+	if len(q.waiters) > maxQueue {
+		last := q.ordered(now)[maxQueue]
+		s.refuseLocked(last, &NoCapacityError{Wait: q.backlog(last.class(now)).expected(len(q.waiters))})
+	}
+	if !q.checking {
+		q.checking = true
+		go s.checkServers()
+	}
+	return nil
+}
+
+// expectLocked returns a NoCapacityError if a request is not expected to be sent by the time
+// by which it has to be.
+func (s *Service) expectLocked(w *waiter, a allowance, now time.Time) error {
+	q := &s.queue
+	class := w.class(now)
+	q.assume(class.level, s.Expected(w.query.Route)/time.Duration(max(1, len(s.Servers()))))
+	ahead := q.ahead(w, class, now)
+	allowed := a.after(q.aheadOf(w, now))
+	wait := max(allowed, q.backlog(class).least(ahead))
+	if !class.late && !now.Add(wait).After(w.query.InTimeBy) {
+		return nil
+	}
+	late := backlogClass{level: class.level, late: true}
+	if !now.Add(max(wait, q.backlog(late).least(q.ahead(w, late, now)))).After(w.query.StartBy) {
+		return nil
+	}
+	return &NoCapacityError{Wait: max(allowed, q.backlog(class).expected(ahead))}
+}
+
+func (s *Service) dequeue(w *waiter) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.queue.remove(w)
+}
+
+func (s *Service) refuseLocked(w *waiter, err error) {
+	s.queue.remove(w)
+	w.granted <- grant{err: err}
+}
+
+// refuseHopeless refuses the waiting requests that are no longer expected to be sent in time.
+func (s *Service) refuseHopeless() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	allowance := s.allowance()
+	ahead := make(map[backlogClass]int)
+	for i, w := range s.queue.ordered(now) {
+		class := w.class(now)
+		wait := max(allowance.after(i), s.queue.backlog(class).least(ahead[class]))
+		ahead[class]++
+		if !now.Add(wait).After(w.startBy(now)) {
+			continue
+		}
+		if err := s.expectLocked(w, allowance, now); err != nil {
+			s.refuseLocked(w, err)
+			ahead[class]--
+		}
+	}
+}
+
+// refuseExcluded refuses the waiting requests that no server takes in time, while all
+// servers are excluded for the reason given.
+func (s *Service) refuseExcluded(reason error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	possible := s.clock.Now().Add(s.Wait())
+	for _, w := range slices.Clone(s.queue.waiters) {
+		if errors.Is(reason, ErrNoServer) || possible.After(w.query.StartBy) {
+			s.refuseLocked(w, reason)
+		}
+	}
+}
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -125,6 +125,7 @@
 func newService(b *Balancer, n verbenastand.ServiceName) *Service {
 	s := &Service{balancer: b, clock: b.config.Clock, name: n, profile: newProfile()}
 	s.admissions.levels = make(map[int]*admissionCount)
+	s.queue = newQueue()
 	s.settings.Store(&verbenastand.ServiceSettings{})
 	s.servers.Store(&[]*Server{})
 	return s
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -59,6 +59,10 @@
 // Query describes the request that a server is chosen for.
 type Query struct {
 	Route verbenastand.Route
+	// InTimeBy is the latest time to send the request so that the response is expected
+	// within the target latency of the route, StartBy so that it is expected before the
+	// deadline. Both are used by Admit only.
+	InTimeBy, StartBy time.Time
 	// Tried holds servers that must not be chosen again.
 	Tried []*Server
 	// Avoided are losses of connections by the request on other hosts. Their servers are
@@ -244,6 +248,39 @@
 	return shortest
 }
 
+// allowance tells when the servers of a service may get requests.
+type allowance struct {
+	// wait is the time until one of them may get a request.
+	wait time.Duration
+	// interval is the time between two requests after that, zero unless all servers name limits.
+	interval time.Duration
+}
+
+// after returns the time until a request may be sent after a number of others.
+func (a allowance) after(others int) time.Duration {
+	return a.wait + time.Duration(others)*a.interval
+}
+
+// longestLimitInterval bounds the time between two requests while all servers name limits.
+const longestLimitInterval = time.Minute
+
+func (s *Service) allowance() allowance {
+	a := allowance{wait: s.Wait()}
+	var rate verbenastand.RequestRate
+	for _, server := range s.Servers() {
+		if e, excluded := server.exclusion(); excluded && e.Leaving {
+			continue
+		}
+		share, limited := server.limiter().Share(server.Registration().Process())
+		if !limited {
+			return a
+		}
+		rate += share
+	}
+	a.interval = rate.Interval(longestLimitInterval)
+	return a
+}
+
 func compareBool(a, b bool) int {
 	if a == b {
 		return 0
--- /dev/null
+++ b/balancer/grant.go
@@ -0,0 +1,175 @@
+package balancer
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// checkInterval is the time between two rounds of checks while requests wait; the
+	// load that other tenants put on a machine changes within tens of milliseconds.
+	checkInterval = 15 * time.Millisecond
+	// exploreEvery is the number of rounds of checks of which one disregards whether
+	// a server has an idle connection. The others prefer those that have: a new
+	// connection costs a server as much as many checks.
+	exploreEvery = 6
+	// maxQueue bounds the requests that wait for one service.
+	maxQueue = 256
+)
+
+func (s *Service) grantLocked(w *waiter, c Choice, now time.Time) {
+	class := w.class(now)
+	s.queue.remove(w)
+	for other, b := range s.queue.backlogs {
+		if class.compare(other) < 0 && len(s.queue.waiters) > 0 {
+			b.recordOvertaken(now)
+		} else {
+			b.recordGrant(now)
+		}
+	}
+	if c.LightlyLoaded {
+		s.queue.lightlyLoadedAt = now
+	}
+	w.granted <- grant{choice: c}
+}
+
+// grantCapacity assigns the free capacity of a server that has just reported its
+// load to waiting requests. The first of them gets conn; without one it is released.
+func (s *Service) grantCapacity(server *Server, conn Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for {
+		now := s.clock.Now()
+		w := s.queue.first(now)
+		if w == nil {
+			break
+		}
+		choice, ok := server.reserve(w.query, Choice.lightlyLoaded)
+		if !ok {
+			break
+		}
+		choice.Conn, conn = conn, nil
+		s.grantLocked(w, choice, now)
+	}
+	if conn != nil {
+		conn.Release()
+	}
+}
+
+func (c Choice) lightlyLoaded() bool { return c.LightlyLoaded }
+
+// grantSlow assigns a server that is slower than usual to the first waiting request that takes
+// it.
+func (s *Service) grantSlow(server *Server, conn Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	for _, w := range s.queue.ordered(now) {
+		choice, ok := server.reserve(w.query, func(c Choice) bool { return s.takesSlowLocked(w, c, now) })
+		if ok {
+			choice.Conn = conn
+			s.grantLocked(w, choice, now)
+			return
+		}
+	}
+	conn.Release()
+}
+
+func (c Choice) unsaturated() bool { return !c.Saturated && !c.Full }
+
+// takesSlowLocked reports whether a request is sent to a server that is slower than usual: it
+// responds in time, and none that is lightly loaded was found for as long as the request can
+// gain by waiting for one. Its slot is taken for longer, too.
+func (s *Service) takesSlowLocked(w *waiter, offer Choice, now time.Time) bool {
+	extra := offer.Estimate - s.Expected(w.query.Route)
+	return offer.unsaturated() && !now.Add(extra).After(w.query.StartBy) && now.Sub(s.queue.lightlyLoadedAt) >= extra
+}
+
+// checkServers checks servers until no request waits.
+func (s *Service) checkServers() {
+	for round := 1; ; round++ {
+		s.refuseHopeless()
+		s.mu.Lock()
+		first := s.queue.first(s.clock.Now())
+		if first == nil {
+			s.queue.checking = false
+			s.mu.Unlock()
+			return
+		}
+		s.mu.Unlock()
+		candidates, err := s.candidates(first.query)
+		if len(candidates) == 0 {
+			s.refuseExcluded(err)
+		}
+		for _, crossZone := range []bool{false, true} {
+			if server := stalestCandidate(candidates, crossZone, round%exploreEvery != 0); server != nil {
+				s.checkAndGrant(first.query, server)
+			}
+		}
+		time.Sleep(checkInterval)
+	}
+}
+
+// stalestCandidate returns the preferred candidate with the oldest report, inside or
+// outside of the local availability zone. If connectedFirst is set, candidates with
+// an idle connection go first.
+func stalestCandidate(candidates []candidate, crossZone, connectedFirst bool) *Server {
+	var oldest candidate
+	for _, c := range candidates {
+		if c.tier != tierPreferred || c.crossZone != crossZone {
+			continue
+		}
+		if oldest.server == nil || c.checkBefore(oldest, connectedFirst) {
+			oldest = c
+		}
+	}
+	return oldest.server
+}
+
+// checkBefore reports whether c should be checked before other.
+func (c candidate) checkBefore(other candidate, connectedFirst bool) bool {
+	if connectedFirst && c.connected != other.connected {
+		return c.connected
+	}
+	return c.lastReport.Before(other.lastReport)
+}
+
+// checkAndGrant checks a server and assigns its free capacity to the waiters.
+func (s *Service) checkAndGrant(q Query, server *Server) {
+	choice, _, ok := s.evaluate(context.Background(), q, server)
+	switch {
+	case !ok:
+	case choice.LightlyLoaded:
+		s.grantCapacity(server, choice.Conn)
+	default:
+		s.grantSlow(server, choice.Conn)
+	}
+}
+
+// reserve counts a request as about to be sent, if its choice is accepted.
+func (s *Server) reserve(q Query, accept func(Choice) bool) (Choice, bool) {
+	choice, ok := s.estimate(q, checkInterval)
+	if !ok || !accept(choice) || !choice.count() {
+		return Choice{}, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reserved++
+	choice.reserved = true
+	return choice, true
+}
+
+// Release gives up an unused choice.
+func (c Choice) Release() {
+	if c.Conn != nil {
+		c.Conn.Release()
+	}
+	if c.counted {
+		c.Server.limiter().Refund(c.Server.Registration().Process())
+	}
+	if c.reserved {
+		c.Server.mu.Lock()
+		defer c.Server.mu.Unlock()
+		c.Server.reserved--
+	}
+}
--- a/balancer/queue.go
+++ b/balancer/queue.go
@@ -2,274 +2,144 @@
 
 import (
 	"cmp"
-	"context"
-	"errors"
 	"slices"
 	"time"
 )
 
-const (
-	// checkInterval is the time between two rounds of checks while requests wait; the
-	// load that other tenants put on a machine changes within tens of milliseconds.
-	checkInterval = 15 * time.Millisecond
-	// exploreEvery is the number of rounds of checks of which one disregards whether
-	// a server has an idle connection. The others prefer those that have: a new
-	// connection costs a server as much as many checks.
-	exploreEvery = 6
-	// grantWeight is the weight of one grant in the moving average of the time
-	// between grants.
-	grantWeight = 0.2
-	// maxQueue bounds the requests that wait for one service.
-	maxQueue = 256
-)
-
-// ErrNoCapacity means that no lightly loaded server is expected in time.
-var ErrNoCapacity = errors.New("balancer: no lightly loaded server with free capacity in time")
-
-// waiter is a request that waits for a lightly loaded server.
+// waiter is a request that waits for a server.
 type waiter struct {
-	query Query
-	// startBy is the latest time at which sending the request is still useful.
-	startBy time.Time
+	query   Query
 	arrived time.Time
-	// granted receives the choice, or an empty one if no server takes the request in time.
-	granted chan Choice
+	// granted receives the result.
+	granted chan grant
 }
 
-// queue holds the requests of one service that wait at this host. Free capacity is
-// found in the load reports of responses, which are the most recent ones available,
-// and by health checks.
-type queue struct {
-	waiters []*waiter
-	// checking is set while a goroutine checks servers for the waiters.
-	checking bool
-	// grantInterval is the moving average of the time between grants while requests
-	// wait.
-	grantInterval float64
-	// lastGrant is the time of the last grant, or of the first request in the queue.
-	lastGrant time.Time
+// grant is the server for a waiting request, or the reason why it gets none.
+type grant struct {
+	choice Choice
+	err    error
 }
 
-// Admit returns a lightly loaded or sufficient server for a first attempt and waits for
-// a lightly loaded one until startBy. It returns ErrNoCapacity as soon as none is
-// expected in time. The choice is then the best server found, or empty if the request
-// has waited or other requests are waiting.
-func (s *Service) Admit(ctx context.Context, q Query, startBy time.Time) (Choice, error) {
-	var best Choice
-	if s.Waiting() == 0 {
-		choice, err := s.Choose(ctx, q)
-		excluded := errors.Is(err, ErrLimited) || errors.Is(err, ErrPaused)
-		allowedSoon := excluded && s.clock.Now().Add(s.Wait()).Before(startBy)
-		if !allowedSoon && (err != nil || choice.LightlyLoaded || choice.Sufficient) {
-			return choice, err
-		}
-		best = choice
-	}
-	w := &waiter{query: q, startBy: startBy, arrived: s.clock.Now(), granted: make(chan Choice, 1)}
-	if !s.enqueue(w) {
-		return best, ErrNoCapacity
-	}
-	best.Release()
-	best.Conn = nil
-	timer := time.NewTimer(startBy.Sub(w.arrived))
-	defer timer.Stop()
-	var err error
-	select {
-	case choice := <-w.granted:
-		return choice.orNoCapacity()
-	case <-timer.C:
-		err = ErrNoCapacity
-	case <-ctx.Done():
-		err = context.Cause(ctx)
-	}
-	if s.dequeue(w) {
-		return Choice{}, err
-	}
-	return (<-w.granted).orNoCapacity()
-}
+// late reports whether the response can no longer meet the target latency of the route.
+func (w *waiter) late(now time.Time) bool { return now.After(w.query.InTimeBy) }
 
-// orNoCapacity returns ErrNoCapacity for an empty choice.
-func (c Choice) orNoCapacity() (Choice, error) {
-	if c.Server == nil {
-		return c, ErrNoCapacity
+// startBy is the time by which the request is to be sent: to meet the target latency, or else
+// the deadline.
+func (w *waiter) startBy(now time.Time) time.Time { return w.startByIn(w.class(now)) }
+
+func (w *waiter) startByIn(c backlogClass) time.Time {
+	if c.late {
+		return w.query.StartBy
 	}
-	return c, nil
+	return w.query.InTimeBy
 }
 
-// Waiting returns the number of requests that wait.
-func (s *Service) Waiting() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.queue.waiters)
+// compare orders waiting requests: by priority level, then those that can still meet their
+// target latency before those that can only meet their deadline, then by the time by which they
+// have to be sent.
+func (w *waiter) compare(other *waiter, now time.Time) int {
+	return cmp.Or(
+		w.class(now).compare(other.class(now)),
+		w.startBy(now).Compare(other.startBy(now)),
+		w.arrived.Compare(other.arrived),
+	)
 }
 
-// enqueue adds a request unless the queue is full or the request is expected to be
-// granted a server too late.
-func (s *Service) enqueue(w *waiter) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	q := &s.queue
-	position, _ := slices.BinarySearchFunc(q.waiters, w, compareWaiters)
-	grantInterval := time.Duration(q.grantInterval)
-	if grantInterval == 0 {
-		grantInterval = s.Expected(w.query.Route) / time.Duration(max(1, len(s.Servers())))
-	}
-	if len(q.waiters) > 0 {
-		grantInterval = max(grantInterval, w.arrived.Sub(q.lastGrant))
-	}
-	expectedGrant := w.arrived.Add(max(s.Wait(), time.Duration(position+1)*grantInterval))
-	if len(q.waiters) >= maxQueue || expectedGrant.After(w.startBy) {
-		return false
-	}
-	if len(q.waiters) == 0 {
-		q.lastGrant = w.arrived
-	}
-	q.waiters = slices.Insert(q.waiters, position, w)
-	if !q.checking {
-		q.checking = true
-		go s.checkServers()
-	}
-	return true
+func (w *waiter) before(other *waiter, now time.Time) bool { return w.compare(other, now) < 0 }
+
+// class returns the class of the request at the given time.
+func (w *waiter) class(now time.Time) backlogClass {
+	return backlogClass{level: w.query.Route.PriorityLevel(), late: w.late(now)}
 }
 
-// compareWaiters orders by priority, then by arrival.
-func compareWaiters(a, b *waiter) int {
-	return cmp.Or(cmp.Compare(a.query.Route.PriorityLevel(), b.query.Route.PriorityLevel()), a.arrived.Compare(b.arrived))
+// queue holds the requests of one service that wait at this host. Free capacity is
+// found in the load reports of responses, which are the most recent ones available,
+// and by health checks.
+type queue struct {
+	waiters []*waiter
+	// checking is set while a goroutine checks servers for the waiters.
+	checking bool
+	// backlogs holds what is known of the waits of each class.
+	backlogs map[backlogClass]*backlog
+	// busySince is when the first of the requests arrived since which some wait.
+	busySince time.Time
+	// lightlyLoadedAt is when a lightly loaded server was last assigned.
+	lightlyLoadedAt time.Time
 }
 
-func (s *Service) dequeue(w *waiter) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	i := slices.Index(s.queue.waiters, w)
-	if i < 0 {
-		return false
+func newQueue() queue { return queue{backlogs: make(map[backlogClass]*backlog)} }
+
+func (q *queue) backlog(c backlogClass) *backlog {
+	b := q.backlogs[c]
+	if b == nil {
+		b = &backlog{lastGrant: q.busySince, overtakenAt: q.busySince}
+		q.backlogs[c] = b
 	}
-	s.queue.waiters = slices.Delete(s.queue.waiters, i, i+1)
-	return true
+	return b
 }
 
-// grantCapacity assigns the free capacity of a server that has just reported its
-// load to waiting requests. The first of them gets conn; without one it is released.
-func (s *Service) grantCapacity(server *Server, conn Conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	q := &s.queue
-	for len(q.waiters) > 0 {
-		w := q.waiters[0]
-		choice, ok := server.reserve(w.query)
-		if !ok {
-			break
+// begin records that requests wait again.
+func (q *queue) begin(now time.Time) {
+	q.busySince = now
+	for class, b := range q.backlogs {
+		if now.Sub(b.lastGrant) > backlogLifetime {
+			delete(q.backlogs, class)
+			continue
 		}
-		choice.Conn, conn = conn, nil
-		now := s.clock.Now()
-		q.grantInterval += grantWeight * (float64(now.Sub(q.lastGrant)) - q.grantInterval)
-		q.lastGrant = now
-		q.waiters = q.waiters[1:]
-		w.granted <- choice
-	}
-	if conn != nil {
-		conn.Release()
+		b.begin(now)
 	}
 }
 
-// checkServers checks servers until no request waits.
-func (s *Service) checkServers() {
-	for round := 1; ; round++ {
-		s.mu.Lock()
-		if len(s.queue.waiters) == 0 {
-			s.queue.checking = false
-			s.mu.Unlock()
-			return
-		}
-		query := s.queue.waiters[0].query
-		s.mu.Unlock()
-		candidates, err := s.candidates(query)
-		if len(candidates) == 0 {
-			s.refuseHopeless(err)
-		}
-		for _, crossZone := range []bool{false, true} {
-			if server := stalestCandidate(candidates, crossZone, round%exploreEvery != 0); server != nil {
-				s.checkAndGrant(query, server)
-			}
-		}
-		time.Sleep(checkInterval)
-	}
+// assume sets the time between grants that is assumed before any was observed.
+func (q *queue) assume(level int, interval time.Duration) {
+	q.backlog(backlogClass{level: level}).assumed = float64(interval)
+	q.backlog(backlogClass{level: level, late: true}).assumed = float64(interval)
 }
 
-// refuseHopeless ends the waiting of the requests that no server takes in time, while all
-// servers are excluded for the reason given.
-func (s *Service) refuseHopeless(reason error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	possible := s.clock.Now().Add(s.Wait())
-	s.queue.waiters = slices.DeleteFunc(s.queue.waiters, func(w *waiter) bool {
-		hopeless := errors.Is(reason, ErrNoServer) || possible.After(w.startBy)
-		if hopeless {
-			w.granted <- Choice{}
+// aheadOf returns the number of requests that go before a request.
+func (q *queue) aheadOf(w *waiter, now time.Time) (n int) {
+	for _, other := range q.waiters {
+		if other != w && other.before(w, now) {
+			n++
 		}
-		return hopeless
-	})
+	}
+	return n
 }
 
-// stalestCandidate returns the preferred candidate with the oldest report, inside or
-// outside of the local availability zone. If connectedFirst is set, candidates with
-// an idle connection go first.
-func stalestCandidate(candidates []candidate, crossZone, connectedFirst bool) *Server {
-	var oldest candidate
-	for _, c := range candidates {
-		if c.tier != tierPreferred || c.crossZone != crossZone {
+// ahead returns the number of requests of the given class that go before a request, if that is
+// of the class, too.
+func (q *queue) ahead(w *waiter, class backlogClass, now time.Time) (n int) {
+	for _, other := range q.waiters {
+		if other == w || other.class(now) != class {
 			continue
 		}
-		if oldest.server == nil || c.checkBefore(oldest, connectedFirst) {
-			oldest = c
+		if cmp.Or(other.startBy(now).Compare(w.startByIn(class)), other.arrived.Compare(w.arrived)) < 0 {
+			n++
 		}
 	}
-	return oldest.server
+	return n
 }
 
-// checkBefore reports whether c should be checked before other.
-func (c candidate) checkBefore(other candidate, connectedFirst bool) bool {
-	if connectedFirst && c.connected != other.connected {
-		return c.connected
-	}
-	return c.lastReport.Before(other.lastReport)
-}
-
-// checkAndGrant checks a server and assigns its free capacity to the waiters.
-func (s *Service) checkAndGrant(q Query, server *Server) {
-	choice, _, ok := s.evaluate(context.Background(), q, server)
-	switch {
-	case ok && choice.LightlyLoaded:
-		s.grantCapacity(server, choice.Conn)
-	case ok:
-		choice.Release()
+func (q *queue) remove(w *waiter) bool {
+	i := slices.Index(q.waiters, w)
+	if i < 0 {
+		return false
 	}
+	q.waiters = slices.Delete(q.waiters, i, i+1)
+	return true
 }
 
-// reserve counts a request as about to be sent, if the server is lightly loaded.
-func (s *Server) reserve(q Query) (Choice, bool) {
-	choice, ok := s.estimate(q, checkInterval)
-	if !ok || !choice.LightlyLoaded || !choice.count() {
-		return Choice{}, false
+// first returns the request that is to be sent next, nil if none waits.
+func (q *queue) first(now time.Time) (first *waiter) {
+	for _, w := range q.waiters {
+		if first == nil || w.before(first, now) {
+			first = w
+		}
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.reserved++
-	choice.reserved = true
-	return choice, true
+	return first
 }
 
-// Release gives up an unused choice.
-func (c Choice) Release() {
-	if c.Conn != nil {
-		c.Conn.Release()
-	}
-	if c.counted {
-		c.Server.limiter().Refund(c.Server.Registration().Process())
-	}
-	if c.reserved {
-		c.Server.mu.Lock()
-		defer c.Server.mu.Unlock()
-		c.Server.reserved--
-	}
+// ordered returns the requests in the order in which they are to be sent.
+func (q *queue) ordered(now time.Time) []*waiter {
+	return slices.SortedFunc(slices.Values(q.waiters), func(a, b *waiter) int { return a.compare(b, now) })
 }
--- a/carrier/admit.go
+++ b/carrier/admit.go
@@ -11,15 +11,12 @@
 )
 
 const (
-	// targetMargin is the share of a route's target latency that is spent outside of
-	// this host: on the caller's connection and between host and server.
-	targetMargin = 0.12
+	// linkTime is the time that a request and its response spend outside of this host and
+	// the server: a round trip to a caller in the region and one between availability zones.
+	linkTime = 20 * time.Millisecond
 	// waitFactor is the multiple of the expected duration that must be left when a
 	// request stops waiting for a server.
 	waitFactor = 1.1
-	// lateChecks bounds the health checks for a request that is expected to miss its
-	// target latency.
-	lateChecks = 2
 	// largeBodyBytes is the size from which a request body should stay in its
 	// availability zone. Most requests and responses are a small part of it.
 	largeBodyBytes = 32 << 10
@@ -53,45 +50,29 @@
 // more often.
 var errYielded = errors.New("carrier: more urgent requests to the service are refused")
 
-// chooseFirst chooses the first server and waits for a lightly loaded one as long as the
-// response can still be in time. If other requests wait too, one that can't be in
-// time is refused at once, since it would take capacity from those that can.
+// chooseFirst chooses the first server. The request waits for one as long as it is expected to
+// be served before its deadline.
 func (c *call) chooseFirst(ctx context.Context) (balancer.Choice, error) {
 	query := balancer.Query{Route: c.route, Avoided: c.avoided()}
-	margin := time.Duration(targetMargin * float64(c.route.Target()))
-	if c.largeBody() {
-		query.LocalWithin = c.targetTime.Add(-margin).Sub(c.carrier.config.Clock.Now())
-	}
 	expected := time.Duration(waitFactor * float64(c.service.Expected(c.route)))
-	choice, err := c.chooseOrWait(ctx, query, c.beforeStop(c.targetTime.Add(-margin)).Add(-expected))
-	overloaded := errors.Is(err, balancer.ErrNoCapacity) && choice.Server == nil
-	if overloaded {
-		query.CheckLimit = lateChecks
-		choice, err = c.service.Choose(ctx, query)
-	}
-	if errors.Is(err, balancer.ErrNoServer) {
-		return choice, c.noServer(err)
-	}
-	if errors.Is(err, balancer.ErrLimited) {
-		refusal := verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonOverload, err)
-		return choice, refusal.WithRetryAfter(c.retryAfter(c.service.Wait()))
-	}
-	if errors.Is(err, balancer.ErrPaused) {
-		refusal := verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonOverload, err)
-		return choice, refusal.WithRetryAfter(c.retryAfterPause(shortestRetryAfter))
+	inTimeBy := c.targetTime.Add(-linkTime)
+	query.InTimeBy = c.beforeStop(inTimeBy).Add(-expected)
+	query.StartBy = c.beforeStop(c.deadline.Add(-linkTime)).Add(-expected)
+	if c.largeBody() {
+		query.LocalWithin = inTimeBy.Sub(c.carrier.config.Clock.Now())
 	}
-	if err != nil && !errors.Is(err, balancer.ErrNoCapacity) {
-		return choice, err
+	choice, err := c.chooseOrWait(ctx, query)
+	if err != nil {
+		return choice, c.refusal(err)
 	}
 	now := c.carrier.config.Clock.Now()
-	if end := now.Add(choice.Estimate); c.beforeStop(end).Before(end) {
+	end := now.Add(choice.Estimate)
+	if c.beforeStop(end).Before(end) {
 		choice.Release()
 		refusal := verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonDraining, errStopsSooner)
 		return choice, refusal.WithRetryAfter(refusedRetryAfter)
 	}
-	inTime := now.Add(choice.Estimate).Before(c.targetTime.Add(-margin))
-	pastDeadline := now.Add(choice.Estimate).After(c.deadline)
-	if choice.Full || pastDeadline || (choice.Saturated && (overloaded || !inTime)) || (overloaded && !inTime) {
+	if choice.Full || end.After(c.deadline) {
 		choice.Release()
 		c.rejected = choice
 		refusal := verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonOverload, nil)
@@ -100,13 +81,30 @@
 	return choice, nil
 }
 
+// refusal returns the error of a request for which no server was chosen.
+func (c *call) refusal(err error) error {
+	var noCapacity *balancer.NoCapacityError
+	overload := verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonOverload, err)
+	switch {
+	case errors.Is(err, balancer.ErrNoServer):
+		return c.noServer(err)
+	case errors.Is(err, balancer.ErrLimited):
+		return overload.WithRetryAfter(c.retryAfter(c.service.Wait()))
+	case errors.Is(err, balancer.ErrPaused):
+		return overload.WithRetryAfter(c.retryAfterPause(shortestRetryAfter))
+	case errors.As(err, &noCapacity):
+		return overload.WithRetryAfter(c.retryAfter(noCapacity.Wait))
+	}
+	return err
+}
+
 // chooseOrWait waits for a lightly loaded server unless the request has lost a connection
 // before: like any retry, it then takes the best server.
-func (c *call) chooseOrWait(ctx context.Context, q balancer.Query, startBy time.Time) (balancer.Choice, error) {
+func (c *call) chooseOrWait(ctx context.Context, q balancer.Query) (balancer.Choice, error) {
 	if len(q.Avoided) > 0 {
 		return c.service.Choose(ctx, q)
 	}
-	return c.service.Admit(ctx, q, startBy)
+	return c.service.Admit(ctx, q)
 }
 
 // errStopsSooner means that a request is not expected to complete before the host stops.
--- a/carrier/resolve.go
+++ b/carrier/resolve.go
@@ -1,6 +1,7 @@
 package carrier
 
 import (
+	"cmp"
 	"errors"
 	"net/http"
 	"strconv"
@@ -23,7 +24,7 @@
 		return false
 	}
 	c.deadline = c.arrived.Add(timeout)
-	c.targetTime = c.arrived.Add(min(c.route.Target(), timeout))
+	c.targetTime = c.arrived.Add(min(cmp.Or(c.route.Target(), timeout), timeout))
 	c.service = cr.config.Balancer.Service(c.serviceName)
 	c.budget = cr.Budget(c.serviceName)
 	c.header = c.forwardedHeader()
