Do not refuse requests for what happened to other requests

Callers saw: at idle servers, requests of a less urgent level were refused, one after the other, with 1.5 s left to each: some urgent requests before them had had too little time left. Nothing else was running.

Cause: a host counted the share of the requests of each level that it had admitted, and a level that was admitted more often had to yield, so that all looked alike. A refusal of one request gives nothing to one that has left.

Evidence: TestRequestsAreNotRefusedForOthers failed before (the first of 40). TestLevelsFareAlikeAlone passed before.

At several hosts some urgent ones are still refused while another host sends less urgent ones: no host knows the others' queues.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -116,7 +116,6 @@
 	servers  atomic.Pointer[[]*Server]
 	// missingReports counts consecutive checks that returned no load report.
 	missingReports atomic.Int64
-	admissions     admissions
 
 	mu    sync.Mutex
 	queue queue
@@ -124,7 +123,6 @@
 
 func newService(b *Balancer, n verbenastand.ServiceName) *Service {
 	s := &Service{balancer: b, clock: b.config.Clock, name: n, profile: newProfile()}
-	s.admissions.levels = make(map[int]*admissionCount)
 	s.queue = newQueue()
 	s.settings.Store(&verbenastand.ServiceSettings{})
 	s.servers.Store(&[]*Server{})
--- a/carrier/admit.go
+++ b/carrier/admit.go
@@ -28,31 +28,12 @@
 	retryAfterDivisor = 3
 )
 
-// admit chooses the first server, unless more urgent requests need it.
-func (c *call) admit(ctx context.Context) (balancer.Choice, error) {
-	if c.service == nil {
-		return balancer.Choice{}, c.noServer(nil)
-	}
-	level := c.route.PriorityLevel()
-	if c.service.MustYield(level) {
-		c.service.RecordAdmission(level, false)
-		refusal := verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonOverload, errYielded)
-		return balancer.Choice{}, refusal.WithRetryAfter(c.retryAfter(c.service.Expected(c.route)))
-	}
-	choice, err := c.chooseFirst(ctx)
-	if ctx.Err() == nil {
-		c.service.RecordAdmission(level, err == nil)
-	}
-	return choice, err
-}
-
-// errYielded means that a request was refused because more urgent ones are refused
-// more often.
-var errYielded = errors.New("carrier: more urgent requests to the service are refused")
-
 // chooseFirst chooses the first server. The request waits for one as long as it is expected to
 // be served before its deadline.
 func (c *call) chooseFirst(ctx context.Context) (balancer.Choice, error) {
+	if c.service == nil {
+		return balancer.Choice{}, c.noServer(nil)
+	}
 	query := balancer.Query{Route: c.route, Avoided: c.avoided()}
 	expected := time.Duration(waitFactor * float64(c.service.Expected(c.route)))
 	inTimeBy := c.targetTime.Add(-linkTime)
--- a/carrier/fairness_test.go
+++ b/carrier/fairness_test.go
@@ -5,15 +5,71 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	verbenastand "github.com/verbenastand/verbenastand"
 )
 
+// urgentPrefix is the path prefix of urgent requests.
+const urgentPrefix = "/urgent/"
+
+// addLevels adds a route of urgent requests and one of less urgent requests to the service.
+func addLevels(h *harness) {
+	for level, prefix := range []string{urgentPrefix, bulkPrefix} {
+		h.addRoute(verbenastand.RouteConfig{
+			Name: verbenastand.RouteName(fmt.Sprint("level-", level)), PathPrefix: prefix, RetrySafety: verbenastand.Idempotent,
+			Timeout: 2 * time.Second, Target: target, MaxAttempts: 2, PriorityLevel: level,
+		})
+	}
+}
+
+// TestRequestsAreNotRefusedForOthers: pattern: urgent requests have too little time left and
+// are refused; less urgent requests follow, whose callers have time, at idle servers.
+func TestRequestsAreNotRefusedForOthers(t *testing.T) {
+	withHarness(t, nil, []*backend{{serve: reply(50 * time.Millisecond)}, {serve: reply(50 * time.Millisecond)}}, func(h *harness) {
+		addLevels(h)
+		for i := range 60 {
+			left := "X-Deadline: 1500"
+			if i%5 < 2 {
+				left = "X-Deadline: 10"
+			}
+			h.call("GET", urgentPrefix+"1", "", left)
+		}
+		for i := range 40 {
+			response, _ := h.call("GET", bulkPrefix+"1", "", "X-Deadline: 1500")
+			require.Equal(h.t, http.StatusOK, response.StatusCode, "less urgent request %d", i)
+		}
+	})
+}
+
+// TestLevelsFareAlikeAlone: pattern: requests of one priority level, nobody else there. Their
+// level makes no difference.
+func TestLevelsFareAlikeAlone(t *testing.T) {
+	statuses := make([][]int, 2)
+	for level, prefix := range []string{urgentPrefix, bulkPrefix} {
+		withHarness(t, nil, []*backend{{serve: reply(50 * time.Millisecond)}}, func(h *harness) {
+			addLevels(h)
+			for i := range 60 {
+				// Every third caller has too little time left.
+				left := 1500
+				if i%3 == 0 {
+					left = 10
+				}
+				response, _ := h.call("GET", prefix+"1", "", fmt.Sprintf("X-Deadline: %d", left))
+				statuses[level] = append(statuses[level], response.StatusCode)
+			}
+		})
+	}
+	require.Equal(t, statuses[0], statuses[1])
+	require.Equal(t, 20, strings.Count(fmt.Sprint(statuses[0]), "503"))
+}
+
 // replyWithLoad responds after the given time with a load report.
 func replyWithLoad(took time.Duration, report func() string) func(net.Conn, *http.Request) {
 	return func(conn net.Conn, r *http.Request) {
--- a/carrier/load_test.go
+++ b/carrier/load_test.go
@@ -94,8 +94,10 @@
 	running  int
 	waiting  []chan struct{}
 	slowdown float64
-	dropped  atomic.Int64
-	ran      atomic.Int64
+	// freeSince is when a request would have run at its usual speed since, zero if it would not.
+	freeSince time.Time
+	dropped   atomic.Int64
+	ran       atomic.Int64
 }
 
 func (m *modelServer) simulateNoise(ctx context.Context) {
@@ -105,6 +107,7 @@
 		if m.noise.Float64() < m.config.noise {
 			m.slowdown = m.config.noiseFactor
 		}
+		m.noteLocked()
 		phase := time.Duration(m.noise.ExpFloat64() * float64(m.config.noisePhase))
 		m.mu.Unlock()
 		time.Sleep(phase)
@@ -129,6 +132,7 @@
 		m.running++
 	}
 	defer m.mu.Unlock()
+	m.noteLocked()
 	factor := m.slowdown * m.factor
 	if float64(m.running) > m.config.saturationPoint*float64(m.config.slots) {
 		factor *= m.config.saturationFactor
@@ -146,6 +150,7 @@
 		return
 	}
 	m.running--
+	m.noteLocked()
 }
 
 func (m *modelServer) report() string {
--- a/carrier/run.go
+++ b/carrier/run.go
@@ -116,7 +116,7 @@
 	if r.sent == 0 {
 		r.budget.RecordRequest()
 	}
-	choice, err := r.admit(r.ctx)
+	choice, err := r.chooseFirst(r.ctx)
 	if errors.Is(err, balancer.ErrNoServer) && r.mayDelegate(r.ctx) && r.delegate() {
 		return nil
 	}
