Plan stops by the callers' time, alike on both kinds of host

Callers saw: nothing broken, but a gateway that stops turned callers away 2.5 s after the signal, or served them, whatever the validity of the lookup that sent them; an entry host took from 2.5 s on only what ends in time.

Change: both hosts take requests as long as an earlier lookup response is valid, half of the grace period at most. In the first third of the handling time they take what a server is expected to complete; later only requests whose own time limit ends before the host has to respond for the servers. The others are refused as not run and can be served elsewhere at once. The third leaves servers at least twice as long as the caller came late.

Evidence: TestAStoppingHostRefusesWhatItCannotComplete, "a longer time limit", failed before (the gateway had no such check), TestAStopPlanFits... too (intake 2.5 s at a validity of 2 s, and 2 s at one of an hour).

A trial that took only requests whose time limit ends before the stop, from the signal on, was dropped: the process tests showed callers with long limits and short work turned away with seconds left.

--- a/carrier/admit.go
+++ b/carrier/admit.go
@@ -91,10 +91,16 @@
 // errStopsSooner means that a request is not expected to complete before the host stops.
 var errStopsSooner = errors.New("carrier: the host stops before a server could respond")
 
+// tooLate reports whether a request that has just arrived may not be complete when Stop is called.
+func (c *call) tooLate() bool {
+	stop := c.carrier.plannedStop.Load()
+	return stop != nil && !c.arrived.Before(stop.openUntil) && c.deadline.After(stop.at)
+}
+
 // beforeStop returns the earlier of a time and the one at which the host stops.
 func (c *call) beforeStop(t time.Time) time.Time {
-	if stopsAt := c.carrier.stopsAt.Load(); stopsAt != nil && stopsAt.Before(t) {
-		return *stopsAt
+	if stop := c.carrier.plannedStop.Load(); stop != nil && stop.at.Before(t) {
+		return stop.at
 	}
 	return t
 }
--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -109,8 +109,8 @@
 	// stopped ends when Stop is called.
 	stopped context.Context
 	stop    context.CancelFunc
-	// stopsAt is when Stop will be called; nil while that is not known.
-	stopsAt atomic.Pointer[time.Time]
+	// plannedStop is nil while Stop is not planned.
+	plannedStop atomic.Pointer[plannedStop]
 
 	mu      sync.Mutex
 	budgets map[verbenastand.ServiceName]*retrier.WindowBudget
@@ -141,9 +141,16 @@
 	}
 }
 
-// StopAt announces that Stop will be called at a given time. Requests that no server is
-// expected to complete before that are refused at once.
-func (c *Carrier) StopAt(t time.Time) { c.stopsAt.Store(&t) }
+// plannedStop tells when Stop will be called, and until when requests are taken that may not
+// be complete by then.
+type plannedStop struct{ openUntil, at time.Time }
+
+// StopAt announces that Stop will be called at a given time. From openUntil on, requests are
+// refused whose deadlines are later than that; others, if no server is expected to complete them
+// before.
+func (c *Carrier) StopAt(openUntil, at time.Time) {
+	c.plannedStop.Store(&plannedStop{openUntil: openUntil, at: at})
+}
 
 // errStopped ends requests that are still being handled when Stop is called.
 var errStopped = errors.New("carrier: the host is stopping")
@@ -237,6 +244,11 @@
 	if !incoming.resolve() {
 		return
 	}
+	if incoming.tooLate() {
+		refusal := verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonDraining, errStopsSooner)
+		incoming.refuse(refusal.WithRetryAfter(refusedRetryAfter))
+		return
+	}
 	ctx, incoming.span = c.config.Tracer.Start(incoming.extractTrace(ctx), "call", trace.WithSpanKind(trace.SpanKindServer))
 	defer incoming.span.End()
 	incoming.caller = ctx
--- a/carrier/carrier_test.go
+++ b/carrier/carrier_test.go
@@ -467,29 +467,40 @@
 	}
 }
 
-// Guards against a stopping host that takes requests whose servers it breaks off: what can't
-// be completed before the stop is refused at once, so that callers move in time.
+// Guards against a stopping host that takes requests which it then breaks off: what may not be
+// complete before the stop is refused at once, so that its caller moves in time. While the
+// host has most of its time left, that is what no server is expected to complete; later also what its
+// own time limit may end too late.
 func TestAStoppingHostRefusesWhatItCannotComplete(t *testing.T) {
 	cases := []struct {
 		name string
-		// left is the time until the stop.
-		left   time.Duration
+		// left is the time until the stop, limit the time limit of the request.
+		left, limit time.Duration
+		// open is set if the request arrives while the host has most of its time left.
+		open   bool
 		status int
 	}{
-		{"time enough", 10 * delay, http.StatusOK},
-		{"less time than a server takes", delay / 2, http.StatusServiceUnavailable},
+		{"time enough", 10 * delay, 9 * delay, false, http.StatusOK},
+		{"a longer time limit", 10 * delay, 11 * delay, false, http.StatusServiceUnavailable},
+		{"a longer time limit, while the host has time", 10 * delay, 11 * delay, true, http.StatusOK},
+		{"less time than a server takes", delay / 2, 9 * delay, false, http.StatusServiceUnavailable},
+		{"less time than a server takes, while the host has time", delay / 2, 9 * delay, true, http.StatusServiceUnavailable},
 	}
 	for _, safety := range []verbenastand.RetrySafety{verbenastand.Idempotent, verbenastand.AtMostOnce} {
 		for _, tc := range cases {
 			t.Run(safety.String()+" "+tc.name, func(t *testing.T) {
-				withHarness(t, func(c *verbenastand.RouteConfig) { c.RetrySafety = safety }, []*backend{{serve: reply(delay)}}, func(h *harness) {
+				withHarness(t, func(c *verbenastand.RouteConfig) { c.RetrySafety, c.Timeout = safety, time.Minute }, []*backend{{serve: reply(delay)}}, func(h *harness) {
 					for range 20 {
 						h.call("POST", "/x/1", "")
 					}
 					sent := len(h.requests())
-					h.carrier.StopAt(time.Now().Add(tc.left))
+					openUntil := time.Now()
+					if tc.open {
+						openUntil = openUntil.Add(time.Millisecond)
+					}
+					h.carrier.StopAt(openUntil, time.Now().Add(tc.left))
 					began := time.Now()
-					response, _ := h.call("POST", "/x/1", "")
+					response, _ := h.call("POST", "/x/1", "", fmt.Sprintf("X-Deadline: %d", tc.limit.Milliseconds()))
 					require.Equal(t, tc.status, response.StatusCode)
 					if tc.status == http.StatusOK {
 						return
--- a/launcher/gateway_run.go
+++ b/launcher/gateway_run.go
@@ -182,18 +182,19 @@
 }
 
 // drain shuts the host down gracefully. Lookups stop returning this host at once.
-// Callers that still use it are served until the end of the intake; what arrives later
-// stays unread. Requests that are still being handled at the end get a response that says
+// Callers that use an earlier lookup response are served while that is valid; late requests only
+// if their time limits end before the stop would cut them off. What arrives later stays unread.
+// Requests that are still being handled at the end get a response that says
 // whether they may have run.
 func (g *Gateway) drain(l listeners) {
 	started := time.Now()
-	stop := newStopPlan(g.config.Settings.GracePeriod, maxGatewayIntake)
+	stop := newStopPlan(g.config.Settings.GracePeriod, g.config.Settings.AnswerValidity)
 	g.log.WithFields(log.Fields{
 		"intakeMs": stop.intake.Milliseconds(), "handlingMs": stop.handling.Milliseconds(),
 	}).Info("draining")
 	g.leaving.Store(true)
 	g.acceptor.Drain()
-	g.carrier.StopAt(started.Add(stop.handling))
+	g.carrier.StopAt(started.Add(stop.open), started.Add(stop.handling))
 	ctx, cancel := context.WithTimeout(context.Background(), stop.exit)
 	defer cancel()
 	g.background.Go(func() { g.gossiper.Leave(ctx) })
--- a/launcher/run.go
+++ b/launcher/run.go
@@ -118,7 +118,7 @@
 
 // drain shuts the host down gracefully. First, lookup responses no longer contain this
 // host, while callers with a cached response are still served; late requests only if their
-// time limits end before the servers' time does. At the end of the intake it closes the
+// time limits end before the stop would cut them off. At the end of the intake it closes the
 // connections that are idle, and refuses what arrives completely only later. Requests that
 // are still being handled at the end get a response that says whether they may have run.
 // Then the host transfers its idempotency keys.
--- a/launcher/stop_plan.go
+++ b/launcher/stop_plan.go
@@ -3,12 +3,11 @@
 import "time"
 
 const (
-	// maxGatewayIntake is how long a gateway takes requests in long grace periods, so that
-	// what arrives late need not be broken off. An entry host takes those that end in time
-	// for longer.
-	maxGatewayIntake = 2500 * time.Millisecond
 	// intakeFraction bounds the intake in short grace periods.
 	intakeFraction = 0.5
+	// openFraction is the fraction of the handling time in which requests are taken that their
+	// own time limit may end too late. Servers then have at least twice as long for them.
+	openFraction = 1.0 / 3
 	// exitTime is reserved for the exit of the process, and deliveryTime before it for
 	// the responses to requests that are still being handled. reserveFraction bounds both
 	// in short grace periods.
@@ -21,7 +20,7 @@
 type stopPlan struct {
 	// intake is how long requests are still taken.
 	intake time.Duration
-	// open is how long requests are taken that may not be complete by the end of handling.
+	// open is how long requests are taken whose time limits may end after the handling.
 	open time.Duration
 	// handling is how long servers may take for requests.
 	handling time.Duration
@@ -29,14 +28,16 @@
 	exit time.Duration
 }
 
-// newStopPlan divides a grace period, with an intake of at most maxIntake.
-func newStopPlan(grace, maxIntake time.Duration) stopPlan {
+// newStopPlan divides a grace period. Callers may use an earlier lookup response, which names
+// the host, for as long as that is valid.
+func newStopPlan(grace, lookupValidity time.Duration) stopPlan {
 	reserve := min(exitTime+deliveryTime, time.Duration(reserveFraction*float64(grace)))
-	intake := min(maxIntake, time.Duration(intakeFraction*float64(grace)))
+	intake := min(lookupValidity, time.Duration(intakeFraction*float64(grace)))
+	handling := grace - reserve
 	return stopPlan{
 		intake:   intake,
-		open:     min(intake, maxGatewayIntake),
-		handling: grace - reserve,
+		open:     min(intake, time.Duration(openFraction*float64(handling))),
+		handling: handling,
 		exit:     grace - reserve*exitTime/(exitTime+deliveryTime),
 	}
 }
