Give servers without kept connections their share of the requests

What servers and their callers saw: a server that had just joined, or whose limit had been lifted, got 0 to 24 requests where the others of its service got 150, until those were busy.

A server's own reason, a connection takes it a millisecond, bounds how many are opened; it does not decide who is left out. A host that has sent a server one request is connected to it.

Change: the first server of a tier and zone is drawn at random. If it is busy, those with a connection follow, which saves a round trip. The checks for waiting requests go to the server with the oldest report (exploreEvery is gone); they open one connection per server and idle timeout.

Evidence: TestServersWithoutConnectionsGetTheirShare failed before (3 of 2000 requests instead of 200). TestChoosePrefersServersWithIdleConnections and TestChecksForWaitingRequestsRarelyOpenConnections demanded the preference; they are replaced by it, by TestFurtherChecksPreferConnections and by TestChecksForWaitingRequestsReachAllServers (20 checks of 60 each).

--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -224,12 +224,34 @@
 		list = append(list, c)
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.tier, b.tier), compareBool(a.crossZone, b.crossZone),
-			compareBool(b.connected, a.connected), cmp.Compare(a.tiebreak, b.tiebreak))
+		return cmp.Or(a.compareGroup(b), compareBool(b.connected, a.connected), cmp.Compare(a.tiebreak, b.tiebreak))
 	})
+	drawFirst(list)
 	return list, err
 }
 
+// compareGroup orders candidates by what matters to the request.
+func (c candidate) compareGroup(other candidate) int {
+	return cmp.Or(cmp.Compare(c.tier, other.tier), compareBool(c.crossZone, other.crossZone))
+}
+
+// drawFirst moves a random candidate of the first group to the front: each server gets its share
+// of the requests, whether or not this host is connected to it, for example after it has started.
+// If it is busy, the others follow, those with a connection first.
+func drawFirst(list []candidate) {
+	group := 0
+	for group < len(list) && list[group].compareGroup(list[0]) == 0 {
+		group++
+	}
+	if group == 0 {
+		return
+	}
+	drawn := list[rand.IntN(group)]
+	i := slices.IndexFunc(list, func(c candidate) bool { return c.server == drawn.server })
+	copy(list[1:i+1], list[:i])
+	list[0] = drawn
+}
+
 // Wait returns the time until one of the servers may get a request, zero if one may now or
 // none ever will.
 func (s *Service) Wait() time.Duration {
--- a/balancer/grant.go
+++ b/balancer/grant.go
@@ -9,10 +9,6 @@
 	// checkInterval is the time between two rounds of checks while requests wait; the
 	// load that other tenants put on a machine changes within tens of milliseconds.
 	checkInterval = 15 * time.Millisecond
-	// exploreEvery is the number of rounds of checks of which one disregards whether
-	// a server has an idle connection. The others prefer those that have: a new
-	// connection costs a server as much as many checks.
-	exploreEvery = 6
 	// maxQueue bounds the requests that wait for one service.
 	maxQueue = 256
 )
@@ -87,7 +83,7 @@
 
 // checkServers checks servers until no request waits.
 func (s *Service) checkServers() {
-	for round := 1; ; round++ {
+	for {
 		s.refuseHopeless()
 		s.mu.Lock()
 		first := s.queue.first(s.clock.Now())
@@ -102,7 +98,7 @@
 			s.refuseExcluded(err)
 		}
 		for _, crossZone := range []bool{false, true} {
-			if server := stalestCandidate(candidates, crossZone, round%exploreEvery != 0); server != nil {
+			if server := stalestCandidate(candidates, crossZone); server != nil {
 				s.checkAndGrant(first.query, server)
 			}
 		}
@@ -111,29 +107,20 @@
 }
 
 // stalestCandidate returns the preferred candidate with the oldest report, inside or
-// outside of the local availability zone. If connectedFirst is set, candidates with
-// an idle connection go first.
-func stalestCandidate(candidates []candidate, crossZone, connectedFirst bool) *Server {
+// outside of the local availability zone.
+func stalestCandidate(candidates []candidate, crossZone bool) *Server {
 	var oldest candidate
 	for _, c := range candidates {
 		if c.tier != tierPreferred || c.crossZone != crossZone {
 			continue
 		}
-		if oldest.server == nil || c.checkBefore(oldest, connectedFirst) {
+		if oldest.server == nil || c.lastReport.Before(oldest.lastReport) {
 			oldest = c
 		}
 	}
 	return oldest.server
 }
 
-// checkBefore reports whether c should be checked before other.
-func (c candidate) checkBefore(other candidate, connectedFirst bool) bool {
-	if connectedFirst && c.connected != other.connected {
-		return c.connected
-	}
-	return c.lastReport.Before(other.lastReport)
-}
-
 // checkAndGrant checks a server and assigns its free capacity to the waiters.
 func (s *Service) checkAndGrant(q Query, server *Server) {
 	choice, _, ok := s.evaluate(context.Background(), q, server)
