Let requests wait at an entry host as long as their deadlines allow

Callers saw: requests refused as overload that would have been served in time: with ten requests of 10 ms ahead at one slot, a caller with 120 to 200 ms left was refused. With a full queue of background requests, a paid request was refused, too.

Cause: the queue took a request only if the expected wait was at most half of the time that its deadline leaves, a margin for errors of the estimate that was paid by callers who had the time; and the newest request was refused by a full queue, whatever its priority.

Change: the bound is what the deadline leaves. A full queue refuses its last request in order. A request that expires in the queue is told to return after the expected wait, as one that is refused on arrival.

Evidence: scheduler TestRequestsWaitForTheirTime (three of four rows) and TestFullQueueRefusesItsLastRequest failed before.

Ruled out: minFreeFraction and reverseInterval.

Conclusion: callers wait for their time.

--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -6,8 +6,8 @@
 	verbenastand "github.com/verbenastand/verbenastand"
 )
 
-// admit refuses a request if there are no servers, the queue is full, or the
-// expected wait leaves too little time before the deadline.
+// admit refuses a request if there are no servers, or if it is not expected to complete before
+// its deadline. If the queue is full, it refuses the last request in order.
 func (s *Scheduler) admit(w *Waiter, now time.Time) *verbenastand.RequestError {
 	if len(s.servers) == 0 {
 		return verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonNoServer, nil).WithRetryAfter(time.Second)
@@ -18,14 +18,34 @@
 		return verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonNoServer, nil).WithRetryAfter(time.Second)
 	}
 	wait := s.estimateWait(w) + pause
-	full := s.queue.length() >= s.config.MaxQueue
-	if full || float64(wait) > maxWaitFraction*float64(slack) {
-		refusal := verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonOverload, nil)
-		return refusal.WithRetryAfter(max(minRetryAfter, wait))
+	if wait > slack {
+		return overloadError(wait)
 	}
+	if s.queue.length() < s.config.MaxQueue {
+		return nil
+	}
+	last := s.queue.lastBelow(w.Priority)
+	if last == nil {
+		return overloadError(wait)
+	}
+	s.counters.Refused++
+	s.refuse(last, overloadError(s.estimateWait(last)+pause))
 	return nil
 }
 
+// overloadError refuses a request that would have to wait for the given time.
+func overloadError(wait time.Duration) *verbenastand.RequestError {
+	refusal := verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonOverload, nil)
+	return refusal.WithRetryAfter(max(minRetryAfter, wait))
+}
+
+// refuse refuses a queued request.
+func (s *Scheduler) refuse(w *Waiter, err *verbenastand.RequestError) {
+	s.queue.list(w).remove(w)
+	w.refusal = err
+	w.Notify()
+}
+
 // allUnavailable returns the time until the first server takes requests again if all of them
 // have asked for a pause, and whether all are draining.
 func (s *Scheduler) allUnavailable() (pause time.Duration, draining bool) {
@@ -76,17 +96,12 @@
 		if w.Deadline.Sub(now) >= w.Expected {
 			return
 		}
-		l.remove(w)
-		s.expireWaiter(w)
+		s.counters.Expired++
+		refusal := verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonDeadline, nil)
+		s.refuse(w, refusal.WithRetryAfter(max(minRetryAfter, s.estimateWait(w))))
 	}
 }
 
-func (s *Scheduler) expireWaiter(w *Waiter) {
-	s.counters.Expired++
-	w.refusal = verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonDeadline, nil).WithRetryAfter(minRetryAfter)
-	w.Notify()
-}
-
 // expire applies expireList to the lists of all priorities and sizes.
 func (s *Scheduler) expire(now time.Time) {
 	for p := range s.queue.lists {
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -104,6 +104,23 @@
 	return work
 }
 
+// lastBelow returns the waiter that is the last in order among those of lower priority than the
+// one given, nil if there is none.
+func (q *queue) lastBelow(p verbenastand.Priority) *Waiter {
+	for i := len(q.lists) - 1; i > int(p); i-- {
+		var last *Waiter
+		for s := range q.lists[i] {
+			if tail := q.lists[i][s].tail; tail != nil && (last == nil || tail.sequence > last.sequence) {
+				last = tail
+			}
+		}
+		if last != nil {
+			return last
+		}
+	}
+	return nil
+}
+
 // hasWaiterAhead reports whether a waiter is queued that must be served before a
 // new one.
 func (q *queue) hasWaiterAhead(p verbenastand.Priority, s verbenastand.Size) bool {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -17,9 +17,6 @@
 const (
 	// DefaultMaxQueue is the maximum queue length of one service.
 	DefaultMaxQueue = 8192
-	// maxWaitFraction is the fraction of its slack that a request may spend in the
-	// queue. The rest covers errors of the estimated wait.
-	maxWaitFraction = 0.5
 	// grantShareWeight is the weight of a grant in the moving average of grants
 	// per priority. minFreeFraction is the minimum fraction of the slots that a
 	// priority is assumed to get.
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -320,3 +320,75 @@
 		require.NoError(t, err)
 	})
 }
+
+// TestRequestsWaitForTheirTime: pattern: the requests ahead take more than half of the time that
+// a caller has. Its request is served if they leave time for it, and refused at once if not.
+func TestRequestsWaitForTheirTime(t *testing.T) {
+	cases := []struct {
+		timeout time.Duration
+		served  bool
+	}{
+		{20 * mean, true},
+		{15 * mean, true},
+		{12 * mean, true},
+		{9 * mean, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.timeout.String(), func(t *testing.T) {
+			clock := fake.NewClock()
+			s := newScheduler(clock, 100)
+			s.Update(service(1), servers(1, verbenastand.ServerConfig{Slots: 1}), []verbenastand.Host{self})
+			running := newWaiter(clock, verbenastand.Short)
+			require.True(t, s.Submit(running))
+			next, err := running.Grant()
+			require.NoError(t, err)
+			var ahead []*scheduler.Waiter
+			for range 10 {
+				w := newWaiter(clock, verbenastand.Short)
+				require.False(t, s.Submit(w))
+				ahead = append(ahead, w)
+			}
+			w := newWaiter(clock, verbenastand.Short)
+			w.Deadline = clock.Now().Add(tc.timeout)
+			require.Equal(t, !tc.served, s.Submit(w))
+			for _, earlier := range append(ahead, w) {
+				clock.Advance(mean)
+				s.Release(next, estimator.Succeeded, scheduler.NoReport)
+				next, err = earlier.Grant()
+				if err != nil {
+					break
+				}
+			}
+			require.Equal(t, tc.served, err == nil)
+		})
+	}
+}
+
+// TestFullQueueRefusesItsLastRequest: pattern: the queue is full of background requests.
+func TestFullQueueRefusesItsLastRequest(t *testing.T) {
+	const length = 5
+	clock := fake.NewClock()
+	s := newScheduler(clock, length)
+	s.Update(service(1), servers(1, verbenastand.ServerConfig{Slots: 1}), []verbenastand.Host{self})
+	require.True(t, s.Submit(newWaiter(clock, verbenastand.Short)))
+	submit := func(p verbenastand.Priority) (w *scheduler.Waiter, done bool) {
+		w = newWaiter(clock, verbenastand.Short)
+		w.Priority = p
+		return w, s.Submit(w)
+	}
+	var last *scheduler.Waiter
+	for range length {
+		w, done := submit(verbenastand.PriorityBackground)
+		require.False(t, done)
+		last = w
+	}
+	refused, done := submit(verbenastand.PriorityBackground)
+	require.True(t, done)
+	_, err := refused.Grant()
+	require.Error(t, err)
+	_, done = submit(verbenastand.PriorityNormal)
+	require.False(t, done, "waits in place of a background request")
+	_, err = last.Grant()
+	require.Equal(t, verbenastand.NotRun, verbenastand.VerdictOf(err))
+	require.Error(t, err)
+}
