Give refusals of one kind the same Retry-After

Callers saw: a stopping host told some to return after 10 ms, others after 100 ms or up to a third of their time, though all can be served elsewhere at once; a host at its limit of concurrent requests said 200 ms or, to other hosts, up to a third of the time; callers with less than 300 ms left were told 100 ms, more than the third of their time that they honor.

Cause: each place chose its own delay; the shortest one was not bounded by the caller's time.

Change: three kinds. What the host refuses for reasons of its own (it stops, or is at its limit): 10 ms, since callers pick another host. No server is reached: 100 ms at least. Overload: the expected wait of the requests ahead. The latter two end within a third of the caller's time, with jitter. A request that no server completes before the stop is refused as draining, also while requests wait (it was overload). Before its first route table a host says 200 ms as before, since others may have started at the same time.

Evidence: TestAHostThatStopsGivesOneAdvice (three of four rows; 262 and 100 ms), TestAdviceLeavesTime (four of six; 100 ms instead of 30 and 67 ms) and TestAHostAtItsLimitSendsCallersElsewhere (200 ms) failed before.

Ruled out for the entry host: its draining refusals name no delay, which its callers take as at once; for lack of servers it says 1 s in each place.

--- a/carrier/admit.go
+++ b/carrier/admit.go
@@ -20,12 +20,18 @@
 	// largeBodyBytes is the size from which a request body should stay in its
 	// availability zone. Most requests and responses are a small part of it.
 	largeBodyBytes = 32 << 10
-	// shortestRetryAfter and longestRetryAfter bound the Retry-After field.
-	shortestRetryAfter = 100 * time.Millisecond
-	longestRetryAfter  = time.Second
 	// retryAfterDivisor is the divisor of the remaining time that gives the longest
-	// Retry-After delay, so that a caller that retries can still be served.
+	// Retry-After delay, which is the longest that callers honor.
 	retryAfterDivisor = 3
+	// longestRetryAfter bounds the Retry-After delay of callers that have much time.
+	longestRetryAfter = time.Second
+	// noServerRetryAfter is the shortest Retry-After delay of requests for which no server is
+	// reached, unless the caller has less time.
+	noServerRetryAfter = 100 * time.Millisecond
+	// elsewhereRetryAfter is the Retry-After delay of requests that this host refuses for
+	// reasons of its own: it stops, or handles as many requests as it may. Callers pick
+	// another host when they return.
+	elsewhereRetryAfter = 10 * time.Millisecond
 )
 
 // chooseFirst chooses the first server. The request waits for one as long as it is expected to
@@ -50,8 +56,7 @@
 	end := now.Add(choice.Estimate)
 	if c.beforeStop(end).Before(end) {
 		choice.Release()
-		refusal := verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonDraining, errStopsSooner)
-		return choice, refusal.WithRetryAfter(refusedRetryAfter)
+		return choice, stopsSooner()
 	}
 	if choice.Full || end.After(c.deadline) {
 		choice.Release()
@@ -72,7 +77,9 @@
 	case errors.Is(err, balancer.ErrLimited):
 		return overload.WithRetryAfter(c.retryAfter(c.service.Wait()))
 	case errors.Is(err, balancer.ErrPaused):
-		return overload.WithRetryAfter(c.retryAfterPause(shortestRetryAfter))
+		return overload.WithRetryAfter(c.retryAfterPause())
+	case errors.As(err, &noCapacity) && c.beforeStop(c.deadline).Before(c.deadline):
+		return stopsSooner()
 	case errors.As(err, &noCapacity):
 		return overload.WithRetryAfter(c.retryAfter(noCapacity.Wait))
 	}
@@ -91,6 +98,11 @@
 // errStopsSooner means that a request is not expected to complete before the host stops.
 var errStopsSooner = errors.New("carrier: the host stops before a server could respond")
 
+func stopsSooner() *verbenastand.RequestError {
+	refusal := verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonDraining, errStopsSooner)
+	return refusal.WithRetryAfter(elsewhereRetryAfter)
+}
+
 // tooLate reports whether a request that has just arrived may not be complete when Stop is called.
 func (c *call) tooLate() bool {
 	stop := c.carrier.plannedStop.Load()
@@ -112,24 +124,24 @@
 
 func (c *call) noServer(cause error) error {
 	refusal := verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonNoServer, cause)
-	return refusal.WithRetryAfter(c.retryAfter(shortestRetryAfter))
+	return refusal.WithRetryAfter(c.retryAfter(noServerRetryAfter))
 }
 
 // retryAfterPause returns the Retry-After delay of a request that no server takes before the
 // end of its pause, even if the caller can't wait that long.
-func (c *call) retryAfterPause(shortest time.Duration) time.Duration {
+func (c *call) retryAfterPause() time.Duration {
 	if wait := c.service.Wait(); wait > 0 {
 		return max(wait, c.retryAfter(wait))
 	}
-	return shortest
+	return refusedRetryAfter
 }
 
-// retryAfter converts the estimated wait into a Retry-After delay that leaves the
-// caller time to be served. It adds jitter, so that callers refused together do not
-// return together.
+// retryAfter converts the estimated wait into a Retry-After delay that the caller honors. It adds
+// jitter, so that callers refused together do not return together.
 func (c *call) retryAfter(wait time.Duration) time.Duration {
 	left := c.deadline.Sub(c.carrier.config.Clock.Now()) / retryAfterDivisor
-	longest := max(shortestRetryAfter, min(left, longestRetryAfter))
-	shortest := max(shortestRetryAfter, min(wait, longest))
-	return shortest + time.Duration(rand.Float64()*float64(longest-shortest))
+	longest := max(refusedRetryAfter, min(left, longestRetryAfter))
+	shortest := max(refusedRetryAfter, min(wait, longest))
+	delay := shortest + time.Duration(rand.Float64()*float64(longest-shortest))
+	return delay.Truncate(time.Millisecond)
 }
--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -34,9 +34,9 @@
 	// responseGrace is how long after the deadline of a request its response is
 	// still accepted: servers stop at the deadline and send an error.
 	responseGrace = 100 * time.Millisecond
-	// earlyRetryAfter is the Retry-After delay of requests refused because there is
-	// no route table yet or the limit of concurrent requests is reached.
-	earlyRetryAfter = 200 * time.Millisecond
+	// startingRetryAfter is the Retry-After delay of requests refused because there is no
+	// route table yet. Other hosts may have started at the same time.
+	startingRetryAfter = 200 * time.Millisecond
 	// maxDeadline bounds a caller's deadline.
 	maxDeadline = time.Hour
 )
@@ -233,11 +233,11 @@
 	case c.semaphore <- struct{}{}:
 		defer func() { <-c.semaphore }()
 	default:
-		c.refuseEarly(w, r, http.StatusServiceUnavailable, verbenastand.ReasonOverload, earlyRetryAfter)
+		c.refuseEarly(w, r, http.StatusServiceUnavailable, verbenastand.ReasonOverload, elsewhereRetryAfter)
 		return
 	}
 	if r.Late() {
-		c.refuseEarly(w, r, http.StatusServiceUnavailable, verbenastand.ReasonDraining, refusedRetryAfter)
+		c.refuseEarly(w, r, http.StatusServiceUnavailable, verbenastand.ReasonDraining, elsewhereRetryAfter)
 		return
 	}
 	incoming := &call{carrier: c, request: r, writer: w, id: r.Header.Get(c.config.Names.RequestID), arrived: r.Arrived()}
@@ -245,8 +245,7 @@
 		return
 	}
 	if incoming.tooLate() {
-		refusal := verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonDraining, errStopsSooner)
-		incoming.refuse(refusal.WithRetryAfter(refusedRetryAfter))
+		incoming.refuse(stopsSooner())
 		return
 	}
 	ctx, incoming.span = c.config.Tracer.Start(incoming.extractTrace(ctx), "call", trace.WithSpanKind(trace.SpanKindServer))
--- a/carrier/delegate.go
+++ b/carrier/delegate.go
@@ -262,7 +262,7 @@
 	default:
 	}
 	refusal := verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonOverload, errDelegatedLimit)
-	incoming.refuse(refusal.WithRetryAfter(incoming.retryAfter(shortestRetryAfter)))
+	incoming.refuse(refusal.WithRetryAfter(elsewhereRetryAfter))
 	return nil, false
 }
 
--- a/carrier/resolve.go
+++ b/carrier/resolve.go
@@ -43,7 +43,7 @@
 	cr, r := c.carrier, c.request
 	table := cr.config.Router.Table()
 	if table == nil {
-		cr.refuseEarly(c.writer, r, http.StatusServiceUnavailable, verbenastand.ReasonStarting, earlyRetryAfter)
+		cr.refuseEarly(c.writer, r, http.StatusServiceUnavailable, verbenastand.ReasonStarting, startingRetryAfter)
 		return false
 	}
 	c.version = table.Version()
--- a/carrier/respond.go
+++ b/carrier/respond.go
@@ -114,7 +114,7 @@
 	}
 	refusal := verbenastand.NewRequestError(verdict, verbenastand.ReasonDraining, errStopped)
 	if verdict == verbenastand.NotRun {
-		refusal = refusal.WithRetryAfter(shortestRetryAfter)
+		refusal = refusal.WithRetryAfter(elsewhereRetryAfter)
 	}
 	c.refuse(refusal)
 }
--- a/carrier/run.go
+++ b/carrier/run.go
@@ -24,8 +24,8 @@
 	// hedgeReserve is the number of retries that must be left in the budget for a
 	// hedge, so that requests whose server failed can still be retried.
 	hedgeReserve = 2
-	// refusedRetryAfter is the Retry-After delay for requests refused by servers
-	// that are not known to be full.
+	// refusedRetryAfter is the shortest Retry-After delay. It is that of requests refused by
+	// servers that are not known to be full or to pause.
 	refusedRetryAfter = 10 * time.Millisecond
 	// maxUnreachable bounds the retries after unreachable servers.
 	maxUnreachable = 4
@@ -374,7 +374,7 @@
 	// The servers refused the request; it was not this host that refused it for lack
 	// of capacity. A retry may be served at once, unless all servers pause.
 	refusal := verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonRefused, r.lastErr)
-	r.refuse(refusal.WithRetryAfter(r.retryAfterPause(refusedRetryAfter)))
+	r.refuse(refusal.WithRetryAfter(r.retryAfterPause()))
 }
 
 // timeOut responds to a request whose time limit has passed.
