--- a/carrier/admit.go
+++ b/carrier/admit.go
@@ -70,6 +70,9 @@
 // refusal returns the error of a request for which no server was chosen.
 func (c *call) refusal(err error) error {
 	var noCapacity *balancer.NoCapacityError
+	if errors.As(err, &noCapacity) {
+		c.expectedWait = noCapacity.Wait
+	}
 	overload := verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonOverload, err)
 	switch {
 	case errors.Is(err, balancer.ErrNoServer):
@@ -78,9 +81,9 @@
 		return overload.WithRetryAfter(c.retryAfter(c.service.Wait()))
 	case errors.Is(err, balancer.ErrPaused):
 		return overload.WithRetryAfter(c.retryAfterPause())
-	case errors.As(err, &noCapacity) && c.beforeStop(c.deadline).Before(c.deadline):
+	case noCapacity != nil && c.beforeStop(c.deadline).Before(c.deadline):
 		return stopsSooner()
-	case errors.As(err, &noCapacity):
+	case noCapacity != nil:
 		return overload.WithRetryAfter(c.retryAfter(noCapacity.Wait))
 	}
 	return err
--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -222,6 +222,8 @@
 	losses []verbenastand.LossFinding
 	// rejected is the choice that was considered when the request was refused.
 	rejected balancer.Choice
+	// expectedWait is the wait that was expected when the request was refused.
+	expectedWait time.Duration
 	// retryDenied is the reason why a failed request was not retried.
 	retryDenied string
 }
--- a/carrier/event.go
+++ b/carrier/event.go
@@ -46,6 +46,8 @@
 	RetryAfter time.Duration
 	// Waiting is the number of requests that waited for the service at this host.
 	Waiting int
+	// ExpectedWait is the wait that was expected for a request refused for lack of capacity.
+	ExpectedWait time.Duration
 	// RetryDenied is the reason why a failed request was not sent to another
 	// server.
 	RetryDenied string
@@ -76,7 +78,7 @@
 	if !c.deadline.IsZero() {
 		e.Target, e.Deadline = c.targetTime.Sub(c.arrived), c.deadline.Sub(c.arrived)
 	}
-	e.RetryDenied = c.retryDenied
+	e.RetryDenied, e.ExpectedWait = c.retryDenied, c.expectedWait
 	if origin := c.request.Origin(); origin != nil {
 		e.DelegatedBy = origin.Host
 	}
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -127,7 +127,7 @@
 		entry.WithFields(log.Fields{
 			"status": e.Status, "verdict": e.Verdict.String(), "reason": e.Reason.String(),
 			"retryAfterMs": milliseconds(e.RetryAfter), "repeatDenied": e.RetryDenied, "waiting": e.Waiting,
-			"server": string(e.Server), "estimateMs": milliseconds(e.Estimate), "slowdown": e.Report.Slowdown,
+			"expectedWaitMs": milliseconds(e.ExpectedWait), "server": string(e.Server), "estimateMs": milliseconds(e.Estimate), "slowdown": e.Report.Slowdown,
 			"running": e.Report.Running, "error": errorText(e.Err),
 			"targetMs": milliseconds(e.Target), "deadlineMs": milliseconds(e.Deadline),
 		}).Info(eventRefused)
