Check degraded servers for requests that wait, if there are no others

Callers would see: all servers of a service have become slow, or have just started, and are full for a moment; a request that waits is refused at its deadline though slots became free.

Now the checks go to the best tier that has servers.

Evidence: TestWaitingRequestsReachDegradedServers failed before (503 instead of a response after 0.3 s).

With it: what is learned of the time between grants no longer depends on which route of a level asks (TestWaitsAreLearnedForAllRoutesOfALevel; found by reading: the learned part was kept as a difference to the assumption of the route that asked last).

--- a/balancer/admit.go
+++ b/balancer/admit.go
@@ -101,7 +101,7 @@
 	q.waiters = append(q.waiters, w)
 	if len(q.waiters) > maxQueue {
 		last := q.ordered(now)[maxQueue]
-		s.refuseLocked(last, &NoCapacityError{Wait: q.backlog(last.class(now)).expected(len(q.waiters))})
+		s.refuseLocked(last, &NoCapacityError{Wait: q.backlog(last.class(now)).expected(len(q.waiters), s.assumedInterval(last))})
 	}
 	if !q.checking {
 		q.checking = true
@@ -115,18 +115,24 @@
 func (s *Service) expectLocked(w *waiter, a allowance, now time.Time) error {
 	q := &s.queue
 	class := w.class(now)
-	q.assume(class.level, s.Expected(w.query.Route)/time.Duration(max(1, len(s.Servers()))))
+	assumed := s.assumedInterval(w)
 	ahead := q.ahead(w, class, now)
 	allowed := a.after(q.aheadOf(w, now))
-	wait := max(allowed, q.backlog(class).least(ahead))
+	wait := max(allowed, q.backlog(class).least(ahead, assumed))
 	if !class.late && !now.Add(wait).After(w.query.InTimeBy) {
 		return nil
 	}
 	late := backlogClass{level: class.level, late: true}
-	if !now.Add(max(wait, q.backlog(late).least(q.ahead(w, late, now)))).After(w.query.StartBy) {
+	if !now.Add(max(wait, q.backlog(late).least(q.ahead(w, late, now), assumed))).After(w.query.StartBy) {
 		return nil
 	}
-	return &NoCapacityError{Wait: max(allowed, q.backlog(class).expected(ahead))}
+	return &NoCapacityError{Wait: max(allowed, q.backlog(class).expected(ahead, assumed))}
+}
+
+// assumedInterval returns the time between grants for a request until some have been observed: that
+// in which the servers complete one request each.
+func (s *Service) assumedInterval(w *waiter) time.Duration {
+	return s.Expected(w.query.Route) / time.Duration(max(1, len(s.Servers())))
 }
 
 func (s *Service) dequeue(w *waiter) bool {
@@ -149,7 +155,7 @@
 	ahead := make(map[backlogClass]int)
 	for i, w := range s.queue.ordered(now) {
 		class := w.class(now)
-		wait := max(allowance.after(i), s.queue.backlog(class).least(ahead[class]))
+		wait := max(allowance.after(i), s.queue.backlog(class).least(ahead[class], s.assumedInterval(w)))
 		ahead[class]++
 		if !now.Add(wait).After(w.startBy(now)) {
 			continue
--- a/balancer/backlog.go
+++ b/balancer/backlog.go
@@ -31,11 +31,10 @@
 // backlog predicts how long the requests of one class wait at this host. It counts the grants
 // that they could have had: those to requests that do not go before them.
 type backlog struct {
-	// assumed is the time between grants before any was observed.
-	assumed float64
-	// interval is the moving average of the time between grants while requests wait, less
-	// assumed.
-	interval float64
+	// interval is the moving average of the time between grants while requests wait, and
+	// confidence its weight against what is assumed before any was observed.
+	interval   float64
+	confidence float64
 	// lastGrant is the time of the last grant, or of the first request that waits.
 	lastGrant time.Time
 	// overtakenAt is when a request that goes before was last assigned a server.
@@ -44,13 +43,15 @@
 
 // begin records that requests wait again.
 func (b *backlog) begin(now time.Time) {
-	b.interval *= decayFactor(now.Sub(b.lastGrant), grantHalfLife)
+	b.confidence *= decayFactor(now.Sub(b.lastGrant), grantHalfLife)
 	b.lastGrant, b.overtakenAt = now, now
 }
 
 // recordGrant records a grant that requests of the class have had, or could have had.
 func (b *backlog) recordGrant(now time.Time) {
-	b.interval += grantWeight * (float64(now.Sub(b.lastGrant)) - b.assumed - b.interval)
+	known := b.confidence * (1 - grantWeight)
+	b.confidence = known + grantWeight
+	b.interval = (known*b.interval + grantWeight*float64(now.Sub(b.lastGrant))) / b.confidence
 	b.lastGrant, b.overtakenAt = now, now
 }
 
@@ -59,17 +60,20 @@
 
 // expected returns the expected time until a number of requests ahead have been sent. Servers
 // that take no request at all tell nothing of how long that will last.
-func (b *backlog) expected(ahead int) time.Duration {
-	return time.Duration(float64(ahead) * b.meanInterval())
+func (b *backlog) expected(ahead int, assumed time.Duration) time.Duration {
+	return time.Duration(float64(ahead) * b.mean(assumed))
 }
 
 // least returns the time that a number of requests ahead almost certainly take: the expected
 // time less two standard deviations, if grants are independent.
-func (b *backlog) least(ahead int) time.Duration {
+func (b *backlog) least(ahead int, assumed time.Duration) time.Duration {
 	n := float64(ahead)
-	return time.Duration(max(0, n-2*math.Sqrt(n)) * b.meanInterval())
+	return time.Duration(max(0, n-2*math.Sqrt(n)) * b.mean(assumed))
 }
 
-func (b *backlog) meanInterval() float64 {
-	return max(b.assumed+b.interval, float64(b.overtakenAt.Sub(b.lastGrant)))
+// mean returns the time between grants. assumed is what it is expected to be before any was
+// observed.
+func (b *backlog) mean(assumed time.Duration) float64 {
+	learned := b.confidence*b.interval + (1-b.confidence)*float64(assumed)
+	return max(learned, float64(b.overtakenAt.Sub(b.lastGrant)))
 }
--- a/balancer/grant.go
+++ b/balancer/grant.go
@@ -106,12 +106,13 @@
 	}
 }
 
-// stalestCandidate returns the preferred candidate with the oldest report, inside or
+// stalestCandidate returns the candidate of the best tier with the oldest report, inside or
 // outside of the local availability zone.
 func stalestCandidate(candidates []candidate, crossZone bool) *Server {
 	var oldest candidate
 	for _, c := range candidates {
-		if c.tier != tierPreferred || c.crossZone != crossZone {
+		// Candidates are ordered by tier.
+		if c.tier != candidates[0].tier || c.crossZone != crossZone {
 			continue
 		}
 		if oldest.server == nil || c.lastReport.Before(oldest.lastReport) {
--- a/balancer/queue.go
+++ b/balancer/queue.go
@@ -90,12 +90,6 @@
 	}
 }
 
-// assume sets the time between grants that is assumed before any was observed.
-func (q *queue) assume(level int, interval time.Duration) {
-	q.backlog(backlogClass{level: level}).assumed = float64(interval)
-	q.backlog(backlogClass{level: level, late: true}).assumed = float64(interval)
-}
-
 // aheadOf returns the number of requests that go before a request.
 func (q *queue) aheadOf(w *waiter, now time.Time) (n int) {
 	for _, other := range q.waiters {
--- a/balancer/queue_test.go
+++ b/balancer/queue_test.go
@@ -83,6 +83,26 @@
 	})
 }
 
+// TestWaitsAreLearnedForAllRoutesOfALevel guards against a learned time between grants that
+// depends on which route of a level asks.
+func TestWaitsAreLearnedForAllRoutesOfALevel(t *testing.T) {
+	const interval, ahead = 30 * time.Millisecond, 10
+	clock := fake.NewClock()
+	b := backlog{lastGrant: clock.Now(), overtakenAt: clock.Now()}
+	require.Equal(t, ahead*time.Millisecond, b.expected(ahead, time.Millisecond))
+	for range 100 {
+		clock.Advance(interval)
+		b.recordGrant(clock.Now())
+	}
+	for _, assumed := range []time.Duration{time.Millisecond, time.Second} {
+		require.InDelta(t, ahead*interval, b.expected(ahead, assumed), float64(time.Millisecond))
+		require.Less(t, b.least(ahead, assumed), b.expected(ahead, assumed))
+	}
+	clock.Advance(10 * grantHalfLife)
+	b.begin(clock.Now())
+	require.InDelta(t, ahead*time.Millisecond, b.expected(ahead, time.Millisecond), float64(time.Millisecond))
+}
+
 // TestFullQueueRefusesItsLastRequest: pattern: the queue is full of less urgent requests.
 func TestFullQueueRefusesItsLastRequest(t *testing.T) {
 	h := newHarness(registration("a", nil))
--- a/carrier/admit.go
+++ b/carrier/admit.go
@@ -15,7 +15,7 @@
 	// the server: a round trip to a caller in the region and one between availability zones.
 	linkTime = 20 * time.Millisecond
 	// waitFactor is the multiple of the expected duration that must be left when a
-	// request stops waiting for a server.
+	// request stops waiting for a server: many requests take longer than expected.
 	waitFactor = 1.1
 	// largeBodyBytes is the size from which a request body should stay in its
 	// availability zone. Most requests and responses are a small part of it.
--- a/carrier/fairness_test.go
+++ b/carrier/fairness_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -124,3 +125,36 @@
 		})
 	}
 }
+
+// TestWaitingRequestsReachDegradedServers: pattern: all servers have become slow, and are full for
+// a moment. A request that waits gets the first free slot.
+func TestWaitingRequestsReachDegradedServers(t *testing.T) {
+	const taken = 300 * time.Millisecond
+	var slowdown atomic.Int64
+	var fullUntil time.Time
+	report := func() string {
+		if time.Now().Before(fullUntil) {
+			return "6,3,6,1"
+		}
+		return "0,0,6,1"
+	}
+	server := func() *backend {
+		return &backend{report: report, serve: func(conn net.Conn, r *http.Request) {
+			replyWithLoad(time.Duration(slowdown.Load())*20*time.Millisecond, report)(conn, r)
+		}}
+	}
+	withHarness(t, atMostOnce, []*backend{server(), server()}, func(h *harness) {
+		for _, slower := range []int64{1, 10} {
+			slowdown.Store(slower)
+			for range 40 {
+				response, _ := h.call("GET", "/x/1", "")
+				require.Equal(t, http.StatusOK, response.StatusCode)
+			}
+		}
+		began := time.Now()
+		fullUntil = began.Add(taken)
+		response, _ := h.call("GET", "/x/1", "")
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		require.Less(t, time.Since(began), taken+200*time.Millisecond+50*time.Millisecond)
+	})
+}
