Send waiting requests to servers that report no load

Callers would see: at servers without load reports, more requests than slots: those that wait are refused at their deadline (0.88 s of 1 s in the test), though earlier ones have ended.

Cause: the queue assigned servers by load reports only.

Change: for such services a server takes a waiting request while this host has fewer requests there than it has slots, as the choice without waiting does. The end of an attempt looks for one, too, and no health checks are made.

--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -138,7 +138,7 @@
 	if len(candidates) == 0 {
 		return Choice{}, err
 	}
-	if s.missingReports.Load() >= maxMissingReports {
+	if s.reportsNoLoad() {
 		return s.chooseWithoutReports(q, candidates)
 	}
 	limit := cmp.Or(q.CheckLimit, MaxChecks)
@@ -426,6 +426,9 @@
 	}, true
 }
 
+// reportsNoLoad reports whether the servers do not report their load.
+func (s *Service) reportsNoLoad() bool { return s.missingReports.Load() >= maxMissingReports }
+
 // chooseWithoutReports returns the less busy of the first two candidates, for
 // servers that report no load (power of two choices, Mitzenmacher 2001).
 func (s *Service) chooseWithoutReports(q Query, candidates []candidate) (Choice, error) {
@@ -450,9 +453,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	slots := max(1, s.registration.Slots())
-	load := 1 + float64(len(s.inFlight))/float64(slots)
+	running := len(s.inFlight) + s.reserved
+	load := 1 + float64(running)/float64(slots)
 	return Choice{
 		Server: s, Estimate: time.Duration(float64(base) * load * max(1, s.latencyRatioLocked(now))),
-		LightlyLoaded: len(s.inFlight) < slots, Saturated: len(s.inFlight) >= slots, Full: len(s.inFlight) >= 2*slots,
+		LightlyLoaded: running < slots, Saturated: running >= slots, Full: running >= 2*slots,
 	}
 }
--- a/balancer/grant.go
+++ b/balancer/grant.go
@@ -68,7 +68,9 @@
 			return
 		}
 	}
-	conn.Release()
+	if conn != nil {
+		conn.Release()
+	}
 }
 
 func (c Choice) unsaturated() bool { return !c.Saturated && !c.Full }
@@ -93,16 +95,27 @@
 			return
 		}
 		s.mu.Unlock()
-		candidates, err := s.candidates(first.query)
-		if len(candidates) == 0 {
-			s.refuseExcluded(err)
+		s.findCapacity(first.query)
+		time.Sleep(checkInterval)
+	}
+}
+
+// findCapacity looks for a server for the requests that wait.
+func (s *Service) findCapacity(q Query) {
+	candidates, err := s.candidates(q)
+	switch {
+	case len(candidates) == 0:
+		s.refuseExcluded(err)
+	case s.reportsNoLoad():
+		for _, c := range candidates {
+			s.grantCapacity(c.server, nil)
 		}
+	default:
 		for _, crossZone := range []bool{false, true} {
 			if server := stalestCandidate(candidates, crossZone); server != nil {
-				s.checkAndGrant(first.query, server)
+				s.checkAndGrant(q, server)
 			}
 		}
-		time.Sleep(checkInterval)
 	}
 }
 
@@ -137,6 +150,9 @@
 // reserve counts a request as about to be sent, if its choice is accepted.
 func (s *Server) reserve(q Query, accept func(Choice) bool) (Choice, bool) {
 	choice, ok := s.estimate(q, checkInterval)
+	if s.service.reportsNoLoad() {
+		choice, ok = s.estimateWithoutReport(s.service.Expected(q.Route)), true
+	}
 	if !ok || !accept(choice) || !choice.count() {
 		return Choice{}, false
 	}
--- a/balancer/server.go
+++ b/balancer/server.go
@@ -230,7 +230,7 @@
 	}
 	slowed := s.latencyRatioLocked(now) > degradedLatencyRatio || s.warmingLocked(now)
 	s.mu.Unlock()
-	if report != nil {
+	if report != nil || s.service.reportsNoLoad() {
 		s.service.grantCapacity(s, nil)
 	}
 	if result == Succeeded && !slowed {
--- a/carrier/fairness_test.go
+++ b/carrier/fairness_test.go
@@ -158,3 +158,26 @@
 		require.Less(t, time.Since(began), taken+200*time.Millisecond+50*time.Millisecond)
 	})
 }
+
+// TestRequestsWaitForServersWithoutReports: pattern: servers that report no load, and more
+// requests than they have slots. Those that wait are sent as earlier ones end.
+func TestRequestsWaitForServersWithoutReports(t *testing.T) {
+	server := func() *backend {
+		return &backend{serve: reply(delay), report: func() string { return "" }}
+	}
+	withHarness(t, atMostOnce, []*backend{server(), server()}, func(h *harness) {
+		for range 20 {
+			h.call("GET", "/x/1", "")
+		}
+		began := time.Now()
+		var callers sync.WaitGroup
+		for range 24 {
+			callers.Go(func() {
+				response, _ := h.call("GET", "/x/1", "")
+				assert.Equal(t, http.StatusOK, response.StatusCode)
+				assert.Less(t, time.Since(began), 2*delay+50*time.Millisecond)
+			})
+		}
+		callers.Wait()
+	})
+}
