End the wait of requests when no server can be reached

Callers would see: requests that wait at full servers while the host loses all of them are refused as overload at their deadline. Before the longer waits they learned at their target that there is no server, and another host sent them.

Cause: the checks for waiting requests ignored that none of them succeeds.

Change: while all servers are ejected, a request that waits chooses as a new one does; if that finds none, all that wait end with "no server". If the host is known to be cut off from the service, they end at once. Both lead to another host, as for new requests.

TestWaitingEndsWhenNoServerResponds needs the new setting of the balancer.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -49,6 +49,9 @@
 	Limiter verbenastand.RateLimiter
 	// Excluder keeps which servers get no requests; nil for none.
 	Excluder verbenastand.ServerExcluder
+	// Unreached reports whether no server of a service responds to this host; nil if that is
+	// not known.
+	Unreached func(verbenastand.ServiceName) bool
 	// OnServerChange is called when a server is added or removed; change is
 	// "joined" or "left". A server that starts draining is removed.
 	OnServerChange func(server verbenastand.Registration, change string)
@@ -65,6 +68,9 @@
 	if c.OnServerChange == nil {
 		c.OnServerChange = func(verbenastand.Registration, string) {}
 	}
+	if c.Unreached == nil {
+		c.Unreached = func(verbenastand.ServiceName) bool { return false }
+	}
 	if c.Limiter == nil {
 		c.Limiter = verbenastand.Unlimited{}
 	}
--- a/balancer/grant.go
+++ b/balancer/grant.go
@@ -106,10 +106,14 @@
 	switch {
 	case len(candidates) == 0:
 		s.refuseExcluded(err)
+	case s.balancer.config.Unreached(s.name):
+		s.refuseExcluded(ErrNoServer)
 	case s.reportsNoLoad():
 		for _, c := range candidates {
 			s.grantCapacity(c.server, nil)
 		}
+	case candidates[0].tier >= tierEjected:
+		s.findReachable(q)
 	default:
 		for _, crossZone := range []bool{false, true} {
 			if server := stalestCandidate(candidates, crossZone); server != nil {
@@ -119,6 +123,24 @@
 	}
 }
 
+// findReachable looks for a server while all are ejected. If none is reached, the requests that
+// wait are refused.
+func (s *Service) findReachable(q Query) {
+	choice, err := s.Choose(context.Background(), q)
+	if err != nil {
+		s.refuseExcluded(err)
+		return
+	}
+	conn := choice.Conn
+	choice.Conn = nil
+	choice.Release()
+	if choice.LightlyLoaded {
+		s.grantCapacity(choice.Server, conn)
+		return
+	}
+	s.grantSlow(choice.Server, conn)
+}
+
 // stalestCandidate returns the candidate of the best tier with the oldest report, inside or
 // outside of the local availability zone.
 func stalestCandidate(candidates []candidate, crossZone bool) *Server {
--- a/balancer/queue_test.go
+++ b/balancer/queue_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -103,6 +104,20 @@
 	require.InDelta(t, ahead*time.Millisecond, b.expected(ahead, time.Millisecond), float64(time.Millisecond))
 }
 
+// TestWaitingEndsWhenNoServerResponds: pattern: the host is cut off from all servers while a request
+// waits. It ends at once, so that another host can send the request.
+func TestWaitingEndsWhenNoServerResponds(t *testing.T) {
+	h := newHarness(registration("a", nil))
+	h.fakeServers["a"].report = verbenastand.LoadReport{Running: 6, Waiting: 3, Slots: 6, Slowdown: 1}
+	var cut atomic.Bool
+	h.balancer.config.Unreached = func(verbenastand.ServiceName) bool { return cut.Load() }
+	time.AfterFunc(50*time.Millisecond, func() { cut.Store(true) })
+	later := h.clock.Now().Add(time.Minute)
+	_, err := h.balancer.Service("s").Admit(t.Context(), Query{Route: testRoute, InTimeBy: later, StartBy: later})
+	require.ErrorIs(t, err, ErrNoServer)
+	require.True(t, cut.Load())
+}
+
 // TestFullQueueRefusesItsLastRequest: pattern: the queue is full of less urgent requests.
 func TestFullQueueRefusesItsLastRequest(t *testing.T) {
 	h := newHarness(registration("a", nil))
--- a/carrier/fairness_test.go
+++ b/carrier/fairness_test.go
@@ -181,3 +181,32 @@
 		callers.Wait()
 	})
 }
+
+// TestWaitingRequestsLearnThatNoServerIsReached: pattern: requests wait at full servers, and the
+// host loses all of them. The requests are refused, or sent by another host, long before their
+// deadlines.
+func TestWaitingRequestsLearnThatNoServerIsReached(t *testing.T) {
+	const lostAfter = 100 * time.Millisecond
+	server := func() *backend {
+		return &backend{serve: reply(delay), report: func() string { return "6,3,6,1" }}
+	}
+	withHarness(t, nil, []*backend{server(), server()}, func(h *harness) {
+		began := time.Now()
+		time.AfterFunc(lostAfter, func() {
+			for _, s := range h.servers {
+				s.lost.Store(true)
+			}
+			h.carrier.config.Sender.CloseIdle()
+		})
+		var callers sync.WaitGroup
+		for range 3 {
+			callers.Go(func() {
+				response, _ := h.call("GET", "/x/1", "")
+				assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+				assert.Equal(t, verbenastand.ReasonNoServer.String(), response.Header.Get(verbenastand.HeaderReason))
+				assert.Less(t, time.Since(began), lostAfter+200*time.Millisecond)
+			})
+		}
+		callers.Wait()
+	})
+}
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -202,7 +202,7 @@
 	}
 	g.balancer = balancer.NewBalancer(balancer.Config{
 		Clock: g.timer, Zone: g.self.Zone(), Limiter: g.limiter, Excluder: g.excluder, OnServerChange: g.recorder.ServerChanged,
-		HealthChecker: g.healthChecker,
+		Unreached: g.reach.detector.Cut, HealthChecker: g.healthChecker,
 	})
 	g.carrier = carrier.NewCarrier(carrier.Config{
 		Clock: g.timer, Names: g.config.HeaderFormat.Names(), HeaderFormat: g.config.HeaderFormat, Router: g.router,
