--- a/carrier/load_test.go
+++ b/carrier/load_test.go
@@ -296,6 +296,19 @@
 	synctest.Wait()
 }
 
+// checksPerSecond returns the number of health checks per server and second.
+func (m *model) checksPerSecond() float64 {
+	checks := 0
+	for _, h := range m.harnesses {
+		h.mu.Lock()
+		for _, n := range h.checks {
+			checks += n
+		}
+		h.mu.Unlock()
+	}
+	return float64(checks) / float64(m.config.servers) / m.config.length.Seconds()
+}
+
 func (m *model) String() string {
 	dropped := int64(0)
 	for _, s := range m.servers {
--- a/carrier/overload_test.go
+++ b/carrier/overload_test.go
@@ -36,6 +36,7 @@
 			t.Run(fmt.Sprintf("%g-%d", load, retries), func(t *testing.T) {
 				var offered, inTime, late, refused, refusals int64
 				var held time.Duration
+				checks := 0.0
 				for seed := range max(1, seeds()) {
 					synctest.Test(t, func(t *testing.T) {
 						m := newModel(t, typicalServers(func(c *modelConfig) {
@@ -47,6 +48,7 @@
 						late += m.late.Load()
 						refused += m.refused.Load()
 						refusals += m.refusals.Load()
+						checks += m.checksPerSecond() / float64(max(1, seeds()))
 						held += time.Duration(m.heldNanos.Load())
 					})
 				}
@@ -55,8 +57,8 @@
 				served := float64(inTime+late) / float64(offered)
 				assert.GreaterOrEqual(t, served, requiredShare*min(1, 1/load))
 				share := func(n int64) float64 { return float64(n) / float64(offered) }
-				t.Logf("load %g, %d retries: in time %.3f, late %.3f, refused %.3f; %.2f refusals a request, after %v on average",
-					load, retries, share(inTime), share(late), share(refused), share(refusals), (held / time.Duration(max(1, refusals))).Round(time.Millisecond))
+				t.Logf("load %g, %d retries: in time %.3f, late %.3f, refused %.3f; %.2f refusals a request, after %v on average; %.0f checks per server and second",
+					load, retries, share(inTime), share(late), share(refused), share(refusals), (held / time.Duration(max(1, refusals))).Round(time.Millisecond), checks)
 			})
 		}
 	}
