--- a/balancer/admit.go
+++ b/balancer/admit.go
@@ -167,8 +167,8 @@
 	}
 }
 
-// refuseExcluded refuses the waiting requests that no server takes in time, while all
-// servers are excluded for the reason given.
+// refuseExcluded refuses the waiting requests that no server takes in time: all of them for
+// ErrNoServer, or else those for which the servers' limits or pauses last too long.
 func (s *Service) refuseExcluded(reason error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
