Move the order of candidates and the allowance of servers to a file of their own

balancer/choose.go had grown to 462 lines with two jobs: which servers may get a request and in which order they are tried (now candidate.go), and how one is evaluated and chosen. Functions are moved unchanged.

--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -109,27 +108,6 @@
 	reserved, counted bool
 }
 
-// candidate is the state of a server when a choice begins.
-type candidate struct {
-	server *Server
-	// tier orders candidates: preferred, degraded, ejected, avoided.
-	tier int
-	// crossZone is set if the server is in another availability zone than this host.
-	crossZone bool
-	// connected is set if checking the server needs no new connection.
-	connected bool
-	// lastReport is the time of the server's last load report.
-	lastReport time.Time
-	tiebreak   uint64
-}
-
-const (
-	tierPreferred = iota
-	tierDegraded
-	tierEjected
-	tierAvoided
-)
-
 // Choose returns the first lightly loaded server, starting with the local
 // availability zone, or else the checked server that is expected to respond soonest.
 // The caller must use or release the connection of the choice.
@@ -200,146 +178,6 @@
 	return c.counted
 }
 
-// candidates returns the servers in the order in which they are checked. If there are none,
-// the error tells why.
-func (s *Service) candidates(q Query) (list []candidate, err error) {
-	now := s.clock.Now()
-	list = make([]candidate, 0, len(s.Servers()))
-	err = ErrNoServer
-	for _, server := range s.Servers() {
-		if slices.Contains(q.Tried, server) {
-			continue
-		}
-		c, candidateErr := server.candidate(now)
-		if candidateErr != nil {
-			if errors.Is(candidateErr, ErrLimited) || errors.Is(candidateErr, ErrPaused) {
-				err = candidateErr
-			}
-			continue
-		}
-		if q.avoids(server) {
-			c.tier = tierAvoided
-		}
-		c.connected = s.balancer.config.HealthChecker.Connected(server)
-		list = append(list, c)
-	}
-	slices.SortFunc(list, func(a, b candidate) int {
-		return cmp.Or(a.compareGroup(b), compareBool(b.connected, a.connected), cmp.Compare(a.tiebreak, b.tiebreak))
-	})
-	drawFirst(list)
-	return list, err
-}
-
-// compareGroup orders candidates by what matters to the request.
-func (c candidate) compareGroup(other candidate) int {
-	return cmp.Or(cmp.Compare(c.tier, other.tier), compareBool(c.crossZone, other.crossZone))
-}
-
-// drawFirst moves a random candidate of the first group to the front: each server gets its share
-// of the requests, whether or not this host is connected to it, for example after it has started.
-// If it is busy, the others follow, those with a connection first.
-func drawFirst(list []candidate) {
-	group := 0
-	for group < len(list) && list[group].compareGroup(list[0]) == 0 {
-		group++
-	}
-	if group == 0 {
-		return
-	}
-	drawn := list[rand.IntN(group)]
-	i := slices.IndexFunc(list, func(c candidate) bool { return c.server == drawn.server })
-	copy(list[1:i+1], list[:i])
-	list[0] = drawn
-}
-
-// Wait returns the time until one of the servers may get a request, zero if one may now or
-// none ever will.
-func (s *Service) Wait() time.Duration {
-	var shortest time.Duration
-	found := false
-	for _, server := range s.Servers() {
-		e, excluded := server.exclusion()
-		if excluded && e.Leaving {
-			continue
-		}
-		wait := max(e.Wait, server.limiter().Wait(server.Registration().Process()))
-		if !found || wait < shortest {
-			shortest, found = wait, true
-		}
-	}
-	return shortest
-}
-
-// allowance tells when the servers of a service may get requests.
-type allowance struct {
-	// wait is the time until one of them may get a request.
-	wait time.Duration
-	// interval is the time between two requests after that, zero unless all servers name limits.
-	interval time.Duration
-}
-
-// after returns the time until a request may be sent after a number of others.
-func (a allowance) after(others int) time.Duration {
-	return a.wait + time.Duration(others)*a.interval
-}
-
-// longestLimitInterval bounds the time between two requests while all servers name limits.
-const longestLimitInterval = time.Minute
-
-func (s *Service) allowance() allowance {
-	a := allowance{wait: s.Wait()}
-	var rate verbenastand.RequestRate
-	for _, server := range s.Servers() {
-		if e, excluded := server.exclusion(); excluded && e.Leaving {
-			continue
-		}
-		share, limited := server.limiter().Share(server.Registration().Process())
-		if !limited {
-			return a
-		}
-		rate += share
-	}
-	a.interval = rate.Interval(longestLimitInterval)
-	return a
-}
-
-func compareBool(a, b bool) int {
-	if a == b {
-		return 0
-	}
-	if b {
-		return -1
-	}
-	return 1
-}
-
-// candidate returns an error if the server must not get a request.
-func (s *Server) candidate(now time.Time) (candidate, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.replaced {
-		return candidate{}, ErrServerReplaced
-	}
-	if e, excluded := s.exclusionLocked(); excluded {
-		if e.Leaving {
-			return candidate{}, errLeaving
-		}
-		return candidate{}, ErrPaused
-	}
-	if !s.limiter().Available(s.registration.Process()) {
-		return candidate{}, ErrLimited
-	}
-	s.decayLocked(now)
-	c := candidate{server: s, tiebreak: rand.Uint64(), lastReport: s.reportedAt, crossZone: s.registration.Zone() != s.service.balancer.config.Zone}
-	switch {
-	case now.Before(s.ejectedUntil):
-		c.tier = tierEjected
-	case s.failureRate > degradedFailureRate || s.latencyRatioLocked(now) > degradedLatencyRatio || s.warmingLocked(now):
-		c.tier = tierDegraded
-	}
-	return c, nil
-}
-
 // evaluate estimates how long the request takes at a server: from the last load
 // report if it is recent and shows the server lightly loaded, or else from a health
 // check. checked reports whether there was a check, ok whether the server can be
