Decode evacuations and limits of cold servers, and replicate them

Change: the types and their encoding between hosts; nothing uses them yet, so requests are handled as before. An evacuation is encoded as an error text, which hosts of earlier versions keep and forward. A malformed limit counts as none and leaves the table in effect. Tests: round trip of messages, an evacuation through a store, a peer and a list.

--- a/configurer/gateway.go
+++ b/configurer/gateway.go
@@ -33,6 +33,12 @@
 
 	LinkMbps float64 `long:"link-mbps" env:"VERBENASTAND_LINK_MBPS" default:"0" description:"Bandwidth of the link of this host in Mbit/s, 0 if unknown; hosts with fast links read the store and forward changes for the others"`
 
+	WarmupOverage float64 `long:"warmup-overage" env:"VERBENASTAND_WARMUP_OVERAGE" default:"1" description:"Multiple of the limit of a server that is not warm which all hosts together may send to it in one second"`
+	WarmupSlack   float64 `long:"warmup-slack" env:"VERBENASTAND_WARMUP_SLACK" default:"0" description:"Requests beyond that multiple which a server that is not warm takes in one second"`
+
+	MemoryMB       float64 `long:"memory-mb" env:"VERBENASTAND_MEMORY_MB" default:"0" description:"Memory of this host in MB, 0 if unknown"`
+	MaxDescriptors int     `long:"max-descriptors" env:"VERBENASTAND_MAX_DESCRIPTORS" default:"0" description:"Maximum number of file descriptors of the process, 0 if unknown"`
+
 	MaxConcurrent int `long:"max-concurrent" env:"VERBENASTAND_MAX_CONCURRENT" default:"2000" description:"Maximum number of concurrent requests on this host"`
 
 	TraceEndpoint string  `long:"trace-endpoint" env:"VERBENASTAND_TRACE_ENDPOINT" description:"URL of an OTLP/HTTP collector; no tracing if empty"`
@@ -66,6 +72,10 @@
 		{"retry-allowance", g.RetryAllowance, 0, 1e6},
 		{"max-concurrent", float64(g.MaxConcurrent), 1, 1e6},
 		{"link-mbps", g.LinkMbps, 0, 1e6},
+		{"warmup-overage", g.WarmupOverage, 0, 1e6},
+		{"warmup-slack", g.WarmupSlack, 0, 1e6},
+		{"memory-mb", g.MemoryMB, 0, 1e9},
+		{"max-descriptors", float64(g.MaxDescriptors), 0, 1e9},
 		{"trace-share", g.TraceShare, 0, 1},
 		{"log-share", g.LogShare, 0, 1},
 	})
--- a/follower/batch.go
+++ b/follower/batch.go
@@ -187,7 +187,7 @@
 		if f.held[key] != nil && b.full {
 			continue
 		}
-		if o.change.Registration != nil || o.change.Table != nil {
+		if o.change.Registration != nil || o.change.Table != nil || o.change.Evacuated != "" {
 			if b.full || o.change.Revision > after {
 				b.changes = append(b.changes, o.change)
 			}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -217,7 +217,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	servers := make(map[verbenastand.ServiceName][]verbenastand.Registration)
+	evacuated := make(map[verbenastand.Zone]bool)
 	for _, o := range f.objects {
+		if o.change.Evacuated != "" {
+			evacuated[o.change.Evacuated] = true
+		}
 		r := o.change.Registration
 		if r == nil && !o.retainedUntil.IsZero() {
 			r = o.lastRegistration
@@ -229,5 +233,5 @@
 	for _, list := range servers {
 		slices.SortFunc(list, func(a, b verbenastand.Registration) int { return cmp.Compare(a.Server(), b.Server()) })
 	}
-	return verbenastand.NewView(verbenastand.ViewConfig{Revision: f.revision, Table: f.table, Servers: servers})
+	return verbenastand.NewView(verbenastand.ViewConfig{Revision: f.revision, Table: f.table, Servers: servers, Evacuated: evacuated})
 }
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -35,7 +35,7 @@
 			Name: "r", HostName: "h", PathPrefix: "/", Timeout: time.Second, MaxAttempts: 2,
 			Split: []verbenastand.WeightedService{verbenastand.NewWeightedService("s", 1)},
 		}),
-	}, Services: map[verbenastand.ServiceName]verbenastand.ServiceSettings{"s": {HealthPath: "/health", MaxConnections: 9}}})
+	}, Services: map[verbenastand.ServiceName]verbenastand.ServiceSettings{"s": {HealthPath: "/health", MaxConnections: 9, WarmupRate: 4.3}}})
 	return verbenastand.Change{Key: "config", Revision: revision, Table: t}
 }
 
@@ -308,6 +308,7 @@
 			b := batch{after: 3, revision: 9, confirmedAt: clock.Now(), forwardTo: []verbenastand.HostID{"h1", "h2"}, changes: []verbenastand.Change{
 				registered("a", 4, func(c *verbenastand.RegistrationConfig) { c.Warmup, c.Version = time.Second, "v1" }),
 				removed("b", 5), tc.table, {Key: "servers/c", Revision: 7, Err: decodingError("no")},
+				{Key: "evacuate/zone-a", Revision: 8, Evacuated: "zone-a"}, {Key: "evacuate/zone-b", Revision: 9, Removed: true},
 			}}
 			data, err := encode(b, clock.Now())
 			require.NoError(t, err)
@@ -346,3 +347,28 @@
 		newFollower(fake.NewClock()).apply(m.batch(time.Now()))
 	})
 }
+
+// Guards against a host that sends requests to the servers of an evacuated zone, or keeps the
+// evacuation after its end, whichever way it learns of it.
+func TestEvacuations(t *testing.T) {
+	began := verbenastand.Change{Key: "evacuate/zone-a", Revision: 3, Evacuated: "zone-a"}
+	ended := verbenastand.Change{Key: "evacuate/zone-a", Revision: 5, Removed: true}
+	f := newFollower(fake.NewClock())
+	f.apply(batch{changes: []verbenastand.Change{table(2, 1), began}, full: true, revision: 4})
+	require.True(t, f.View().Evacuated("zone-a"))
+	require.False(t, f.View().Evacuated("zone-b"))
+
+	peer := newFollower(fake.NewClock())
+	peer.apply(f.changesSince(peer.Position()))
+	require.True(t, peer.View().Evacuated("zone-a"))
+
+	f.apply(batch{changes: []verbenastand.Change{ended}, after: 4, revision: 5})
+	require.Zero(t, f.View().EvacuatedZones())
+	peer.apply(f.changesSince(peer.Position()))
+	require.Zero(t, peer.View().EvacuatedZones())
+
+	peer.apply(batch{changes: []verbenastand.Change{{Key: began.Key, Revision: 6, Evacuated: "zone-a"}}, after: 5, revision: 6})
+	require.True(t, peer.View().Evacuated("zone-a"))
+	peer.apply(batch{changes: []verbenastand.Change{table(2, 1)}, full: true, revision: 8})
+	require.Zero(t, peer.View().EvacuatedZones(), "a list that lacks the evacuation ends it")
+}
--- a/follower/message.go
+++ b/follower/message.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
+	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -106,6 +108,9 @@
 type serviceRecord struct {
 	HealthPath     string `cbor:"1,keyasint"`
 	MaxConnections int    `cbor:"2,keyasint"`
+	// WarmupRate is the limit of a server that is not warm. Hosts of earlier versions drop
+	// it from the tables that they forward.
+	WarmupRate float64 `cbor:"3,keyasint,omitempty"`
 }
 
 type limitsRecord struct {
@@ -292,6 +297,9 @@
 	if c.Err != nil {
 		r.Err = c.Err.Error()
 	}
+	if c.Evacuated != "" && !c.Removed {
+		r.Err = evacuationText + string(c.Evacuated)
+	}
 	if c.Warning != nil {
 		r.Warning = c.Warning.Error()
 	}
@@ -316,7 +324,7 @@
 		},
 	}
 	for name, s := range t.Services() {
-		r.Services[string(name)] = serviceRecord{HealthPath: s.HealthPath, MaxConnections: s.MaxConnections}
+		r.Services[string(name)] = serviceRecord{HealthPath: s.HealthPath, MaxConnections: s.MaxConnections, WarmupRate: float64(s.WarmupRate)}
 	}
 	for _, route := range t.Routes() {
 		record := routeRecord{
@@ -332,6 +340,19 @@
 	return r
 }
 
+// evacuationText begins the error text with which the evacuation of an availability zone is
+// encoded. Hosts of earlier versions keep and forward the error of an object that they can't
+// read, but no unknown field.
+const evacuationText = "evacuated zone: "
+
+// warmupRate bounds a received limit.
+func warmupRate(perSecond float64) verbenastand.RequestRate {
+	if !(perSecond > 0 && perSecond < math.MaxFloat32) {
+		return 0
+	}
+	return verbenastand.RequestRate(perSecond)
+}
+
 // decodingError is the error with which another host failed to decode an object.
 type decodingError string
 
@@ -345,6 +366,8 @@
 		c.Registration = &registration
 	case r.Table != nil:
 		c.Table = r.Table.table()
+	case strings.HasPrefix(r.Err, evacuationText):
+		c.Evacuated = verbenastand.Zone(strings.TrimPrefix(r.Err, evacuationText))
 	case r.Err != "":
 		c.Err = decodingError(r.Err)
 	default:
@@ -373,7 +396,9 @@
 		},
 	}
 	for name, s := range r.Services {
-		c.Services[verbenastand.ServiceName(name)] = verbenastand.ServiceSettings{HealthPath: s.HealthPath, MaxConnections: s.MaxConnections}
+		c.Services[verbenastand.ServiceName(name)] = verbenastand.ServiceSettings{
+			HealthPath: s.HealthPath, MaxConnections: s.MaxConnections, WarmupRate: warmupRate(s.WarmupRate),
+		}
 	}
 	for _, record := range r.Routes {
 		c.Routes = append(c.Routes, record.route())
--- a/follower/object.go
+++ b/follower/object.go
@@ -40,6 +40,9 @@
 	if c.Table != nil || (c.Err != nil && o.change.Table != nil) {
 		return f.applyTableLocked(o, c, event)
 	}
+	if c.Evacuated != "" || o.change.Evacuated != "" {
+		return applyEvacuation(o, c, event)
+	}
 	if c.Registration != nil && o.lastRegistration != nil && (c.Registration.OlderThan(*o.lastRegistration) || (f.entering && o.restores(c))) {
 		event.Name = "registrationOutdated"
 		o.change.Revision = c.Revision
@@ -128,6 +131,23 @@
 	return "serverRegistered"
 }
 
+// applyEvacuation applies the beginning or the end of the evacuation of an availability zone.
+func applyEvacuation(o *object, c verbenastand.Change, event Event) (bool, Event) {
+	before := o.change.Evacuated
+	if c.Removed {
+		c.Evacuated = ""
+	}
+	o.change = c
+	event.Name = "evacuationBegan"
+	if c.Evacuated == "" {
+		event.Name = "evacuationEnded"
+	}
+	if before == c.Evacuated {
+		return false, Event{}
+	}
+	return true, event
+}
+
 func (f *Follower) applyTableLocked(o *object, c verbenastand.Change, event Event) (bool, Event) {
 	if c.Table == nil {
 		event.Name = "tableUnreadable"
@@ -171,7 +191,7 @@
 			// The table stays in force until there is another.
 			o.change.Revision = b.revision
 			f.holdLocked(key, o)
-		case o.change.Registration == nil:
+		case o.change.Registration == nil && o.change.Evacuated == "":
 			o.outdated = nil
 			delete(f.held, key)
 		default:
--- a/route.go
+++ b/route.go
@@ -119,6 +119,9 @@
 	// MaxConnections is the number of connections that one server accepts from
 	// all hosts together.
 	MaxConnections int
+	// WarmupRate is the number of requests per second that a server takes from all hosts
+	// together until it is warm; zero if there is no limit.
+	WarmupRate RequestRate
 }
 
 // RouteTable is one immutable version of all routes.
--- a/store.go
+++ b/store.go
@@ -37,6 +37,8 @@
 	Registration *Registration
 	// Table is set for the route table.
 	Table *RouteTable
+	// Evacuated is set for the evacuation of an availability zone.
+	Evacuated Zone
 	// Removed is set once the object no longer exists.
 	Removed bool
 	// Err is the error if the object could not be decoded.
--- a/view.go
+++ b/view.go
@@ -7,6 +7,8 @@
 	revision Revision
 	table    *RouteTable
 	servers  map[ServiceName][]Registration
+	// evacuated holds the availability zones whose servers get no requests.
+	evacuated map[Zone]bool
 }
 
 // ViewConfig holds the values of a View.
@@ -16,12 +18,14 @@
 	Table *RouteTable
 	// Servers holds the registrations of each service, ordered by server name.
 	Servers map[ServiceName][]Registration
+	// Evacuated holds the availability zones whose servers get no requests.
+	Evacuated map[Zone]bool
 }
 
-// NewView returns a view that keeps the map; the caller must not change it
+// NewView returns a view that keeps the maps; the caller must not change them
 // afterwards.
 func NewView(c ViewConfig) *View {
-	return &View{revision: c.Revision, table: c.Table, servers: c.Servers}
+	return &View{revision: c.Revision, table: c.Table, servers: c.Servers, evacuated: c.Evacuated}
 }
 
 // Revision returns the revision up to which the view is complete.
@@ -48,3 +52,9 @@
 	// Relay sends a message and returns the peer's response.
 	Relay(ctx context.Context, peer Host, message []byte) ([]byte, error)
 }
+
+// Evacuated reports whether the servers of an availability zone get no requests.
+func (v *View) Evacuated(z Zone) bool { return v.evacuated[z] }
+
+// EvacuatedZones returns the number of availability zones whose servers get no requests.
+func (v *View) EvacuatedZones() int { return len(v.evacuated) }
