Exchange fewer heartbeats between availability zones in large fleets

Cause: two of a host's eight gossip neighbors are in other zones, and each message repeats heartbeats of the receiver's own zone. With 123 hosts, about 100 of 410 exchanges a second cross zones. Change: where a zone has 16 hosts or more, one neighbor is in another zone, and messages to a zone of that size leave out the heartbeats of its own hosts. Smaller fleets are unchanged.

--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -30,7 +30,7 @@
 }
 
 func (g *Gossiper) exchange(ctx context.Context, h verbenastand.Host) {
-	out, err := g.encode()
+	out, err := g.encode(h.Zone())
 	if err != nil {
 		return
 	}
@@ -58,17 +58,20 @@
 	if isNew || m.WantsRecords {
 		records = initialRecords
 	}
-	out, err := g.encodeWith(records)
+	out, err := g.encodeWith(verbenastand.Zone(m.Hosts[0].Zone), records)
 	g.sent.Add(uint64(len(out)))
 	return out, err
 }
 
-func (g *Gossiper) encode() ([]byte, error) { return g.encodeWith(recordsPerMessage) }
+// encode encodes a message to a host of an availability zone, which is empty if it is unknown.
+func (g *Gossiper) encode(receiver verbenastand.Zone) ([]byte, error) {
+	return g.encodeWith(receiver, recordsPerMessage)
+}
 
 // encodeWith encodes a message of up to limit full records of other hosts. The
 // space that records, notices and evidence leave in messageBudget is filled with
 // heartbeats of the remaining hosts.
-func (g *Gossiper) encodeWith(limit int) ([]byte, error) {
+func (g *Gossiper) encodeWith(receiver verbenastand.Zone, limit int) ([]byte, error) {
 	urgent := maxUrgentItems
 	if limit == initialRecords {
 		urgent = initialUrgentItems
@@ -89,7 +92,7 @@
 	m.Hosts = append([]hostRecord{self}, recordsOf(alive[:records])...)
 	m.Leaving = recentlyLeaving(alive, g.config.Timer.Now())
 	remaining := messageBudget - hostRecordBytes*len(m.Hosts) - noticeBytes*len(m.Notices) - evidenceBytes*len(m.Evidence) - limitBytes*len(m.Limits) - tagBytes*len(m.Leaving)
-	m.Heartbeats = heartbeatsOf(alive[records:], max(0, remaining/heartbeatBytes))
+	m.Heartbeats = heartbeatsOf(g.unknownTo(receiver, alive[records:]), max(0, remaining/heartbeatBytes))
 	m.WantsRecords = g.needsRecords
 	g.mu.Unlock()
 	return encodeMessage(m)
@@ -134,6 +137,24 @@
 	return tags
 }
 
+// unknownTo leaves out the peers in the availability zone of the receiver if that is another
+// one and large: the receiver has their heartbeats sooner from its own zone.
+func (g *Gossiper) unknownTo(receiver verbenastand.Zone, peers []*peer) []*peer {
+	if receiver == g.config.Self.Zone() {
+		return peers
+	}
+	var others []*peer
+	for _, p := range peers {
+		if verbenastand.Zone(p.record.Zone) != receiver {
+			others = append(others, p)
+		}
+	}
+	if len(peers)-len(others) < largeZone {
+		return peers
+	}
+	return others
+}
+
 func recordsOf(peers []*peer) []hostRecord {
 	records := make([]hostRecord, 0, len(peers))
 	for _, p := range peers {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -57,6 +57,9 @@
 	// unknown or asks for records.
 	maxUrgentItems     = 8
 	initialUrgentItems = 128
+	// largeZone is the number of hosts from which the hosts of an availability zone learn of
+	// each other almost only within the zone, since traffic between zones is expensive.
+	largeZone = 16
 	// contactLifetimes is the number of lifetimes after which an unreachable
 	// host is no longer contacted.
 	contactLifetimes = 30
@@ -252,8 +255,8 @@
 
 // neighbours returns the contacts to which heartbeats are sent: those with the
 // lowest hash of the pair of hosts, so that both sides agree, three quarters of
-// them in this host's availability zone. Contacts whose name is not known yet
-// are always included.
+// them in this host's availability zone, and all but one if that zone is large.
+// Contacts whose name is not known yet are always included.
 func (g *Gossiper) neighbours(contacts []verbenastand.Host) []verbenastand.Host {
 	limit := g.config.Neighbours
 	if limit == 0 || len(contacts) <= limit {
@@ -265,7 +268,11 @@
 		hashes[h.ID()] = xxhash.Sum64String(min(a, b) + "\x00" + max(a, b))
 	}
 	slices.SortFunc(contacts, func(a, b verbenastand.Host) int { return cmp.Compare(hashes[a.ID()], hashes[b.ID()]) })
-	remaining := map[bool]int{true: limit * 3 / 4, false: limit - limit*3/4}
+	others := limit - limit*3/4
+	if zoneSize(contacts, g.config.Self.Zone()) >= largeZone {
+		others = 1
+	}
+	remaining := map[bool]int{true: limit - others, false: others}
 	var chosen []verbenastand.Host
 	for _, h := range contacts {
 		sameZone := h.Zone() == g.config.Self.Zone()
@@ -277,6 +284,16 @@
 	return chosen
 }
 
+// zoneSize returns the number of hosts in an availability zone.
+func zoneSize(hosts []verbenastand.Host, zone verbenastand.Zone) (n int) {
+	for _, h := range hosts {
+		if h.Zone() == zone {
+			n++
+		}
+	}
+	return n
+}
+
 // lifetimeLocked returns how long a host without a new heartbeat is considered
 // alive.
 func (g *Gossiper) lifetimeLocked() time.Duration {
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -395,14 +395,14 @@
 		nodes[0].notices[id] = Notice{Service: "service", DrainNotice: scheduler.DrainNotice{Server: id, Ticket: 3}}
 		recordCrash(nodes[0].config.Quarantine, request(fmt.Sprint("/", i)), id)
 	}
-	data, err := nodes[0].encode()
+	data, err := nodes[0].encode("")
 	require.NoError(t, err)
 	require.LessOrEqual(t, len(data), 2048)
 }
 
 func FuzzDecodeMessage(f *testing.F) {
 	_, nodes := newNetwork(2)
-	seed, err := nodes[0].encode()
+	seed, err := nodes[0].encode("")
 	require.NoError(f, err)
 	f.Add(seed)
 	f.Fuzz(func(t *testing.T, data []byte) {
@@ -427,7 +427,7 @@
 			b.ResetTimer()
 			bytes := 0
 			for range b.N {
-				out, err := nodes[0].encode()
+				out, err := nodes[0].encode("")
 				if err != nil {
 					b.Fatal(err)
 				}
@@ -445,3 +445,47 @@
 func recordCrash(q *quarantiner.Quarantiner, f quarantiner.Fingerprint, server verbenastand.ServerID) {
 	q.RecordLoss(f, verbenastand.NewLoss(verbenastand.LossConfig{Server: server, At: time.Now()}), verbenastand.ProcessEnded)
 }
+
+// Guards against heartbeats that cross availability zones more often than it takes to keep all
+// hosts informed: in a large fleet they are a large part of the traffic between zones.
+func TestFewHeartbeatsCrossZonesInALargeFleet(t *testing.T) {
+	cases := []struct {
+		size int
+		// most bounds the share of the bytes that cross zones: that of one neighbor in eight.
+		most float64
+	}{{14, 1}, {129, 0.12}}
+	for _, tc := range cases {
+		t.Run(fmt.Sprintf("%d hosts", tc.size), func(t *testing.T) {
+			net, nodes := newNetwork(tc.size)
+			net.loss = 0.1
+			for _, n := range nodes {
+				n.config.Neighbours, n.config.LifetimePerHost = 8, 20*time.Millisecond
+			}
+			for range rounds(15 * time.Second) {
+				net.round(nodes)
+			}
+			var crossing, total uint64
+			missing := 0
+			for range rounds(20 * time.Second) {
+				net.clock.Advance(DefaultInterval)
+				for _, n := range nodes {
+					for _, target := range n.advanceHeartbeat() {
+						peer := net.nodes[target.PeerAddress()]
+						before := n.sent.Load() + peer.sent.Load()
+						n.exchange(context.Background(), target)
+						sent := n.sent.Load() + peer.sent.Load() - before
+						total += sent
+						if peer.config.Self.Zone() != n.config.Self.Zone() {
+							crossing += sent
+						}
+					}
+					missing += tc.size - len(n.Hosts())
+				}
+			}
+			require.Zero(t, missing, "a live host was considered failed")
+			share := float64(crossing) / float64(total)
+			t.Logf("%.3f of %d bytes cross zones", share, total)
+			require.LessOrEqual(t, share, tc.most)
+		})
+	}
+}
