Transfer less for connections between hosts

Cause: a gateway host opens connections to its gossip neighbors again and again: they idle for 2.4 s on average, the idle timeout was 5 s, and each new connection probes the MTU of its path with packets of up to 1.4 kB. Change: no MTU probes, and an idle timeout of 15 s. A connection on which an exchange fails is discarded as before; a tunnel now ends, and its connection is discarded, when its peer leaves a keep-alive message unanswered, so that a silent peer is noticed as soon as before. Tests: a tunnel ends once its peer is silent (failed without that); the test of long requests over a tunnel waits for the new idle timeout.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -29,7 +29,11 @@
 const (
 	handshakeTimeout = time.Second
 	idleTimeout      = 5 * time.Second
-	keepAlive        = 2 * time.Second
+	// neighborIdleTimeout is the idle timeout of hosts that close idle connections. It keeps
+	// those to neighbors in the gossip protocol, which are used every 2.4 s on average: a
+	// handshake transfers more than an exchange.
+	neighborIdleTimeout = 15 * time.Second
+	keepAlive           = 2 * time.Second
 	// retireAfter is how long requests may continue on a replaced connection.
 	retireAfter = time.Minute
 	// maxStreams is the maximum number of concurrent requests from one peer.
@@ -65,7 +69,10 @@
 		KeepAlivePeriod: keepAlive, MaxIncomingStreams: maxStreams,
 	}
 	if closeIdle {
-		c.KeepAlivePeriod = 0
+		c.KeepAlivePeriod, c.MaxIdleTimeout = 0, neighborIdleTimeout
+		// The probes of a connection's path are larger than most of what it carries before
+		// it is closed again.
+		c.DisablePathMTUDiscovery = true
 		c.InitialStreamReceiveWindow, c.InitialConnectionReceiveWindow = initialWindow, initialWindow
 	}
 	return c
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -48,18 +49,41 @@
 
 // newTunnelServer returns a forwarder and a peer that serves tunnels.
 func newTunnelServer(t *testing.T, serve func(conn net.Conn, origin verbenastand.Origin) bool) (*Forwarder, verbenastand.Host, *Server) {
+	f, peer, server, _ := newSilencedTunnelServer(t, serve)
+	return f, peer, server
+}
+
+// silencedConn drops what it receives once it is silenced.
+type silencedConn struct {
+	net.PacketConn
+	silenced atomic.Bool
+}
+
+// ReadFrom implements net.PacketConn.
+func (c *silencedConn) ReadFrom(p []byte) (int, net.Addr, error) {
+	for {
+		n, from, err := c.PacketConn.ReadFrom(p)
+		if err != nil || !c.silenced.Load() {
+			return n, from, err
+		}
+	}
+}
+
+// newSilencedTunnelServer is newTunnelServer, and returns the peer's socket.
+func newSilencedTunnelServer(t *testing.T, serve func(conn net.Conn, origin verbenastand.Origin) bool) (*Forwarder, verbenastand.Host, *Server, *silencedConn) {
 	certificates, err := certifier.NewSharedCertifier("a secret")
 	require.NoError(t, err)
 	server := NewServer(ServerConfig{Certifier: certificates, CloseIdle: true, Tunnel: serve})
-	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
 	require.NoError(t, err)
+	conn := &silencedConn{PacketConn: socket}
 	go func() { _ = server.Serve(conn) }()
 	f := NewForwarder(Config{Certifier: certificates, CloseIdle: true})
 	t.Cleanup(func() {
 		_ = f.Close()
 		_ = server.Close()
 	})
-	return f, verbenastand.NewHost(verbenastand.HostConfig{PeerAddress: conn.LocalAddr().String()}), server
+	return f, verbenastand.NewHost(verbenastand.HostConfig{PeerAddress: conn.LocalAddr().String()}), server, conn
 }
 
 // TestTunnel: a request and a large response pass in both directions, and the end of
@@ -319,7 +343,7 @@
 	f, peer, _ := newTunnelServer(t, func(conn net.Conn, _ verbenastand.Origin) bool {
 		go func() {
 			_, _ = http.ReadRequest(bufio.NewReader(conn))
-			time.Sleep(idleTimeout + time.Second)
+			time.Sleep(neighborIdleTimeout + time.Second)
 			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 		}()
 		return true
@@ -335,6 +359,20 @@
 	require.NoError(t, response.Body.Close())
 }
 
+// Guards against a delegated request that waits for the idle timeout of the connection after its
+// peer has gone silent, instead of being sent elsewhere.
+func TestATunnelEndsOnceItsPeerIsSilent(t *testing.T) {
+	t.Parallel()
+	f, peer, _, socket := newSilencedTunnelServer(t, func(net.Conn, verbenastand.Origin) bool { return true })
+	conn, err := f.Tunnel(t.Context(), peer, verbenastand.Origin{Caller: "c"})
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	socket.silenced.Store(true)
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(neighborIdleTimeout-time.Second)))
+	_, err = conn.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF, "the tunnel has not ended before the idle timeout")
+}
+
 // Checks that a tunnel which does not end delays a stop only for a bounded time.
 func TestAwaitResponsesIsBounded(t *testing.T) {
 	f, peer, server := newTunnelServer(t, func(net.Conn, verbenastand.Origin) bool { return true })
--- a/forwarder/tunnel.go
+++ b/forwarder/tunnel.go
@@ -44,7 +44,7 @@
 		return nil, err
 	}
 	if f.config.CloseIdle {
-		go f.keepAlive(streamCtx, c, peer)
+		go f.keepAlive(streamCtx, cancel, c, peer)
 	}
 	near, far := net.Pipe()
 	go func() {
@@ -100,9 +100,10 @@
 	return response, nil
 }
 
-// keepAlive sends messages over a connection until ctx is done. It would otherwise be closed
-// as idle while the peer waits for a server.
-func (f *Forwarder) keepAlive(ctx context.Context, c *peerConn, peer verbenastand.Host) {
+// keepAlive sends messages over the connection of a tunnel until ctx is done. It would otherwise
+// be closed as idle while the peer waits for a server. If the peer no longer responds, the tunnel
+// ends sooner than by the idle timeout.
+func (f *Forwarder) keepAlive(ctx context.Context, end context.CancelFunc, c *peerConn, peer verbenastand.Host) {
 	ticker := time.NewTicker(keepAlive)
 	defer ticker.Stop()
 	for {
@@ -111,9 +112,12 @@
 			return
 		case <-ticker.C:
 		}
-		response, err := f.roundTrip(ctx, c, peer, purposeKeepAlive, "", nil)
+		roundTripCtx, cancel := context.WithTimeout(ctx, idleTimeout-keepAlive)
+		response, err := f.roundTrip(roundTripCtx, c, peer, purposeKeepAlive, "", nil)
+		cancel()
 		if err != nil {
-			// The tunnel ends with the connection.
+			f.discard(c)
+			end()
 			return
 		}
 		_ = response.Body.Close()
