Keep evacuations through a return of the store from an older copy

Cause: an evacuation that the copy lacked ended on every host at once, before its operator could write it again; the number of evacuations that a host kept was not bounded; keys that had been written and deleted stayed in memory for ever.

--- a/follower/batch.go
+++ b/follower/batch.go
@@ -23,6 +23,8 @@
 	// held are states that the sender uses although the store shows older ones at the
 	// revision.
 	held []heldChange
+	// retained are evacuations that hold although the store does not have them.
+	retained []retainedRecord
 	// forwardTo are the hosts to which the receiver forwards the batch.
 	forwardTo []verbenastand.HostID
 	// encoded are the encoded changes if other peers receive them too, or nil.
@@ -95,11 +97,12 @@
 	if f.entering {
 		events = append(events, f.enterEraLocked(b)...)
 	}
+	f.beginBatchLocked(b)
 	if !b.position().Before(f.newest) {
 		// A position before one that a peer knows is not current.
 		events = append(events, f.confirmLocked(b)...)
 	}
-	for _, c := range b.changes {
+	for _, c := range evacuationsLast(b.changes) {
 		updated, event := f.applyLocked(c)
 		changed = changed || updated
 		if event.Name != "" {
@@ -120,7 +123,10 @@
 			events = append(events, event)
 		}
 	}
-	if len(b.changes)+len(b.held) > 0 || f.entering || f.revision < b.revision {
+	for _, r := range b.retained {
+		changed = f.mergeRetainedLocked(r, b.revision) || changed
+	}
+	if len(b.changes)+len(b.held)+len(b.retained) > 0 || f.entering || f.revision < b.revision {
 		f.objectsChangedLocked()
 	}
 	f.revision = max(f.revision, b.revision)
@@ -178,7 +184,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	after := position.Revision
-	b := batch{era: f.era, after: after, revision: f.revision, confirmedAt: f.confirmedAt}
+	b := batch{era: f.era, after: after, revision: f.revision, confirmedAt: f.confirmedAt, retained: f.retainedLocked()}
 	if position.Era != f.era || !f.contiguousLocked(after) {
 		b.full, b.after = true, 0
 	}
--- a/follower/encoded.go
+++ b/follower/encoded.go
@@ -1,10 +1,16 @@
 package follower
 
 import (
+	"bytes"
+	"compress/flate"
 	"encoding/binary"
 	"errors"
+	"fmt"
+	"io"
 	"sync"
 
+	"github.com/fxamacker/cbor/v2"
+
 	verbenastand "github.com/verbenastand/verbenastand"
 )
 
@@ -76,3 +82,37 @@
 	}
 	return blocks
 }
+
+func compress(data []byte) ([]byte, error) {
+	var compressed bytes.Buffer
+	w, err := flate.NewWriter(&compressed, flate.BestSpeed)
+	if err != nil {
+		return nil, fmt.Errorf("follower: compress message: %w", err)
+	}
+	if _, err := w.Write(data); err != nil {
+		return nil, fmt.Errorf("follower: compress message: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, fmt.Errorf("follower: compress message: %w", err)
+	}
+	return compressed.Bytes(), nil
+}
+
+// decompress decodes a compressed message, which may not contain another one.
+func decompress(compressed []byte) (message, error) {
+	var m message
+	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(compressed)), MaxMessageBytes+1))
+	if err != nil {
+		return m, fmt.Errorf("follower: decompress message: %w", err)
+	}
+	if len(data) > MaxMessageBytes {
+		return m, fmt.Errorf("follower: message exceeds %d bytes", MaxMessageBytes)
+	}
+	if err := cbor.Unmarshal(data, &m); err != nil {
+		return m, fmt.Errorf("follower: decode message: %w", err)
+	}
+	if m.Compressed != nil {
+		return m, errors.New("follower: message is compressed twice")
+	}
+	return m, m.check()
+}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -68,8 +68,9 @@
 	mu      sync.Mutex
 	objects map[string]*object
 	// held are the objects whose state in use is newer than the store's.
-	held  map[string]*object
-	table *verbenastand.RouteTable
+	held        map[string]*object
+	evacuations evacuations
+	table       *verbenastand.RouteTable
 	// era is the era of all revisions below and of the objects.
 	era      verbenastand.Era
 	revision verbenastand.Revision
@@ -102,7 +103,7 @@
 	if c.OnEvent == nil {
 		c.OnEvent = func(Event) {}
 	}
-	f := &Follower{config: c, startedAt: c.Clock.Now(), objects: make(map[string]*object), held: make(map[string]*object), encodings: make(map[encodingKey]*encodedChanges), largeSends: make(chan struct{}, fanOut)}
+	f := &Follower{config: c, startedAt: c.Clock.Now(), objects: make(map[string]*object), held: make(map[string]*object), evacuations: newEvacuations(), encodings: make(map[encodingKey]*encodedChanges), largeSends: make(chan struct{}, fanOut)}
 	f.view.Store(verbenastand.NewView(verbenastand.ViewConfig{}))
 	return f
 }
@@ -157,10 +158,11 @@
 }
 
 // ExpireRegistrations stops using retained registrations that were not renewed in
-// time, and uses those that were renewed although they seemed outdated.
+// time, and uses those that were renewed although they seemed outdated. It ends evacuations
+// that were lost by the store and not written again in time.
 func (f *Follower) ExpireRegistrations(now time.Time) {
 	f.mu.Lock()
-	changed := false
+	changed := f.expireEvacuationsLocked(now)
 	var events []Event
 	for _, o := range f.objects {
 		if !o.retainedUntil.IsZero() && !now.Before(o.retainedUntil) {
@@ -219,8 +221,8 @@
 	servers := make(map[verbenastand.ServiceName][]verbenastand.Registration)
 	evacuated := make(map[verbenastand.Zone]bool)
 	for _, o := range f.objects {
-		if o.change.Evacuated != "" {
-			evacuated[o.change.Evacuated] = true
+		if z := o.zone(); z != "" {
+			evacuated[z] = true
 		}
 		r := o.change.Registration
 		if r == nil && !o.retainedUntil.IsZero() {
--- a/follower/message.go
+++ b/follower/message.go
@@ -1,11 +1,7 @@
 package follower
 
 import (
-	"bytes"
-	"compress/flate"
-	"errors"
 	"fmt"
-	"io"
 	"math"
 	"strings"
 	"time"
@@ -48,6 +44,9 @@
 	HeldDigest uint64       `cbor:"13,keyasint,omitempty"`
 	// Skipped are, in a response, the hosts of ForwardTo that the receiver does not know.
 	Skipped []string `cbor:"14,keyasint,omitempty"`
+	// Retained are evacuations that the sender retains although the store does not have them.
+	// Hosts of earlier versions ignore them.
+	Retained []retainedRecord `cbor:"15,keyasint,omitempty"`
 }
 
 type heldRecord struct {
@@ -128,7 +127,7 @@
 func messageOf(b batch, now time.Time) message {
 	m := message{
 		Version: messageVersion, After: uint64(b.after), Full: b.full, Era: uint64(b.era), Revision: uint64(b.revision),
-		Staleness: unknownStaleness,
+		Staleness: unknownStaleness, Retained: b.retained,
 	}
 	if !b.confirmedAt.IsZero() {
 		m.Staleness = max(0, now.Sub(b.confirmedAt))
@@ -209,46 +208,12 @@
 	if m.Version != messageVersion {
 		return fmt.Errorf("follower: message version %d is unknown", m.Version)
 	}
-	if changes := len(m.Changes) + len(m.Held); changes > maxChanges || m.Staleness < 0 {
+	if changes := len(m.Changes) + len(m.Held) + len(m.Retained); changes > maxChanges || m.Staleness < 0 {
 		return fmt.Errorf("follower: message with %d changes is out of bounds", changes)
 	}
 	return nil
 }
 
-func compress(data []byte) ([]byte, error) {
-	var compressed bytes.Buffer
-	w, err := flate.NewWriter(&compressed, flate.BestSpeed)
-	if err != nil {
-		return nil, fmt.Errorf("follower: compress message: %w", err)
-	}
-	if _, err := w.Write(data); err != nil {
-		return nil, fmt.Errorf("follower: compress message: %w", err)
-	}
-	if err := w.Close(); err != nil {
-		return nil, fmt.Errorf("follower: compress message: %w", err)
-	}
-	return compressed.Bytes(), nil
-}
-
-// decompress decodes a compressed message, which may not contain another one.
-func decompress(compressed []byte) (message, error) {
-	var m message
-	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(compressed)), MaxMessageBytes+1))
-	if err != nil {
-		return m, fmt.Errorf("follower: decompress message: %w", err)
-	}
-	if len(data) > MaxMessageBytes {
-		return m, fmt.Errorf("follower: message exceeds %d bytes", MaxMessageBytes)
-	}
-	if err := cbor.Unmarshal(data, &m); err != nil {
-		return m, fmt.Errorf("follower: decode message: %w", err)
-	}
-	if m.Compressed != nil {
-		return m, errors.New("follower: message is compressed twice")
-	}
-	return m, m.check()
-}
-
 // batch returns the changes of a message that was received at the given time.
 func (m message) batch(now time.Time) batch {
 	b := batch{era: verbenastand.Era(m.Era), after: verbenastand.Revision(m.After), full: m.Full, revision: verbenastand.Revision(m.Revision)}
@@ -262,6 +227,7 @@
 		b.changes = append(b.changes, c.change())
 	}
 	b.held = m.heldChanges()
+	b.retained = m.Retained
 	return b
 }
 
--- a/follower/object.go
+++ b/follower/object.go
@@ -24,11 +24,16 @@
 	// running.
 	outdated      *verbenastand.Change
 	outdatedUntil time.Time
+	// evacuation is set if the object requests one, or has.
+	evacuation *evacuation
 }
 
 // applyLocked applies one change and reports whether it changed the view.
 func (f *Follower) applyLocked(c verbenastand.Change) (bool, Event) {
 	o := f.objects[c.Key]
+	if c.Evacuated != "" && (o == nil || o.evacuation == nil) && !f.admitEvacuationLocked(c) {
+		return false, Event{}
+	}
 	if o == nil {
 		o = &object{}
 		f.objects[c.Key] = o
@@ -40,8 +45,8 @@
 	if c.Table != nil || (c.Err != nil && o.change.Table != nil) {
 		return f.applyTableLocked(o, c, event)
 	}
-	if c.Evacuated != "" || o.change.Evacuated != "" {
-		return applyEvacuation(o, c, event)
+	if c.Evacuated != "" || o.evacuation != nil {
+		return f.applyEvacuationLocked(o, c), Event{}
 	}
 	if c.Registration != nil && o.lastRegistration != nil && (c.Registration.OlderThan(*o.lastRegistration) || (f.entering && o.restores(c))) {
 		event.Name = "registrationOutdated"
@@ -131,23 +136,6 @@
 	return "serverRegistered"
 }
 
-// applyEvacuation applies the beginning or the end of the evacuation of an availability zone.
-func applyEvacuation(o *object, c verbenastand.Change, event Event) (bool, Event) {
-	before := o.change.Evacuated
-	if c.Removed {
-		c.Evacuated = ""
-	}
-	o.change = c
-	event.Name = "evacuationBegan"
-	if c.Evacuated == "" {
-		event.Name = "evacuationEnded"
-	}
-	if before == c.Evacuated {
-		return false, Event{}
-	}
-	return true, event
-}
-
 func (f *Follower) applyTableLocked(o *object, c verbenastand.Change, event Event) (bool, Event) {
 	if c.Table == nil {
 		event.Name = "tableUnreadable"
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -198,6 +198,9 @@
 		}))
 	}
 	f.noteNewest(m.position())
+	if len(m.Retained) > 0 && m.position() == f.Position() {
+		f.apply(batch{era: m.position().Era, after: m.position().Revision, revision: m.position().Revision, retained: m.Retained})
+	}
 	if m.position() != f.Position() || m.HeldDigest == f.heldDigest() {
 		return m.position(), nil
 	}
@@ -219,7 +222,7 @@
 // replaced if its response takes longer than usual.
 func (f *Follower) relay(ctx context.Context, b batch, to subtree) (message, error) {
 	request := messageOf(b, f.config.Clock.Now())
-	request.HeldDigest = f.heldDigest()
+	request.HeldDigest, request.Retained = f.heldDigest(), f.retained()
 	data, err := encodeBatch(request, b)
 	if err != nil {
 		return message{}, err
@@ -301,6 +304,7 @@
 	defer f.mu.Unlock()
 	m := message{
 		Version: messageVersion, Era: uint64(f.era), Revision: uint64(f.revision), HeldDigest: f.heldDigestLocked(),
+		Retained: f.retainedLocked(),
 	}
 	if m.HeldDigest != to.HeldDigest && m.position() == to.position() {
 		for _, h := range f.heldChangesLocked() {
