Send nothing to the servers of evacuated zones

Cause: hosts knew which availability zones are evacuated, and nothing acted on it. Change: the balancer leaves out their servers for first attempts, retries, hedged and delegated requests, requests that wait, and health checks; the detector does not probe them, and carrier/examine.go does not contact a server whose connection was lost, which stays unknown. An attempt whose zone is evacuated between the choice and the transmission goes elsewhere, also if it must not run twice, since nothing was sent. A service without other zones is refused at once: 503, not executed, Retry-After; requests that wait are refused as the view arrives, none are delegated. After the end, a server is cold (balancer.Server.Cold) until a health check or a registration from after it; its earlier report is not used. Gauge evacuated_zones, log line evacuation.

--- a/balancer/admit.go
+++ b/balancer/admit.go
@@ -132,7 +132,7 @@
 // assumedInterval returns the time between grants for a request until some have been observed: that
 // in which the servers complete one request each.
 func (s *Service) assumedInterval(w *waiter) time.Duration {
-	return s.Expected(w.query.Route) / time.Duration(max(1, len(s.Servers())))
+	return s.Expected(w.query.Route) / time.Duration(max(1, len(s.usable())))
 }
 
 func (s *Service) dequeue(w *waiter) bool {
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -61,6 +61,8 @@
 type Balancer struct {
 	config   Config
 	services atomic.Pointer[map[verbenastand.ServiceName]*Service]
+	// previous is the view that was applied before.
+	previous *verbenastand.View
 }
 
 // NewBalancer returns a balancer without servers.
@@ -77,7 +79,7 @@
 	if c.Excluder == nil {
 		c.Excluder = verbenastand.NoExclusions{}
 	}
-	b := &Balancer{config: c}
+	b := &Balancer{config: c, previous: verbenastand.NewView(verbenastand.ViewConfig{})}
 	b.services.Store(&map[verbenastand.ServiceName]*Service{})
 	return b
 }
@@ -110,6 +112,7 @@
 		add(n)
 	}
 	b.services.Store(&services)
+	b.previous = v
 }
 
 // Service holds the servers of one service.
@@ -120,6 +123,8 @@
 	profile  *profile
 	settings atomic.Pointer[verbenastand.ServiceSettings]
 	servers  atomic.Pointer[[]*Server]
+	// usableServers are those whose zones are not evacuated.
+	usableServers atomic.Pointer[[]*Server]
 	// missingReports counts consecutive checks that returned no load report.
 	missingReports atomic.Int64
 
@@ -131,7 +136,7 @@
 	s := &Service{balancer: b, clock: b.config.Clock, name: n, profile: newProfile()}
 	s.queue = newQueue()
 	s.settings.Store(&verbenastand.ServiceSettings{})
-	s.servers.Store(&[]*Server{})
+	s.storeServers(nil)
 	return s
 }
 
@@ -170,11 +175,12 @@
 			s.balancer.config.OnServerChange(r, "joined")
 		}
 		server.update(r, now)
+		server.setEvacuated(v.Evacuated(r.Zone()), s.balancer.previous.Evacuated(r.Zone()), now)
 		delete(known, r.Server())
 		servers = append(servers, server)
 	}
 	for _, server := range known {
 		s.balancer.config.OnServerChange(server.Registration(), "left")
 	}
-	s.servers.Store(&servers)
+	s.storeServers(servers)
 }
--- a/balancer/candidate.go
+++ b/balancer/candidate.go
@@ -35,9 +35,9 @@
 // the error tells why.
 func (s *Service) candidates(q Query) (list []candidate, err error) {
 	now := s.clock.Now()
-	list = make([]candidate, 0, len(s.Servers()))
+	list = make([]candidate, 0, len(s.usable()))
 	err = ErrNoServer
-	for _, server := range s.Servers() {
+	for _, server := range s.usable() {
 		if slices.Contains(q.Tried, server) {
 			continue
 		}
@@ -88,7 +88,7 @@
 func (s *Service) Wait() time.Duration {
 	var shortest time.Duration
 	found := false
-	for _, server := range s.Servers() {
+	for _, server := range s.usable() {
 		e, excluded := server.exclusion()
 		if excluded && e.Leaving {
 			continue
@@ -120,7 +120,7 @@
 func (s *Service) allowance() allowance {
 	a := allowance{wait: s.Wait()}
 	var rate verbenastand.RequestRate
-	for _, server := range s.Servers() {
+	for _, server := range s.usable() {
 		if e, excluded := server.exclusion(); excluded && e.Leaving {
 			continue
 		}
@@ -151,6 +151,9 @@
 	if s.replaced {
 		return candidate{}, ErrServerReplaced
 	}
+	if s.evacuation.inForce {
+		return candidate{}, errEvacuated
+	}
 	if e, excluded := s.exclusionLocked(); excluded {
 		if e.Leaving {
 			return candidate{}, errLeaving
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -168,10 +168,10 @@
 }
 
 // count counts the request against the limit that the server names, and releases the
-// choice if there is no room or the server has just said that it wants no requests.
+// choice if there is no room or the server has just said that it wants no requests, or its zone is evacuated.
 func (c *Choice) count() bool {
 	_, excluded := c.Server.exclusion()
-	c.counted = !excluded && c.Server.limiter().Take(c.Server.Registration().Process())
+	c.counted = !excluded && !c.Server.Evacuated() && c.Server.limiter().Take(c.Server.Registration().Process())
 	if !c.counted {
 		c.Release()
 	}
@@ -183,9 +183,13 @@
 // check. checked reports whether there was a check, ok whether the server can be
 // chosen.
 func (s *Service) evaluate(ctx context.Context, q Query, server *Server) (choice Choice, checked, ok bool) {
+	if server.Evacuated() {
+		return Choice{}, false, false
+	}
 	if choice, ok := server.estimate(q, maxReportAge); ok && choice.LightlyLoaded {
 		return choice, false, true
 	}
+	began := s.clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	result, err := s.balancer.config.HealthChecker.Check(ctx, server, s.settings.Load().HealthPath)
@@ -205,6 +209,7 @@
 		result.Conn.Release()
 		return Choice{}, true, false
 	}
+	server.confirmWarmth(began)
 	if !result.Reported {
 		return Choice{Server: server, Conn: result.Conn, Estimate: s.Expected(q.Route), LightlyLoaded: true}, true, true
 	}
@@ -248,7 +253,7 @@
 	level := running + 1
 	saturation, saturated := s.service.profile.saturation(min(level, slots), slots)
 	warm := 1.0
-	if s.warmingLocked(now) {
+	if s.coldLocked(now) {
 		warm = warmupFactor
 	}
 	latencyRatio := max(1, s.latencyRatioLocked(now))
--- a/balancer/server.go
+++ b/balancer/server.go
@@ -67,7 +67,8 @@
 	// received.
 	warmupReportedAt time.Time
 	// replaced is set once another process is listening at the address.
-	replaced bool
+	replaced   bool
+	evacuation evacuation
 
 	report     verbenastand.LoadReport
 	reportedAt time.Time
@@ -228,7 +229,7 @@
 		s.replaced = true
 	case Abandoned:
 	}
-	slowed := s.latencyRatioLocked(now) > degradedLatencyRatio || s.warmingLocked(now)
+	slowed := s.latencyRatioLocked(now) > degradedLatencyRatio || s.coldLocked(now)
 	s.mu.Unlock()
 	if report != nil || s.service.reportsNoLoad() {
 		s.service.grantCapacity(s, nil)
--- a/carrier/attempt.go
+++ b/carrier/attempt.go
@@ -84,6 +84,12 @@
 		c.carrier.config.Reachability.Failed(registration)
 		return &outcome{server: choice.Server, err: err}
 	}
+	if choice.Server.Evacuated() {
+		c.carrier.config.Sender.PutIdle(connection)
+		choice.Conn = nil
+		choice.Release()
+		return &outcome{server: choice.Server, err: errEvacuatedMeanwhile()}
+	}
 	end = func() {
 		choice.Release()
 		connection.Close()
--- a/carrier/delegate.go
+++ b/carrier/delegate.go
@@ -39,6 +39,9 @@
 	// Replaced reports whether a later process of a server is registered than the one to
 	// which a connection was lost.
 	Replaced(lost verbenastand.Loss) bool
+	// Evacuated reports whether the process to which a connection was lost must not be
+	// contacted, since its availability zone is evacuated.
+	Evacuated(lost verbenastand.Loss) bool
 }
 
 // Delegator selects and connects to hosts that handle requests on behalf of this one.
@@ -57,6 +60,7 @@
 func (alwaysReached) Failed(verbenastand.Registration)                         {}
 func (alwaysReached) ReachesOthers(verbenastand.Registration) bool             { return true }
 func (alwaysReached) Replaced(verbenastand.Loss) bool                          { return false }
+func (alwaysReached) Evacuated(verbenastand.Loss) bool                         { return false }
 
 // errCut means that this host reaches no server of the service, and knows no other host
 // that does.
@@ -72,7 +76,7 @@
 // can connect to none, received the request from its caller, and has not just learnt that
 // the others reach none either.
 func (c *call) mayDelegate(ctx context.Context) bool {
-	return c.carrier.config.Delegator != nil && c.request.Origin() == nil &&
+	return c.carrier.config.Delegator != nil && c.request.Origin() == nil && !c.evacuated() &&
 		!c.carrier.unserved.includes(c.serviceName, c.carrier.config.Clock.Now()) &&
 		c.carrier.config.Reachability.Unreached(ctx, c.serviceName)
 }
--- a/carrier/examine.go
+++ b/carrier/examine.go
@@ -24,11 +24,14 @@
 // Another process at its address, or a later one under its ID, proves that it has ended, and
 // a connection from before the loss that it is running. If the address accepts no connection,
 // the process has ended only if this host reaches another server of the service; reached is
-// set if it does.
+// set if it does. A process in an evacuated zone is not contacted, and stays unknown.
 func (c *Carrier) examine(ctx context.Context, lost verbenastand.Loss, reached bool) verbenastand.ProcessState {
 	if c.config.Reachability.Replaced(lost) {
 		return verbenastand.ProcessEnded
 	}
+	if c.config.Reachability.Evacuated(lost) {
+		return verbenastand.ProcessUnknown
+	}
 	opened, err := c.config.HealthChecker.Identify(ctx, registrationOf(lost), c.healthPath(lost.Service()))
 	switch {
 	case errors.Is(err, sender.ErrInstanceMismatch):
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -181,10 +181,11 @@
 	return included
 }
 
-// active returns the servers of a service that accept requests.
+// active returns the servers of a service that accept requests. Those of evacuated availability
+// zones get no probes.
 func active(v *verbenastand.View, n verbenastand.ServiceName) []verbenastand.Registration {
 	return slices.DeleteFunc(slices.Clone(v.Servers(n)), func(r verbenastand.Registration) bool {
-		return r.State() != verbenastand.ServerActive
+		return r.State() != verbenastand.ServerActive || v.Evacuated(r.Zone())
 	})
 }
 
@@ -219,6 +220,11 @@
 // Failed records that a connection to a server failed, or that the server did not
 // respond.
 func (d *Detector) Failed(r verbenastand.Registration) {
+	v := d.config.View()
+	if v.Evacuated(r.Zone()) {
+		// Its requests in progress may fail as the zone is shut down.
+		return
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.serviceLocked(r.Service())
@@ -226,7 +232,7 @@
 		return
 	}
 	s.failed[r.Server()] = struct{}{}
-	servers := active(d.config.View(), r.Service())
+	servers := active(v, r.Service())
 	if len(s.failed) >= min(suspiciousFailures, len(servers)) {
 		d.startVerificationLocked(r.Service(), s, servers)
 	}
@@ -339,6 +345,22 @@
 	return false
 }
 
+// Evacuated reports whether the process to which a connection was lost must not be contacted,
+// since its availability zone is evacuated. While any zone is, that holds for a server that is
+// not registered, too: its zone is not known.
+func (d *Detector) Evacuated(lost verbenastand.Loss) bool {
+	v := d.config.View()
+	if v.EvacuatedZones() == 0 {
+		return false
+	}
+	for _, r := range v.Servers(lost.Service()) {
+		if r.Server() == lost.Server() {
+			return v.Evacuated(r.Zone())
+		}
+	}
+	return true
+}
+
 func shuffle(servers []verbenastand.Registration) {
 	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
 }
@@ -365,7 +387,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for n, s := range d.services {
-		if s.unreachedAt.IsZero() || now.Before(s.retryAt) {
+		if s.unreachedAt.IsZero() {
 			continue
 		}
 		servers := active(v, n)
@@ -373,6 +395,9 @@
 			delete(d.services, n)
 			continue
 		}
+		if now.Before(s.retryAt) {
+			continue
+		}
 		s.retry = min(2*s.retry, maxRetry)
 		s.retryAt = now.Add(s.retry + probeTimeout)
 		servers = d.preferIncluded(servers)
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -281,6 +281,7 @@
 func (g *Gateway) onView(v *verbenastand.View) {
 	g.router.Update(v.Table())
 	g.balancer.Update(v)
+	g.recorder.EvacuationsChanged(v)
 }
 
 // limitedHosts returns the hosts that share the limits of servers, none during the
@@ -327,6 +328,9 @@
 		_, paused := g.excluder.Counts()
 		return float64(paused)
 	})
+	g.meter.Gauge("evacuated_zones", "Availability zones whose servers get no requests.", func() float64 {
+		return float64(g.follower.View().EvacuatedZones())
+	})
 	g.meter.Gauge("detached", "1 while no server is reached.", func() float64 {
 		if g.reach.detector.Detached() {
 			return 1
--- a/launcher/gateway_run.go
+++ b/launcher/gateway_run.go
@@ -129,12 +129,15 @@
 }
 
 // knownTargets returns a function that reports whether a server process is in the
-// current view. Idle connections to other targets are closed.
+// current view and its zone is not evacuated. Idle connections to other targets are closed.
 func (g *Gateway) knownTargets() func(sender.Target) bool {
 	known := make(map[sender.Target]bool)
 	v := g.follower.View()
 	for _, n := range v.ServiceNames() {
 		for _, r := range v.Servers(n) {
+			if v.Evacuated(r.Zone()) {
+				continue
+			}
 			known[sender.Target{Server: r.Server(), Address: r.Address(), StartTime: r.StartTime()}] = true
 		}
 	}
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -36,6 +36,7 @@
 	eventMessage     = "messageRefused"
 	eventCut         = "connectionCut"
 	eventPanic       = "panic"
+	eventEvacuation  = "evacuation"
 )
 
 // maxLoggedTarget bounds the bytes of a request target, or of another text that a caller
@@ -57,7 +58,10 @@
 
 // Recorder logs and counts requests, and logs servers that join or leave and events
 // of the configuration store. It implements carrier.Observer and acceptor.Observer.
-type Recorder struct{ config Config }
+type Recorder struct {
+	config      Config
+	evacuations evacuations
+}
 
 // NewRecorder returns a recorder.
 func NewRecorder(c Config) *Recorder { return &Recorder{config: c} }
--- a/view.go
+++ b/view.go
@@ -1,6 +1,10 @@
 package verbenastand
 
-import "context"
+import (
+	"context"
+	"maps"
+	"slices"
+)
 
 // View is an immutable snapshot of a host's replica of the configuration store.
 type View struct {
@@ -58,3 +62,18 @@
 
 // EvacuatedZones returns the number of availability zones whose servers get no requests.
 func (v *View) EvacuatedZones() int { return len(v.evacuated) }
+
+// EvacuatedZoneNames returns these zones in order.
+func (v *View) EvacuatedZoneNames() []Zone { return slices.Sorted(maps.Keys(v.evacuated)) }
+
+// ServersIn returns the number of registered servers in an availability zone.
+func (v *View) ServersIn(z Zone) (n int) {
+	for _, servers := range v.servers {
+		for _, r := range servers {
+			if r.Zone() == z {
+				n++
+			}
+		}
+	}
+	return n
+}
