Keep the limits of cold servers over all hosts

Cause: a cold server tolerates few requests per second from all hosts together and crashes well above that, but hosts only chose it last. Each host could send it requests at any rate. Change: limiter.Warmup keeps the limit of the route table while a server is cold, with shares by rendezvous hashing among the hosts of its zone and token buckets, as for limits that servers name; limiter.Combined applies both. Hosts learn of cold servers from registrations and from the field Warmup-Remaining of health responses. No request is sent to a server of a service with such a limit without a health check of the last 100 ms, so that no message between hosts is needed. A host that does not know half of its seed hosts has no share. The queue and the order of candidates use cold servers of the own zone up to the limit if they respond in time.

--- a/balancer/candidate.go
+++ b/balancer/candidate.go
@@ -17,6 +17,8 @@
 	tier int
 	// crossZone is set if the server is in another availability zone than this host.
 	crossZone bool
+	// cold is set if the server has a limit because it is cold.
+	cold bool
 	// connected is set if checking the server needs no new connection.
 	connected bool
 	// lastReport is the time of the server's last load report.
@@ -58,12 +60,13 @@
 		return cmp.Or(a.compareGroup(b), compareBool(b.connected, a.connected), cmp.Compare(a.tiebreak, b.tiebreak))
 	})
 	drawFirst(list)
+	advanceCold(list)
 	return list, err
 }
 
 // compareGroup orders candidates by what matters to the request.
 func (c candidate) compareGroup(other candidate) int {
-	return cmp.Or(cmp.Compare(c.tier, other.tier), compareBool(c.crossZone, other.crossZone))
+	return cmp.Or(cmp.Compare(c.tier, other.tier), compareBool(c.crossZone, other.crossZone), compareBool(c.cold, other.cold))
 }
 
 // drawFirst moves a random candidate of the first group to the front: each server gets its share
@@ -107,11 +110,18 @@
 	wait time.Duration
 	// interval is the time between two requests after that, zero unless all servers name limits.
 	interval time.Duration
+	// warmIn is the time until one of the servers is warm, zero unless all name limits or are
+	// cold, and some are cold.
+	warmIn time.Duration
 }
 
 // after returns the time until a request may be sent after a number of others.
 func (a allowance) after(others int) time.Duration {
-	return a.wait + time.Duration(others)*a.interval
+	t := a.wait + time.Duration(others)*a.interval
+	if a.warmIn > 0 {
+		return min(t, a.warmIn)
+	}
+	return t
 }
 
 // longestLimitInterval bounds the time between two requests while all servers name limits.
@@ -120,6 +130,7 @@
 func (s *Service) allowance() allowance {
 	a := allowance{wait: s.Wait()}
 	var rate verbenastand.RequestRate
+	var warmIn time.Duration
 	for _, server := range s.Servers() {
 		if e, excluded := server.exclusion(); excluded && e.Leaving {
 			continue
@@ -129,7 +140,11 @@
 			return a
 		}
 		rate += share
+		if remaining := server.limiter().Remaining(server.Registration().Process()); remaining > 0 && (warmIn == 0 || remaining < warmIn) {
+			warmIn = remaining
+		}
 	}
+	a.warmIn = warmIn
 	a.interval = rate.Interval(longestLimitInterval)
 	return a
 }
@@ -162,10 +177,12 @@
 	}
 	s.decayLocked(now)
 	c := candidate{server: s, tiebreak: rand.Uint64(), lastReport: s.reportedAt, crossZone: s.registration.Zone() != s.service.balancer.config.Zone}
+	warming := s.warmingLocked(now)
+	c.cold = warming && s.service.limitsCold()
 	switch {
 	case now.Before(s.ejectedUntil):
 		c.tier = tierEjected
-	case s.failureRate > degradedFailureRate || s.latencyRatioLocked(now) > degradedLatencyRatio || s.warmingLocked(now):
+	case s.failureRate > degradedFailureRate || s.latencyRatioLocked(now) > degradedLatencyRatio || (warming && !c.cold):
 		c.tier = tierDegraded
 	}
 	return c, nil
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -97,6 +97,8 @@
 	// Full is set if the request would wait long at the server, or not be accepted
 	// at all.
 	Full bool
+	// Cold is set if the server is cold and has a limit for that time.
+	Cold bool
 	// Sufficient is set if the server was chosen because of Query.LocalWithin.
 	Sufficient bool
 	// Checks is the number of health checks made; Age is the age of Report.
@@ -116,7 +118,7 @@
 	if len(candidates) == 0 {
 		return Choice{}, err
 	}
-	if s.reportsNoLoad() {
+	if s.choosesUnchecked() {
 		return s.chooseWithoutReports(q, candidates)
 	}
 	limit := cmp.Or(q.CheckLimit, MaxChecks)
@@ -140,7 +142,7 @@
 		if !ok || !choice.count() {
 			continue
 		}
-		if choice.LightlyLoaded {
+		if choice.LightlyLoaded || (choice.Cold && choice.inTime(q, s.clock.Now())) {
 			best.Release()
 			choice.Checks = checks
 			return choice, nil
@@ -183,7 +185,7 @@
 // check. checked reports whether there was a check, ok whether the server can be
 // chosen.
 func (s *Service) evaluate(ctx context.Context, q Query, server *Server) (choice Choice, checked, ok bool) {
-	if choice, ok := server.estimate(q, maxReportAge); ok && choice.LightlyLoaded {
+	if choice, ok := server.estimate(q, maxReportAge); ok && choice.LightlyLoaded && server.limiter().Current(server.Registration().Process()) {
 		return choice, false, true
 	}
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
@@ -206,7 +208,7 @@
 		return Choice{}, true, false
 	}
 	if !result.Reported {
-		return Choice{Server: server, Conn: result.Conn, Estimate: s.Expected(q.Route), LightlyLoaded: true}, true, true
+		return server.unreported(q, result.Conn), true, true
 	}
 	server.setReport(result.Report, s.clock.Now())
 	choice, _ = server.estimate(q, time.Hour)
@@ -259,14 +261,18 @@
 	return Choice{
 		Server: s, Estimate: time.Duration(work + queueTime), Report: r, Age: age,
 		LightlyLoaded: !saturated && slowdownOf(r) <= slowdownThreshold && warm == 1 && latencyRatio <= degradedLatencyRatio,
-		Saturated:     saturated,
-		Full:          float64(waiting) > maxQueueShare*float64(slots),
+		Saturated:     saturated, Cold: warm > 1 && s.service.limitsCold(),
+		Full: float64(waiting) > maxQueueShare*float64(slots),
 	}, true
 }
 
 // reportsNoLoad reports whether the servers do not report their load.
 func (s *Service) reportsNoLoad() bool { return s.missingReports.Load() >= maxMissingReports }
 
+// choosesUnchecked reports whether servers are chosen without checks: they report no load, and
+// have no limit while they are cold.
+func (s *Service) choosesUnchecked() bool { return s.reportsNoLoad() && !s.limitsCold() }
+
 // chooseWithoutReports returns the less busy of the first two candidates, for
 // servers that report no load (power of two choices, Mitzenmacher 2001).
 func (s *Service) chooseWithoutReports(q Query, candidates []candidate) (Choice, error) {
@@ -293,6 +299,9 @@
 	slots := max(1, s.registration.Slots())
 	running := len(s.inFlight) + s.reserved
 	load := 1 + float64(running)/float64(slots)
+	if s.service.limitsCold() && s.warmingLocked(now) {
+		return Choice{Server: s, Estimate: time.Duration(warmupFactor * float64(base) * load), Cold: true, Saturated: running >= slots}
+	}
 	return Choice{
 		Server: s, Estimate: time.Duration(float64(base) * load * max(1, s.latencyRatioLocked(now))),
 		LightlyLoaded: running < slots, Saturated: running >= slots, Full: running >= 2*slots,
--- a/balancer/grant.go
+++ b/balancer/grant.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -79,6 +80,9 @@
 // responds in time, and none that is lightly loaded was found for as long as the request can
 // gain by waiting for one. Its slot is taken for longer, too.
 func (s *Service) takesSlowLocked(w *waiter, offer Choice, now time.Time) bool {
+	if offer.Cold {
+		return offer.inTime(w.query, now)
+	}
 	extra := offer.Estimate - s.Expected(w.query.Route)
 	return offer.unsaturated() && !now.Add(extra).After(w.query.StartBy) && now.Sub(s.queue.lightlyLoadedAt) >= extra
 }
@@ -108,13 +112,14 @@
 		s.refuseExcluded(err)
 	case s.balancer.config.Unreached(s.name):
 		s.refuseExcluded(ErrNoServer)
-	case s.reportsNoLoad():
+	case s.choosesUnchecked():
 		for _, c := range candidates {
 			s.grantCapacity(c.server, nil)
 		}
 	case candidates[0].tier >= tierEjected:
 		s.findReachable(q)
 	default:
+		s.checkCold(q, candidates)
 		for _, crossZone := range []bool{false, true} {
 			if server := stalestCandidate(candidates, crossZone); server != nil {
 				s.checkAndGrant(q, server)
@@ -145,9 +150,10 @@
 // outside of the local availability zone.
 func stalestCandidate(candidates []candidate, crossZone bool) *Server {
 	var oldest candidate
+	first := slices.IndexFunc(candidates, func(c candidate) bool { return !c.cold && c.tier < tierEjected })
 	for _, c := range candidates {
 		// Candidates are ordered by tier.
-		if c.tier != candidates[0].tier || c.crossZone != crossZone {
+		if first < 0 || c.cold || c.tier != candidates[first].tier || c.crossZone != crossZone {
 			continue
 		}
 		if oldest.server == nil || c.lastReport.Before(oldest.lastReport) {
--- a/balancer/server.go
+++ b/balancer/server.go
@@ -131,8 +131,12 @@
 	s.latencyRatio = 1 + (s.latencyRatio-1)*decayFactor(elapsed, latencyRatioHalfLife)
 }
 
-// warmingLocked reports whether the server is still warming up.
+// warmingLocked reports whether the server is still warming up. Where cold servers have a
+// limit, health checks tell of it as well as registrations.
 func (s *Server) warmingLocked(now time.Time) bool {
+	if s.service.limitsCold() {
+		return s.limiter().Remaining(s.registration.Process()) > 0
+	}
 	return now.Sub(s.warmupReportedAt) < s.registration.Warmup()
 }
 
@@ -231,7 +235,7 @@
 	slowed := s.latencyRatioLocked(now) > degradedLatencyRatio || s.warmingLocked(now)
 	s.mu.Unlock()
 	if report != nil || s.service.reportsNoLoad() {
-		s.service.grantCapacity(s, nil)
+		s.service.offerCapacity(s)
 	}
 	if result == Succeeded && !slowed {
 		s.service.profile.observe(a.route, a.level, float64(took)/a.slowdown)
--- a/carrier/check.go
+++ b/carrier/check.go
@@ -10,6 +10,7 @@
 	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/balancer"
 	"github.com/verbenastand/verbenastand/excluder"
+	"github.com/verbenastand/verbenastand/limiter"
 	"github.com/verbenastand/verbenastand/sender"
 )
 
@@ -26,6 +27,8 @@
 	// server; nil for none.
 	Names    verbenastand.HeaderNames
 	Excluder *excluder.Excluder
+	// Warmup learns which servers are cold; nil for none.
+	Warmup *limiter.Warmup
 	// OnCheck is called after each health check.
 	OnCheck func(service verbenastand.ServiceName, ok bool)
 }
@@ -41,12 +44,21 @@
 	}
 }
 
-// observeExclusion passes on what a response says of its server. The header is nil if there
-// was none.
-func (h *HealthChecker) observeExclusion(server verbenastand.Registration, health sender.Health) {
-	if h.Excluder != nil && health.Header != nil {
+// checkOver makes a health check over a connection and passes on what the response says of its
+// server.
+func (h *HealthChecker) checkOver(ctx context.Context, c *sender.Connection, server verbenastand.Registration, healthPath string) (sender.Health, error) {
+	sentAt := time.Now()
+	health, err := c.Check(ctx, healthPath)
+	if health.Header == nil {
+		return health, err
+	}
+	if h.Excluder != nil {
 		h.Excluder.Observe(exclusionResponse(h.Names, server, health.Status, health.Header))
 	}
+	if h.Warmup != nil {
+		h.Warmup.Observe(limiter.HealthResponse{Process: server.Process(), Remaining: health.Header.Values(h.Names.Warmup), SentAt: sentAt})
+	}
+	return health, err
 }
 
 // exclusionResponse returns what a response says of its server.
@@ -61,9 +73,7 @@
 func (h *HealthChecker) Probe(ctx context.Context, r verbenastand.Registration, healthPath string) error {
 	c, err := h.Sender.ConnectNew(ctx, targetOf(r))
 	if err == nil {
-		var health sender.Health
-		health, err = c.Check(ctx, healthPath)
-		h.observeExclusion(r, health)
+		_, err = h.checkOver(ctx, c, r, healthPath)
 		defer h.Sender.PutIdle(c)
 	}
 	if errors.Is(err, sender.ErrInstanceMismatch) {
@@ -98,8 +108,7 @@
 		return time.Time{}, err
 	}
 	defer h.Sender.PutIdle(c)
-	health, err := c.Check(ctx, healthPath)
-	h.observeExclusion(r, health)
+	_, err = h.checkOver(ctx, c, r, healthPath)
 	h.OnCheck(r.Service(), err == nil)
 	return c.OpenedAt(), err
 }
@@ -133,8 +142,7 @@
 			h.OnCheck(registration.Service(), false)
 			return balancer.CheckResult{}, err
 		}
-		health, err := c.Check(ctx, healthPath)
-		h.observeExclusion(registration, health)
+		health, err := h.checkOver(ctx, c, registration, healthPath)
 		h.observe(ctx, registration, c, err)
 		h.OnCheck(registration.Service(), err == nil)
 		if err == nil {
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -94,6 +94,7 @@
 	gossiper      *gossiper.Gossiper
 	quarantiner   *quarantiner.Quarantiner
 	limiter       *limiter.Limiter
+	warmup        *limiter.Warmup
 	excluder      *excluder.Excluder
 	follower      *follower.Follower
 	router        *router.Router
@@ -144,6 +145,10 @@
 	g.limiter = limiter.NewLimiter(limiter.Config{
 		Clock: g.timer, Self: g.self.ID(), Hosts: g.limitedHosts, OnChange: g.onLimitChange,
 	})
+	g.warmup = limiter.NewWarmup(limiter.WarmupConfig{
+		Clock: g.timer, Self: g.self.ID(), Hosts: g.warmupHosts, Overage: s.WarmupOverage, Slack: s.WarmupSlack,
+		OnChange: g.recorder.WarmupChanged,
+	})
 	g.excluder = excluder.NewExcluder(excluder.Config{Clock: g.timer, OnChange: g.onExclusionChange})
 	g.buildGossip(certificates)
 	g.requestTracer, g.stopTracer, err = tracer.NewTracer(ctx, tracer.Config{Endpoint: s.TraceEndpoint, SampleRatio: s.TraceShare, Instance: instance})
@@ -198,10 +203,10 @@
 	})
 	g.healthChecker = &carrier.HealthChecker{
 		Sender: g.sender, Reachability: g.reach.detector, OnCheck: g.meter.Probed,
-		Names: g.config.HeaderFormat.Names(), Excluder: g.excluder,
+		Names: g.config.HeaderFormat.Names(), Excluder: g.excluder, Warmup: g.warmup,
 	}
 	g.balancer = balancer.NewBalancer(balancer.Config{
-		Clock: g.timer, Zone: g.self.Zone(), Limiter: g.limiter, Excluder: g.excluder, OnServerChange: g.recorder.ServerChanged,
+		Clock: g.timer, Zone: g.self.Zone(), Limiter: limiter.Combined{g.limiter, g.warmup}, Excluder: g.excluder, OnServerChange: g.recorder.ServerChanged,
 		Unreached: g.reach.detector.Cut, HealthChecker: g.healthChecker,
 	})
 	g.carrier = carrier.NewCarrier(carrier.Config{
@@ -280,6 +285,7 @@
 
 func (g *Gateway) onView(v *verbenastand.View) {
 	g.router.Update(v.Table())
+	g.warmup.Update(v)
 	g.balancer.Update(v)
 }
 
@@ -293,6 +299,16 @@
 	return staying(slices.Concat(g.gossiper.Hosts(), g.gossiper.Unreachable()))
 }
 
+// warmupHosts returns the hosts that share the limits of cold servers, silent ones among them. It
+// returns none while this host does not know its seed hosts: it would take a share that a host
+// uses which it does not know.
+func (g *Gateway) warmupHosts(verbenastand.ServerProcess) []verbenastand.Host {
+	if time.Since(g.started) < discoveryPeriod || !g.gossiper.KnowsSeeds() {
+		return nil
+	}
+	return staying(g.gossiper.KnownHosts())
+}
+
 // staying returns the hosts that have not announced their shutdown.
 func staying(hosts []verbenastand.Host) []verbenastand.Host {
 	return slices.DeleteFunc(hosts, func(h verbenastand.Host) bool { return h.Leaving() })
@@ -319,6 +335,7 @@
 	g.meter.Gauge("hosts", "Hosts believed alive.", func() float64 { return float64(len(g.gossiper.Hosts())) })
 	g.meter.Gauge("quarantined", "Request fingerprints that are refused.", func() float64 { return float64(g.quarantiner.Quarantined()) })
 	g.meter.Gauge("limited_servers", "Servers that name a limit of requests per second.", func() float64 { return float64(g.limiter.Limited()) })
+	g.meter.Gauge("cold_servers", "Servers that are cold and have a limit of requests per second.", func() float64 { return float64(g.warmup.Cold()) })
 	g.meter.Gauge("leaving_servers", "Servers that have said that they are leaving.", func() float64 {
 		leaving, _ := g.excluder.Counts()
 		return float64(leaving)
--- a/launcher/gateway_run.go
+++ b/launcher/gateway_run.go
@@ -106,6 +106,7 @@
 	g.timer.Every(reachPeriod, g.reach.update)
 	g.timer.Every(sweepPeriod, g.quarantiner.Sweep)
 	g.timer.Every(sweepPeriod, g.limiter.Sweep)
+	g.timer.Every(sweepPeriod, g.warmup.Sweep)
 	g.timer.Every(sweepPeriod, func(time.Time) { g.excluder.Sweep(g.registered) })
 	g.timer.Every(sweepPeriod, func(time.Time) { g.sender.Sweep(g.knownTargets()) })
 	g.timer.OnPause(func(gap time.Duration) {
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -56,14 +56,6 @@
 	settledAt time.Time
 }
 
-// hostList is what Config.Hosts returned at readAt. The digest does not depend on the
-// order of the hosts.
-type hostList struct {
-	hosts  []verbenastand.Host
-	readAt time.Time
-	digest uint64
-}
-
 // Response is what a response tells about the limit of the server that sent it.
 type Response struct {
 	Process verbenastand.ServerProcess
@@ -96,15 +88,14 @@
 
 	mu     sync.Mutex
 	limits map[key]*limit
-	// hosts holds the hosts that send requests to the servers of each service.
-	hosts map[verbenastand.ServiceName]hostList
+	sharer sharer
 	// malformed holds the last text of each server that could not be read.
 	malformed map[key]string
 }
 
 // NewLimiter returns a limiter without limits.
 func NewLimiter(c Config) *Limiter {
-	return &Limiter{config: c, limits: make(map[key]*limit), hosts: make(map[verbenastand.ServiceName]hostList), malformed: make(map[key]string)}
+	return &Limiter{config: c, limits: make(map[key]*limit), sharer: newSharer(c.Self, c.Hosts), malformed: make(map[key]string)}
 }
 
 // Observe applies what a response tells. A text that can't be read changes nothing.
--- a/limiter/share.go
+++ b/limiter/share.go
@@ -2,11 +2,8 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	verbenastand "github.com/verbenastand/verbenastand"
 )
 
@@ -17,8 +14,6 @@
 	// burst is the time in which a host may catch up on the requests that it did not
 	// send. It can always send one.
 	burst = 500 * time.Millisecond
-	// hostsLifetime is how long the hosts that share limits are used once they are read.
-	hostsLifetime = 200 * time.Millisecond
 	// longestWait bounds the wait of a host without a share: another host may have one.
 	longestWait = time.Second
 )
@@ -77,6 +72,12 @@
 	return 0, false
 }
 
+// Current implements verbenastand.RateLimiter. Responses tell of limits.
+func (l *Limiter) Current(verbenastand.ServerProcess) bool { return true }
+
+// Remaining implements verbenastand.RateLimiter. A limit holds as long as it is named.
+func (l *Limiter) Remaining(verbenastand.ServerProcess) time.Duration { return 0 }
+
 // findLocked returns the limit of the server with its current tokens, nil if there is
 // none.
 func (l *Limiter) findLocked(p verbenastand.ServerProcess) *limit {
@@ -88,46 +89,17 @@
 	earned := float64(known.share) * now.Sub(known.settledAt).Seconds()
 	known.tokens = min(known.tokens+earned, max(1, float64(known.share)*burst.Seconds()))
 	known.settledAt = now
-	if list := l.hostsLocked(p, now); known.sharedAmong != list.digest {
+	if list := l.sharer.hosts(p, now); known.sharedAmong != list.digest {
 		known.share, known.sharedAmong = l.shareOf(p, known.rate, list.hosts), list.digest
 	}
 	return known
 }
 
-// hostsLocked returns the hosts that send requests to the servers of a service. They are
-// read once for all of them, and ranked again only when they have changed: in a large
-// fleet, all servers of a service may name limits.
-func (l *Limiter) hostsLocked(p verbenastand.ServerProcess, now time.Time) hostList {
-	known, ok := l.hosts[p.Service]
-	if ok && now.Sub(known.readAt) < hostsLifetime {
-		return known
-	}
-	known = hostList{hosts: l.config.Hosts(p), readAt: now, digest: 1}
-	for _, h := range known.hosts {
-		known.digest += xxhash.Sum64String(string(h.ID()) + "\x00" + string(h.Zone()))
-	}
-	l.hosts[p.Service] = known
-	return known
-}
-
 // shareOf divides a rate among the hosts that come first for the server, those of its
 // availability zone if there are any. Each gets a request per second at least, so that
 // what they save up together stays small against the limit.
 func (l *Limiter) shareOf(p verbenastand.ServerProcess, rate verbenastand.RequestRate, hosts []verbenastand.Host) verbenastand.RequestRate {
-	local := slices.ContainsFunc(hosts, func(h verbenastand.Host) bool { return h.Zone() == p.Zone })
-	own, ahead, users, found := weight(p, l.config.Self), 0, 0, false
-	for _, h := range hosts {
-		if local && h.Zone() != p.Zone {
-			continue
-		}
-		users++
-		switch {
-		case h.ID() == l.config.Self:
-			found = true
-		case weight(p, h.ID()) < own:
-			ahead++
-		}
-	}
+	ahead, users, found := l.sharer.rank(p, hosts)
 	rate = max(rate, verbenastand.RequestRate(1/longestInterval.Seconds()))
 	count := max(1, min(users, int(math.Min(float64(rate), MaxLimits))))
 	if !found || ahead >= count {
@@ -136,18 +108,13 @@
 	return rate / verbenastand.RequestRate(count)
 }
 
-// weight orders the hosts for a server (rendezvous hashing, Thaler and Ravishankar 1998).
-func weight(p verbenastand.ServerProcess, host verbenastand.HostID) uint64 {
-	return xxhash.Sum64String(string(p.Server) + "\x00" + string(host))
-}
-
 // Pause drops what was saved up before a pause of the process, during which other hosts
 // may have learned of changes.
 func (l *Limiter) Pause(gap time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.config.Clock.Now()
-	clear(l.hosts)
+	clear(l.sharer.known)
 	for _, known := range l.limits {
 		known.observedAt = known.observedAt.Add(-gap)
 		known.tokens, known.settledAt = 0, now
--- /dev/null
+++ b/limiter/warmup_change.go
@@ -0,0 +1,32 @@
+package limiter
+
+import (
+	"time"
+
+	verbenastand "github.com/verbenastand/verbenastand"
+)
+
+//go:generate go tool stringer -type=WarmupChangeKind -linecomment -output=warmupchangekind_string.go
+
+// WarmupChangeKind tells what has become of a cold server.
+type WarmupChangeKind int
+
+// Kinds of changes of cold servers.
+const (
+	// BecameCold servers have a limit for WarmupChange.Remaining.
+	BecameCold WarmupChangeKind = iota // cold
+	// BecameWarm servers have no limit any more.
+	BecameWarm // warm
+	// Unreadable texts could not be read as a remaining time. Nothing changes.
+	Unreadable // malformed
+)
+
+// WarmupChange describes a change of what this host knows of a server.
+type WarmupChange struct {
+	Kind    WarmupChangeKind
+	Process verbenastand.ServerProcess
+	// Remaining is how long the server stays cold.
+	Remaining time.Duration
+	// Err tells why a text is malformed.
+	Err error
+}
--- a/ports.go
+++ b/ports.go
@@ -68,7 +68,8 @@
 	KeyOwner(i Instance) (Host, bool)
 }
 
-// RateLimiter keeps the limits that backend servers name for all hosts together.
+// RateLimiter keeps limits of the requests per second that a backend server gets from all
+// hosts together: those that servers name, and those of cold servers.
 type RateLimiter interface {
 	// Available reports whether Take would succeed.
 	Available(p ServerProcess) bool
@@ -81,6 +82,12 @@
 	Wait(p ServerProcess) time.Duration
 	// Share returns this host's share of the server's limit, and whether there is one.
 	Share(p ServerProcess) (RequestRate, bool)
+	// Current reports whether what is known of the server's limit is recent enough to send a
+	// request without a health check.
+	Current(p ServerProcess) bool
+	// Remaining returns the time until the limit ends by itself because the server is warm,
+	// zero if there is no such limit.
+	Remaining(p ServerProcess) time.Duration
 }
 
 // Unlimited is a RateLimiter without limits.
@@ -101,6 +108,12 @@
 // Share implements RateLimiter.
 func (Unlimited) Share(ServerProcess) (RequestRate, bool) { return 0, false }
 
+// Current implements RateLimiter.
+func (Unlimited) Current(ServerProcess) bool { return true }
+
+// Remaining implements RateLimiter.
+func (Unlimited) Remaining(ServerProcess) time.Duration { return 0 }
+
 // ConfigurationSource returns the configuration in effect.
 type ConfigurationSource interface {
 	Configuration() *Configuration
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -29,6 +29,7 @@
 	eventEvidence    = "evidence"
 	eventSuspected   = "requestSuspected"
 	eventLimit       = "serverLimit"
+	eventWarmup      = "serverWarmup"
 	eventDelegated   = "delegated"
 	eventReach       = "serviceReached"
 	eventLost        = "connectionLost"
@@ -195,6 +196,15 @@
 	}).Info(eventLimit)
 }
 
+// WarmupChanged logs that a server has become cold or warm according to this host's
+// information.
+func (r *Recorder) WarmupChanged(c limiter.WarmupChange) {
+	r.config.Log.WithFields(log.Fields{
+		"change": c.Kind.String(), "server": string(c.Process.Server), "startTime": c.Process.StartTime, "service": string(c.Process.Service),
+		"remainingMs": milliseconds(c.Remaining), "error": errorText(c.Err),
+	}).Info(eventWarmup)
+}
+
 // ExclusionChanged logs what a server has said of itself.
 func (r *Recorder) ExclusionChanged(c excluder.Change) {
 	r.config.Log.WithFields(log.Fields{
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -138,6 +138,7 @@
 		{"a limit that can't be read", 0, func(r *Recorder) {
 			r.LimitChanged(limiter.Change{Kind: limiter.Malformed, Err: errors.New("malformed")})
 		}, []string{eventLimit}},
+		{"a server that is cold", 0, func(r *Recorder) { r.WarmupChanged(limiter.WarmupChange{Remaining: time.Second}) }, []string{eventWarmup}},
 		{"a suspected request", 0, func(r *Recorder) {
 			r.RequestSuspected(quarantiner.Suspect{Server: "s", Target: strings.Repeat("/", 1<<16)})
 		}, []string{eventSuspected}},
--- a/store.go
+++ b/store.go
@@ -102,6 +102,8 @@
 	Limit string
 	// Leaving is the field in which a server says that it is leaving.
 	Leaving string
+	// Warmup is the time in milliseconds that a server stays cold, in its health responses.
+	Warmup string
 }
 
 // LoadReport is the load that a backend server reports.
