--- a/carrier/harness_test.go
+++ b/carrier/harness_test.go
@@ -36,7 +36,7 @@
 func (testHeaderFormat) Names() verbenastand.HeaderNames {
 	return verbenastand.HeaderNames{
 		RequestID: "X-Id", Deadline: "X-Deadline", Signature: "X-Signature",
-		ExpectedInstance: "X-Expected", Instance: "X-Instance", NotRun: "X-Not-Run", Load: "X-Load", Limit: "X-Limit", Leaving: "X-Leaving",
+		ExpectedInstance: "X-Expected", Instance: "X-Instance", NotRun: "X-Not-Run", Load: "X-Load", Limit: "X-Limit", Leaving: "X-Leaving", Warmup: "X-Warmup",
 	}
 }
 
@@ -68,7 +68,10 @@
 	serve func(conn net.Conn, r *http.Request)
 	// report returns the load report, by default that of a lightly loaded server.
 	report func() string
-	down   bool
+	// remaining returns how long the server says it stays cold, in milliseconds; nil if it
+	// does not say.
+	remaining func() string
+	down      bool
 	// lost has the effect of down for a backend that several harnesses share.
 	lost atomic.Bool
 }
@@ -296,7 +299,11 @@
 			if s.report != nil {
 				load = s.report()
 			}
-			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Instance: "+s.name+"\r\nX-Load: "+load+"\r\nContent-Length: 0\r\n\r\n")
+			fields := "X-Instance: " + s.name + "\r\nX-Load: " + load + "\r\n"
+			if s.remaining != nil {
+				fields += "X-Warmup: " + s.remaining() + "\r\n"
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+fields+"Content-Length: 0\r\n\r\n")
 			continue
 		}
 		body, _ := io.ReadAll(r.Body)
--- a/limiter/warmup.go
+++ b/limiter/warmup.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	verbenastand "github.com/verbenastand/verbenastand"
@@ -56,6 +57,8 @@
 // that servers name. It implements verbenastand.RateLimiter.
 type Warmup struct {
 	config WarmupConfig
+	// enabled lets requests skip the lock while no service has a limit.
+	enabled atomic.Bool
 
 	mu     sync.Mutex
 	rates  map[verbenastand.ServiceName]verbenastand.RequestRate
@@ -108,6 +111,7 @@
 			}
 		}
 	}
+	l.enabled.Store(len(l.rates) > 0)
 	registered := make(map[key]bool)
 	var changes []WarmupChange
 	for name := range l.rates {
@@ -119,7 +123,7 @@
 		}
 	}
 	for k, s := range l.states {
-		if !registered[k] && !s.isCold(now) {
+		if !registered[k] && !s.isSettledWithin(bucketLifetime, now) {
 			delete(l.states, k)
 		}
 	}
--- a/limiter/warmup_share.go
+++ b/limiter/warmup_share.go
@@ -14,6 +14,9 @@
 // Available implements verbenastand.RateLimiter. Whether a server is still warm is checked by
 // Take.
 func (l *Warmup) Available(p verbenastand.ServerProcess) bool {
+	if !l.enabled.Load() {
+		return true
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s, now := l.findLocked(p)
@@ -23,6 +26,9 @@
 // Take implements verbenastand.RateLimiter. A server without a recent health check may have
 // become cold.
 func (l *Warmup) Take(p verbenastand.ServerProcess) bool {
+	if !l.enabled.Load() {
+		return true
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s, now := l.findLocked(p)
@@ -40,6 +46,9 @@
 
 // Refund implements verbenastand.RateLimiter.
 func (l *Warmup) Refund(p verbenastand.ServerProcess) {
+	if !l.enabled.Load() {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if s, now := l.findLocked(p); s != nil && s.isCold(now) {
@@ -49,6 +58,9 @@
 
 // Wait implements verbenastand.RateLimiter.
 func (l *Warmup) Wait(p verbenastand.ServerProcess) time.Duration {
+	if !l.enabled.Load() {
+		return 0
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s, now := l.findLocked(p)
@@ -64,6 +76,9 @@
 
 // Share implements verbenastand.RateLimiter.
 func (l *Warmup) Share(p verbenastand.ServerProcess) (verbenastand.RequestRate, bool) {
+	if !l.enabled.Load() {
+		return 0, false
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if s, now := l.findLocked(p); s != nil && s.isCold(now) {
@@ -74,6 +89,9 @@
 
 // Current implements verbenastand.RateLimiter.
 func (l *Warmup) Current(p verbenastand.ServerProcess) bool {
+	if !l.enabled.Load() {
+		return true
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s, now := l.findLocked(p)
@@ -85,6 +103,9 @@
 
 // Remaining implements verbenastand.RateLimiter.
 func (l *Warmup) Remaining(p verbenastand.ServerProcess) time.Duration {
+	if !l.enabled.Load() {
+		return 0
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if s, now := l.findLocked(p); s != nil && s.isCold(now) {
@@ -97,7 +118,7 @@
 // tokens of a cold server are current.
 func (l *Warmup) findLocked(p verbenastand.ServerProcess) (*warmupState, time.Time) {
 	now := l.config.Clock.Now()
-	if len(l.rates) == 0 || l.rates[p.Service] == 0 {
+	if l.rates[p.Service] == 0 {
 		return nil, now
 	}
 	s := l.states[keyOf(p)]
--- a/limiter/warmup_test.go
+++ b/limiter/warmup_test.go
@@ -165,6 +165,28 @@
 	unlimited()
 }
 
+// Guards against a state of each process that was ever registered, and against a new allowance
+// for a server whose registration is missing for a moment.
+func TestProcessesThatAreNoLongerRegisteredAreForgotten(t *testing.T) {
+	clock := fake.NewClock()
+	l, _ := newTestWarmup(clock, 0, 1)
+	taken := 0
+	for i := range 100 {
+		l.Update(viewOf(coldProcess, warmupRate, time.Hour))
+		if l.Take(coldProcess) {
+			taken++
+		}
+		clock.Advance(10 * time.Millisecond)
+		other := coldProcess
+		other.StartTime = int64(2 + i)
+		l.Update(viewOf(other, warmupRate, time.Hour))
+	}
+	require.LessOrEqual(t, taken, 5)
+	clock.Advance(bucketLifetime)
+	l.Update(viewOf(coldProcess, warmupRate, 0))
+	require.LessOrEqual(t, l.Cold(), 1)
+}
+
 // Guards against a server that gets a new allowance each time that it becomes cold.
 func TestAServerThatIsColdAgainAndAgain(t *testing.T) {
 	clock := fake.NewClock()
