--- a/limiter/warmup.go
+++ b/limiter/warmup.go
@@ -76,6 +76,10 @@
 	cold      bool
 	// checkedAt is when the last health check was sent to which the server has responded.
 	checkedAt time.Time
+	// evacuated is set while the server's zone is evacuated. Health checks from before
+	// unevacuatedAt prove nothing: the server may have become cold.
+	evacuated     bool
+	unevacuatedAt time.Time
 	// malformed holds the errors of texts that could not be read and were reported.
 	malformed map[string]bool
 
@@ -120,6 +124,7 @@
 			if c, changed := l.registerLocked(r, now); changed {
 				changes = append(changes, c)
 			}
+			l.states[keyOf(r.Process())].setEvacuated(v.Evacuated(r.Zone()), now)
 		}
 	}
 	for k, s := range l.states {
@@ -167,26 +172,26 @@
 }
 
 func (l *Warmup) observeLocked(s *warmupState, r HealthResponse, now time.Time) (WarmupChange, bool) {
-	if len(r.Remaining) == 0 {
+	outdated := r.SentAt.Before(s.unevacuatedAt) || r.SentAt.Before(s.checkedAt)
+	if !outdated {
 		s.checkedAt = r.SentAt
+	}
+	if len(r.Remaining) == 0 {
 		return WarmupChange{}, false
 	}
-	text := strings.Join(r.Remaining, ", ")
-	remaining, err := ParseWarmup(text)
-	if err != nil {
+	remaining, err := ParseWarmup(strings.Join(r.Remaining, ", "))
+	switch {
+	case err != nil:
 		// It changes nothing, but the server has responded.
-		s.checkedAt = r.SentAt
 		isNew := !s.malformed[err.Error()] && len(s.malformed) < maxMalformed
 		if isNew {
 			s.malformed[err.Error()] = true
 		}
 		return WarmupChange{Kind: Unreadable, Process: s.process, Err: err}, isNew
-	}
-	if remaining == 0 && r.SentAt.Before(s.checkedAt) {
-		// A later health check may have shown that the server is cold again.
+	case outdated && now.Add(remaining).Before(s.coldUntil):
+		// A later health check may have shown that the server is cold for longer.
 		return WarmupChange{}, false
 	}
-	s.checkedAt = r.SentAt
 	return l.setLocked(s, now.Add(remaining), now)
 }
 
@@ -208,6 +213,14 @@
 	return s.change(now), true
 }
 
+// setEvacuated records whether the server's zone is evacuated.
+func (s *warmupState) setEvacuated(evacuated bool, now time.Time) {
+	if s.evacuated && !evacuated {
+		s.checkedAt, s.unevacuatedAt = time.Time{}, now
+	}
+	s.evacuated = evacuated
+}
+
 func (s *warmupState) isCold(now time.Time) bool { return now.Before(s.coldUntil) }
 
 func (s *warmupState) isSettledWithin(d time.Duration, now time.Time) bool {
--- a/limiter/warmup_test.go
+++ b/limiter/warmup_test.go
@@ -165,6 +165,32 @@
 	unlimited()
 }
 
+// Guards against a request to a server that has become cold while its zone was evacuated,
+// because of a health check from before.
+func TestAServerIsCheckedAfterAnEvacuation(t *testing.T) {
+	clock := fake.NewClock()
+	l, _ := newTestWarmup(clock, 0, 1)
+	view := func(evacuated bool) *verbenastand.View {
+		v := viewOf(coldProcess, warmupRate, 0)
+		return verbenastand.NewView(verbenastand.ViewConfig{
+			Table: v.Table(), Servers: map[verbenastand.ServiceName][]verbenastand.Registration{coldProcess.Service: v.Servers(coldProcess.Service)},
+			Evacuated: map[verbenastand.Zone]bool{coldProcess.Zone: evacuated},
+		})
+	}
+	l.Update(view(false))
+	early := checked(clock)
+	l.Observe(early)
+	require.True(t, l.Take(coldProcess))
+	l.Update(view(true))
+	clock.Advance(time.Millisecond)
+	l.Update(view(false))
+	require.False(t, l.Take(coldProcess))
+	l.Observe(early)
+	require.False(t, l.Take(coldProcess))
+	l.Observe(checked(clock, "0"))
+	require.True(t, l.Take(coldProcess))
+}
+
 // Guards against a state of each process that was ever registered, and against a new allowance
 // for a server whose registration is missing for a moment.
 func TestProcessesThatAreNoLongerRegisteredAreForgotten(t *testing.T) {
