Prefer servers that do not refuse requests while they report free slots

Cause: a server that refuses half of its requests at random and reports little load was ejected for 60 ms after each refusal. A host sends a server about one request a second, so it kept getting its share, refused requests used up the retry budget, and hosts refused requests that other servers could have served. By the reasons of refusals the retry budget binds, then maxAttempts; the degraded tier does not.

Change: after a refusal whose response reports a free slot, a server goes after the others of its tier for 5 s.

--- a/balancer/candidate.go
+++ b/balancer/candidate.go
@@ -15,6 +15,8 @@
 	server *Server
 	// tier orders candidates: preferred, degraded, ejected, avoided.
 	tier int
+	// refusing is set if the server has refused a request although it reported a free slot.
+	refusing bool
 	// crossZone is set if the server is in another availability zone than this host.
 	crossZone bool
 	// connected is set if checking the server needs no new connection.
@@ -63,7 +65,7 @@
 
 // compareGroup orders candidates by what matters to the request.
 func (c candidate) compareGroup(other candidate) int {
-	return cmp.Or(cmp.Compare(c.tier, other.tier), compareBool(c.crossZone, other.crossZone))
+	return cmp.Or(cmp.Compare(c.tier, other.tier), compareBool(c.refusing, other.refusing), compareBool(c.crossZone, other.crossZone))
 }
 
 // drawFirst moves a random candidate of the first group to the front: each server gets its share
@@ -162,6 +164,7 @@
 	}
 	s.decayLocked(now)
 	c := candidate{server: s, tiebreak: rand.Uint64(), lastReport: s.reportedAt, crossZone: s.registration.Zone() != s.service.balancer.config.Zone}
+	c.refusing = now.Before(s.refusingUntil)
 	switch {
 	case now.Before(s.ejectedUntil):
 		c.tier = tierEjected
--- a/balancer/server.go
+++ b/balancer/server.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -55,6 +56,10 @@
 	maxEjection  = 2 * time.Second
 	// refusalEjection is how long a server is ejected after it refused a request.
 	refusalEjection = 60 * time.Millisecond
+	// refusalMemory is how long a server goes after others of its tier once it has refused a request
+	// while it reported a free slot: it refuses for a reason that its reports do not show. A host sends
+	// a server about one request a second, so that 60 ms change nothing.
+	refusalMemory = 5 * time.Second
 )
 
 // Server is the state of one backend server process as seen by this host.
@@ -83,6 +88,8 @@
 	decayedAt         time.Time
 	consecutiveLosses int
 	ejectedUntil      time.Time
+	// refusingUntil is the end of the refusalMemory of the latest such refusal.
+	refusingUntil time.Time
 }
 
 func newServer(s *Service, r verbenastand.Registration, now time.Time) *Server {
@@ -221,6 +228,9 @@
 		s.failureRate += failureWeight * (1 - s.failureRate)
 	case Refused:
 		s.ejectedUntil = now.Add(refusalEjection)
+		if report != nil && report.Waiting == 0 && report.Running < cmp.Or(report.Slots, s.registration.Slots()) {
+			s.refusingUntil = now.Add(refusalMemory)
+		}
 	case ConnectionLost:
 		s.failureRate += failureWeight * (1 - s.failureRate)
 		s.ejectLocked(now)
--- a/carrier/load_test.go
+++ b/carrier/load_test.go
@@ -37,6 +37,8 @@
 	saturationPoint, saturationFactor float64
 	// shed is the fraction of the requests that servers refuse at random.
 	shed float64
+	// refusals are those of a part of the time.
+	refusals refusalConfig
 	// slow is the number of servers that are slowFactor times slower without
 	// reporting it.
 	slow       int
@@ -99,7 +101,9 @@
 	// freeSince is when a request would have run at its usual speed since, zero if it would not.
 	freeSince time.Time
 	dropped   atomic.Int64
-	ran       atomic.Int64
+	// refuses reports whether the server refuses a request although it reports little load.
+	refuses func() bool
+	ran     atomic.Int64
 }
 
 func (m *modelServer) simulateNoise(ctx context.Context) {
@@ -165,6 +169,7 @@
 	m.mu.Lock()
 	shed := m.random.Float64() < m.config.shed
 	m.mu.Unlock()
+	shed = shed || m.refuses()
 	if shed {
 		_, _ = io.WriteString(conn, "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nX-Load: "+m.report()+"\r\nContent-Length: 0\r\n\r\n")
 		return
@@ -209,6 +214,7 @@
 	var shared []*backend
 	for i := range c.servers {
 		s := &modelServer{config: c, factor: 1, slowdown: 1, random: rand.New(rand.NewPCG(uint64(i), 1+2*c.seed)), noise: rand.New(rand.NewPCG(uint64(i), 2+2*c.seed))}
+		s.refuses = c.refusals.of(i, c.seed)
 		if i < c.slow {
 			s.factor = c.slowFactor
 		}
