Accept only status codes 100 to 599 as responses

Cause: the parsers of net/http and http3 accept other numbers. A response with status 000, 099, +20, 600 or 999 reached callers, below 100 as a success of the server; with the field that says not run it guaranteed that a request had not been executed; an entry host's server panics if it is to send one below 100. Health checks took load reports from such bytes.

Such bytes are not a response: the request may have been executed, and the connection is closed. At the connector they count as malformed also if the server then closes the connection, so that they are no evidence of a crash. The reader of the entry host's platform takes only 200 and 304 and is unchanged.

--- a/connector/conn.go
+++ b/connector/conn.go
@@ -134,12 +134,28 @@
 		return true
 	}
 	first := !u.conn.refused.Swap(true)
+	u.end(response)
+	return first
+}
+
+// end ends the connection after a response, unless it carries the next request already.
+func (u *use) end(response *http.Response) {
 	_ = response.Body.Close()
 	response.Body = http.NoBody
-	if u.conn.requests.Load() == u.number {
+	if u != nil && u.conn.requests.Load() == u.number {
 		_ = u.conn.Close()
 	}
-	return first
+}
+
+// checkStatus returns an error and ends the connection if the status code of a response is invalid:
+// what has been received is not a response. A connection that the server closes after it is not lost.
+func (u *use) checkStatus(response *http.Response) error {
+	err := verbenastand.CheckStatus(response.StatusCode)
+	if err == nil {
+		return nil
+	}
+	u.end(response)
+	return errors.Join(ErrMalformedResponse, err)
 }
 
 // anonymousRefusal reports whether a response states that the server did not run its
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -105,6 +105,9 @@
 	id := strconv.FormatUint(rand.Uint64(), 36)
 	out.Header.Set(verbenastand.HeaderRequest, id)
 	response, err := c.transport.RoundTrip(out)
+	if err == nil {
+		err = used.Load().checkStatus(response)
+	}
 	if !errors.Is(r.Context().Err(), context.Canceled) {
 		c.config.OnResult(server, !reused.Load(), err)
 	}
@@ -115,6 +118,9 @@
 		response.Body = &responseBody{ReadCloser: response.Body, ctx: r.Context(), use: used.Load()}
 		return matchResponse(response, id)
 	}
+	if errors.Is(err, verbenastand.ErrInvalidStatus) {
+		return nil, verbenastand.NewRequestError(verbenastand.MayHaveRun, verbenastand.ReasonInvalidResponse, err)
+	}
 	if !connected.Load() {
 		return nil, verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonServerFailed, err)
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -80,7 +80,7 @@
 type peerConn struct {
 	address   string
 	boot      uint64
-	transport *http3.Transport
+	transport peerTransport
 }
 
 // Forwarder sends requests to peers. It implements verbenastand.PeerTransport.
@@ -188,7 +188,7 @@
 		return nil, fmt.Errorf("forwarder: %w", err)
 	}
 	r.Header.Set(purposeHeader, purpose)
-	response, err := c.transport.RoundTrip(r)
+	response, err := c.roundTrip(r)
 	if err != nil {
 		return nil, fmt.Errorf("forwarder: %s with %s: %w", purpose, peer.PeerAddress(), err)
 	}
@@ -218,7 +218,7 @@
 	out.URL.Host = peer.PeerAddress()
 	out.Header.Set(purposeHeader, purposeForward)
 	c, _ := f.connection(peer)
-	response, err := c.transport.RoundTrip(out)
+	response, err := c.roundTrip(out)
 	if err == nil {
 		return response, nil
 	}
@@ -226,7 +226,7 @@
 		f.discard(c)
 	}
 	verdict := verbenastand.NotRun
-	if connected.Load() {
+	if connected.Load() || errors.Is(err, verbenastand.ErrInvalidStatus) {
 		verdict = verbenastand.MayHaveRun
 	}
 	return nil, verbenastand.NewRequestError(verdict, verbenastand.ReasonKeyOwnerUnreachable, err)
--- /dev/null
+++ b/forwarder/status_test.go
@@ -0,0 +1,62 @@
+package forwarder
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	verbenastand "github.com/verbenastand/verbenastand"
+	"github.com/verbenastand/verbenastand/certifier"
+)
+
+// Guards against a status of another host that is none and reaches the caller, or guarantees that the request
+// was not executed. Statuses below 100 can't be sent with this library.
+func TestStatusCodesThatAreNone(t *testing.T) {
+	certificates, err := certifier.NewSharedCertifier("a secret")
+	require.NoError(t, err)
+	for _, status := range []int{600, 999} {
+		server := NewServer(ServerConfig{Certifier: certificates, ForwardHandler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(verbenastand.HeaderVerdict, verbenastand.NotRun.String())
+			w.WriteHeader(status)
+		})})
+		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+		require.NoError(t, err)
+		go func() { _ = server.Serve(conn) }()
+		f := NewForwarder(Config{Certifier: certificates})
+		peer := verbenastand.NewHost(verbenastand.HostConfig{PeerAddress: conn.LocalAddr().String()})
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://a/", nil)
+		require.NoError(t, err)
+		response, err := f.Forward(peer, r)
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		require.ErrorIs(t, err, verbenastand.ErrInvalidStatus)
+		require.Equal(t, verbenastand.MayHaveRun, verbenastand.VerdictOf(err))
+		_ = f.Close()
+		_ = server.Close()
+	}
+}
+
+// Guards against a message to a peer whose response has a status that is none.
+func TestMessagesWithStatusCodesThatAreNone(t *testing.T) {
+	for _, status := range []int{0, 20, 99, 600, 999} {
+		c := &peerConn{transport: respondWith(status)}
+		f := NewForwarder(Config{})
+		_, err := f.roundTrip(context.Background(), c, verbenastand.NewHost(verbenastand.HostConfig{PeerAddress: "127.0.0.1:1"}), purposeExchange, "", nil)
+		require.ErrorIs(t, err, verbenastand.ErrInvalidStatus, status)
+	}
+}
+
+// respondWith is a transport whose responses have a status.
+type respondWith int
+
+// RoundTrip implements http.RoundTripper.
+func (s respondWith) RoundTrip(*http.Request) (*http.Response, error) {
+	return &http.Response{StatusCode: int(s), Body: http.NoBody}, nil
+}
+
+// Close implements io.Closer.
+func (respondWith) Close() error { return nil }
--- a/forwarder/tunnel.go
+++ b/forwarder/tunnel.go
@@ -86,7 +86,7 @@
 		}
 		r.Header.Set(lossesHeader, losses)
 	}
-	response, err := c.transport.RoundTrip(r)
+	response, err := c.roundTrip(r)
 	if err != nil {
 		if ctx.Err() == nil {
 			f.discard(c)
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -135,5 +135,8 @@
 		return false, scheduler.NoReport
 	}
 	_ = response.Body.Close()
+	if verbenastand.CheckStatus(response.StatusCode) != nil {
+		return false, scheduler.NoReport
+	}
 	return response.StatusCode == http.StatusOK, reporter.Read(response.Header, s.Slots())
 }
--- a/sender/connection.go
+++ b/sender/connection.go
@@ -191,6 +191,9 @@
 	if err != nil {
 		return Health{}, c.readError(ctx, err)
 	}
+	if err := verbenastand.CheckStatus(response.StatusCode); err != nil {
+		return Health{}, errors.Join(ErrUnexpectedResponse, err)
+	}
 	if response.StatusCode < http.StatusOK || response.Header.Get(c.sender.names.RequestID) != "" {
 		// A late response to an earlier request of the connection.
 		return Health{}, ErrUnexpectedResponse
--- a/sender/exchange.go
+++ b/sender/exchange.go
@@ -140,6 +140,9 @@
 		if err != nil {
 			return nil, mayHaveRun(verbenastand.ReasonServerFailed, c.readError(ctx, err))
 		}
+		if err := verbenastand.CheckStatus(response.StatusCode); err != nil {
+			return nil, mayHaveRun(verbenastand.ReasonInvalidResponse, errors.Join(ErrUnexpectedResponse, err))
+		}
 		c.limit.Allow(bounder.Unlimited)
 		if response.StatusCode >= 100 && response.StatusCode < 200 {
 			interim++
