--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -49,6 +49,9 @@
 	Limiter verbenastand.RateLimiter
 	// Excluder keeps which servers get no requests; nil for none.
 	Excluder verbenastand.ServerExcluder
+	// FairQueueing orders waiting requests of equal urgency by what their callers were
+	// assigned recently, instead of by the time by which they have to be sent.
+	FairQueueing bool
 	// Unreached reports whether no server of a service responds to this host; nil if that is
 	// not known.
 	Unreached func(verbenastand.ServiceName) bool
@@ -134,7 +137,7 @@
 
 func newService(b *Balancer, n verbenastand.ServiceName) *Service {
 	s := &Service{balancer: b, clock: b.config.Clock, name: n, profile: newProfile()}
-	s.queue = newQueue()
+	s.queue = newQueue(b.config.FairQueueing)
 	s.settings.Store(&verbenastand.ServiceSettings{})
 	s.storeServers(nil)
 	return s
--- a/carrier/cold_test.go
+++ b/carrier/cold_test.go
@@ -88,6 +88,7 @@
 		s := &coldModelServer{modelServer: &modelServer{
 			config: c, factor: 1, slowdown: 1, random: rand.New(rand.NewPCG(uint64(i), 1+2*c.seed)), noise: rand.New(rand.NewPCG(uint64(i), 2+2*c.seed)),
 		}}
+		s.refuses = c.refusals.of(i, c.seed)
 		m.servers, servers = append(m.servers, s.modelServer), append(servers, s)
 		shared = append(shared, &backend{serve: s.serveCounted, report: s.report, remaining: s.remaining})
 		registrations = append(registrations, verbenastand.NewRegistration(verbenastand.RegistrationConfig{
@@ -149,7 +150,7 @@
 	for i := 0; time.Now().Before(end); i++ {
 		time.Sleep(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
 		host := random.IntN(m.config.hosts)
-		m.callers.Go(func() { m.call(host, fmt.Sprintf("%d-%d", host, i)) })
+		m.callers.Go(func() { m.call(m.config.caller(host, i), "/x/1", fmt.Sprintf("%d-%d", host, i)) })
 	}
 	m.finish(cancel)
 }
--- a/carrier/harness_test.go
+++ b/carrier/harness_test.go
@@ -236,7 +236,7 @@
 	h.limiter = limiter.NewLimiter(limiter.Config{Clock: wallClock{}, Self: self.ID(), Hosts: func(verbenastand.ServerProcess) []verbenastand.Host {
 		return []verbenastand.Host{self}
 	}})
-	h.balancer = balancer.NewBalancer(balancer.Config{Clock: wallClock{}, Zone: "z", HealthChecker: checker, Limiter: h.limiter, Excluder: h.excluder})
+	h.balancer = balancer.NewBalancer(balancer.Config{Clock: wallClock{}, Zone: "z", HealthChecker: checker, Limiter: h.limiter, Excluder: h.excluder, FairQueueing: true})
 	h.view = verbenastand.NewView(verbenastand.ViewConfig{
 		Table: table, Servers: map[verbenastand.ServiceName][]verbenastand.Registration{"svc": registrations},
 	})
@@ -348,10 +348,13 @@
 }
 
 // connect opens a connection as a caller.
-func (h *harness) connect() net.Conn {
+func (h *harness) connect() net.Conn { return h.connectFrom(h.callerAddress) }
+
+// connectFrom opens a connection as the caller with an address.
+func (h *harness) connectFrom(address net.Addr) net.Conn {
 	near, far := net.Pipe()
 	l := listener{make(chan net.Conn, 1)}
-	l.conns <- callerConn{far, h.callerAddress}
+	l.conns <- callerConn{far, address}
 	close(l.conns)
 	_ = h.acceptor.Serve(l)
 	h.t.Cleanup(func() { _ = near.Close() })
--- a/configurer/gateway.go
+++ b/configurer/gateway.go
@@ -36,6 +36,8 @@
 	WarmupOverage float64 `long:"warmup-overage" env:"VERBENASTAND_WARMUP_OVERAGE" default:"1" description:"Multiple of the limit of a server that is not warm which all hosts together may send to it in one second"`
 	WarmupSlack   float64 `long:"warmup-slack" env:"VERBENASTAND_WARMUP_SLACK" default:"0" description:"Requests beyond that multiple which a server that is not warm takes in one second"`
 
+	FairQueueing bool `long:"fair-queueing" env:"VERBENASTAND_FAIR_QUEUEING" description:"Order waiting requests of equal urgency by what their callers were assigned recently, so that callers that return often get no larger share"`
+
 	MemoryMB       float64 `long:"memory-mb" env:"VERBENASTAND_MEMORY_MB" default:"0" description:"Memory of this host in MB, 0 if unknown"`
 	MaxDescriptors int     `long:"max-descriptors" env:"VERBENASTAND_MAX_DESCRIPTORS" default:"0" description:"Maximum number of file descriptors of the process, 0 if unknown"`
 
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -207,7 +207,8 @@
 	}
 	g.balancer = balancer.NewBalancer(balancer.Config{
 		Clock: g.timer, Zone: g.self.Zone(), Limiter: limiter.Combined{g.limiter, g.warmup}, Excluder: g.excluder, OnServerChange: g.recorder.ServerChanged,
-		Unreached: g.reach.detector.Cut, HealthChecker: g.healthChecker,
+		FairQueueing: s.FairQueueing,
+		Unreached:    g.reach.detector.Cut, HealthChecker: g.healthChecker,
 	})
 	g.carrier = carrier.NewCarrier(carrier.Config{
 		Clock: g.timer, Names: g.config.HeaderFormat.Names(), HeaderFormat: g.config.HeaderFormat, Router: g.router,
--- a/launcher/gateway_run.go
+++ b/launcher/gateway_run.go
@@ -56,7 +56,9 @@
 	go func() { _ = g.peerServer.Serve(l.peers) }()
 	servers := g.serveHTTP(l)
 	g.subscribe()
-	g.log.WithField("version", g.config.Version).WithField("instance", g.self.Instance().String()).Info("started")
+	g.log.WithFields(log.Fields{
+		"version": g.config.Version, "instance": g.self.Instance().String(), "fairQueueing": g.config.Settings.FairQueueing,
+	}).Info("started")
 	g.start(ctx)
 	go func() { _ = g.acceptor.Serve(l.calls) }()
 	g.background.Go(func() { g.follower.Run(runCtx) })
