End the assumption of cold servers that report no load

Cause: servers of services without load reports get no health checks, so after an evacuation they counted as cold until their registration changed. Change: a request that was sent after the end and succeeded counts for them.

--- a/balancer/evacuate.go
+++ b/balancer/evacuate.go
@@ -65,6 +65,10 @@
 func (s *Server) confirmWarmth(began time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.confirmWarmthLocked(began)
+}
+
+func (s *Server) confirmWarmthLocked(began time.Time) {
 	if !began.Before(s.evacuation.endedAt) {
 		s.evacuation.endedAt = time.Time{}
 	}
--- a/balancer/evacuate_test.go
+++ b/balancer/evacuate_test.go
@@ -166,6 +166,20 @@
 			_, err := h.balancer.Service("s").Choose(t.Context(), Query{Route: testRoute})
 			require.Error(t, err)
 		}, true},
+		{"a response of a server that reports no load", registration("a", nil), func(t *testing.T, h *harness) {
+			h.balancer.Service("s").missingReports.Store(maxMissingReports)
+			h.choose(t).Begin("r").End(Succeeded, nil)
+		}, false},
+		{"a response to a request from before", registration("a", nil), func(_ *testing.T, h *harness) {
+			h.balancer.Service("s").missingReports.Store(maxMissingReports)
+			server := h.balancer.Service("s").Servers()[0]
+			attempt := Choice{Server: server}.Begin("r")
+			attempt.sentAt = h.clock.Now().Add(-time.Minute)
+			attempt.End(Succeeded, nil)
+		}, true},
+		{"a response of a server that reports its load", registration("a", nil), func(_ *testing.T, h *harness) {
+			Choice{Server: h.balancer.Service("s").Servers()[0]}.Begin("r").End(Succeeded, nil)
+		}, true},
 		{"a health check that began before", registration("a", nil), func(_ *testing.T, h *harness) {
 			h.balancer.Service("s").Servers()[0].confirmWarmth(h.clock.Now().Add(-2 * time.Millisecond))
 		}, true},
--- a/balancer/server.go
+++ b/balancer/server.go
@@ -218,6 +218,10 @@
 		s.failureRate *= 1 - failureWeight
 		latencyRatio := min(maxLatencyRatio, float64(took)/float64(a.expected))
 		s.latencyRatio += latencyRatioWeight * (latencyRatio - s.latencyRatio)
+		if s.service.reportsNoLoad() {
+			// There are no health checks that could confirm it.
+			s.confirmWarmthLocked(a.sentAt)
+		}
 	case Failed:
 		s.failureRate += failureWeight * (1 - s.failureRate)
 	case Refused:
