Direct callers of an evacuated zone to hosts of other zones

Cause: hosts of an evacuated zone have no server near them, so each request, its response and its health checks cross zones, and they have no share of the limits of servers elsewhere. Change: lookups of callers in an evacuated zone return the hosts of the zones that are not evacuated. Where nothing is evacuated, lookups return what they did. Test: TestCallersOfAnEvacuatedZone fails without the change. Not measured yet.

--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -230,6 +230,7 @@
 	})
 	g.resolver = resolver.NewResolver(resolver.Config{
 		Membership: g.gossiper, Self: g.self, Serving: g.ready, Validity: s.AnswerValidity,
+		Evacuated: func(z verbenastand.Zone) bool { return g.follower.View().Evacuated(z) },
 	})
 }
 
--- a/resolver/resolver.go
+++ b/resolver/resolver.go
@@ -23,6 +23,9 @@
 	// Serving reports whether this host may be among the selected hosts.
 	Serving func() bool
 	Self    verbenastand.Host
+	// Evacuated reports whether the servers of an availability zone get no requests; nil if
+	// that is never so.
+	Evacuated func(verbenastand.Zone) bool
 	// Validity is how long a caller may use a response.
 	Validity time.Duration
 }
@@ -31,12 +34,19 @@
 type Resolver struct{ config Config }
 
 // NewResolver returns a resolver.
-func NewResolver(c Config) *Resolver { return &Resolver{config: c} }
+func NewResolver(c Config) *Resolver {
+	if c.Evacuated == nil {
+		c.Evacuated = func(verbenastand.Zone) bool { return false }
+	}
+	return &Resolver{config: c}
+}
 
 // Resolve returns the addresses of hosts for a caller in an availability zone, and
-// how long they are valid.
+// how long they are valid. Callers of an evacuated zone are directed to hosts of other zones:
+// each of their requests and its health checks would cross zones otherwise.
 func (r *Resolver) Resolve(zone verbenastand.Zone) (addresses []string, validity time.Duration) {
-	var selected, others, detached []string
+	var selected, others, detached, evacuated []string
+	leavesZone := r.config.Evacuated(zone)
 	for _, h := range r.config.Membership.Hosts() {
 		if h.Leaving() || (h.ID() == r.config.Self.ID() && !r.config.Serving()) {
 			continue
@@ -45,7 +55,11 @@
 			detached = append(detached, h.CallAddress())
 			continue
 		}
-		if h.Zone() == zone {
+		if r.config.Evacuated(h.Zone()) {
+			evacuated = append(evacuated, h.CallAddress())
+			continue
+		}
+		if h.Zone() == zone || leavesZone {
 			selected = append(selected, h.CallAddress())
 			continue
 		}
@@ -53,6 +67,8 @@
 	}
 	shuffle(selected)
 	shuffle(others)
+	shuffle(evacuated)
+	others = append(others, evacuated...)
 	if missing := minHosts - len(selected); missing > 0 {
 		selected = append(selected, others[:min(missing, len(others))]...)
 	}
--- a/resolver/resolver_test.go
+++ b/resolver/resolver_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -74,3 +75,32 @@
 		require.InDelta(t, 2000*minHosts/20, counts[h.CallAddress()], 120)
 	}
 }
+
+// Guards against callers of an evacuated zone that are directed to its hosts, so that each of their
+// requests crosses zones, and against callers that are directed nowhere.
+func TestCallersOfAnEvacuatedZone(t *testing.T) {
+	hosts := fakeMembership{host("a1", "a", false), host("a2", "a", false), host("b1", "b", false), host("b2", "b", false), host("c1", "c", false), host("c2", "c", true)}
+	cases := []struct {
+		name      string
+		evacuated []verbenastand.Zone
+		// first are the hosts before those that are only there as alternatives.
+		first []string
+	}{
+		{"none", nil, []string{"a1", "a2"}},
+		{"the caller's", []verbenastand.Zone{"a"}, []string{"b1", "b2", "c1"}},
+		{"another one", []verbenastand.Zone{"b"}, []string{"a1", "a2", "c1"}},
+		{"the caller's and another one", []verbenastand.Zone{"a", "b"}, []string{"c1"}},
+		{"all", []verbenastand.Zone{"a", "b", "c"}, nil},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			r := NewResolver(Config{
+				Membership: hosts, Self: hosts[0], Serving: func() bool { return true }, Validity: time.Second,
+				Evacuated: func(z verbenastand.Zone) bool { return slices.Contains(tc.evacuated, z) },
+			})
+			addresses, _ := r.Resolve("a")
+			require.Len(t, addresses, minHosts)
+			require.ElementsMatch(t, tc.first, addresses[:len(tc.first)])
+		})
+	}
+}
