Hedge requests within a limit of extra server time

Cause: a second attempt was sent after a constant multiple of the expected duration, on both kinds of host, limited by the retry budget alone; operators could not bound the extra work. Change: package hedger decides for both. If hedge-limit is not set, the constants stay the default policy; zero sends no hedges; above zero a hedge is sent if the distribution of durations, conditioned on the age of the attempt and the reported slowdown, shows that it responds first more often than not and saves half of the remaining time. Its server time is reserved before it is sent, in leases, and settled when the losing attempt has ended. None is sent while requests wait, or did within a second, or without a lightly loaded server.

--- a/balancer/server.go
+++ b/balancer/server.go
@@ -255,6 +255,17 @@
 	s.replaced = true
 }
 
+// Slowdown returns the slowdown that the server reported within the given time, 1 if it did not.
+func (s *Server) Slowdown(maxAge time.Duration) float64 {
+	now := s.service.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.reportedAt.IsZero() || now.Sub(s.reportedAt) > maxAge {
+		return 1
+	}
+	return slowdownOf(s.report)
+}
+
 func slowdownOf(r verbenastand.LoadReport) float64 {
 	if r.Slowdown <= 0 {
 		return 1
--- a/carrier/attempt.go
+++ b/carrier/attempt.go
@@ -47,6 +47,10 @@
 	err  error
 	// finish ends the attempt after the rest of the body has been read.
 	finish func(error)
+	// index is the place of the attempt among those of the request, took its time at the server,
+	// or until the part of the response in memory had been read.
+	index int
+	took  time.Duration
 	// crashChecked is closed when it is known whether the server crashed; nil if the
 	// connection was not lost.
 	crashChecked <-chan struct{}
@@ -70,8 +74,14 @@
 // unreachable reports whether nothing was sent to the server.
 func (o *outcome) unreachable() bool { return errors.Is(o.err, sender.ErrUnreachable) }
 
+// sentAttempt is the number of an attempt, and whether it is a hedge.
+type sentAttempt struct {
+	number int
+	hedge  bool
+}
+
 // attempt sends the request to the chosen server and reads its response.
-func (c *call) attempt(ctx context.Context, choice balancer.Choice, number int) (o *outcome) {
+func (c *call) attempt(ctx context.Context, choice balancer.Choice, sent sentAttempt) (o *outcome) {
 	end := choice.Release
 	defer c.containPanic(&o, &end)
 	registration := choice.Server.Registration()
@@ -98,7 +108,8 @@
 		tracked.End(balancer.Failed, nil)
 		connection.Close()
 	}
-	event := c.event(choice, number)
+	event := c.event(choice, sent.number)
+	event.Hedge = sent.hedge
 	c.carrier.config.Observer.AttemptSent(event)
 	response, err := connection.Exchange(ctx, request)
 	o = &outcome{server: choice.Server, response: response, err: err}
@@ -114,6 +125,7 @@
 	if o.err == nil {
 		o.err = c.readBody(o)
 	}
+	o.took = c.carrier.config.Clock.Now().Sub(event.At)
 	o.finish = func(err error) {
 		result, report := c.attemptResult(ctx, o, err), c.loadReport(response)
 		end = func() {}
@@ -127,6 +139,10 @@
 		event.Err = err
 		event.Took = c.carrier.config.Clock.Now().Sub(event.At)
 		c.carrier.config.Observer.AttemptEnded(event)
+		c.observeDuration(sent, result, err, choice.Report.Slowdown, o.took)
+		if err != nil {
+			o.took = event.Took
+		}
 		if result == balancer.ConnectionLost {
 			c.carrier.config.Reachability.Failed(registration)
 			o.crashChecked = c.recordLoss(registration)
--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -22,6 +22,7 @@
 	"github.com/verbenastand/verbenastand/acceptor"
 	"github.com/verbenastand/verbenastand/balancer"
 	"github.com/verbenastand/verbenastand/excluder"
+	"github.com/verbenastand/verbenastand/hedger"
 	"github.com/verbenastand/verbenastand/internal/bounder"
 	"github.com/verbenastand/verbenastand/limiter"
 	"github.com/verbenastand/verbenastand/quarantiner"
@@ -84,8 +85,10 @@
 	Delegator Delegator
 	// NewBudget returns the retry budget of a service.
 	NewBudget func(verbenastand.ServiceName) *retrier.WindowBudget
-	Observer  Observer
-	Tracer    trace.Tracer
+	// Hedger decides when a request is sent to a second server; nil for the default policy.
+	Hedger   *hedger.Hedger
+	Observer Observer
+	Tracer   trace.Tracer
 	// OnCrashSuspected is called when a request becomes suspected of crashing a
 	// server.
 	OnCrashSuspected func(quarantiner.Suspect)
@@ -130,6 +133,9 @@
 	if c.RegistrationTime == 0 {
 		c.RegistrationTime = quarantiner.DefaultRegistrationTime
 	}
+	if c.Hedger == nil {
+		c.Hedger = hedger.NewHedger(hedger.Config{Clock: c.Clock})
+	}
 	if c.OnConnectionLost == nil {
 		c.OnConnectionLost = func(quarantiner.Suspect) {}
 	}
--- a/carrier/delegate.go
+++ b/carrier/delegate.go
@@ -116,12 +116,15 @@
 		base = context.WithoutCancel(base)
 	}
 	ctx, cancel := context.WithDeadline(base, r.deadline.Add(responseGrace))
+	index := len(r.cancels)
 	r.cancels = append(r.cancels, cancel)
 	r.running++
 	attempts := r.sent
 	go func() {
 		defer r.carrier.config.Delegator.Release(host)
-		r.results <- r.delegateTo(ctx, host, attempts)
+		o := r.delegateTo(ctx, host, attempts)
+		o.index = index
+		r.results <- o
 	}()
 	return true
 }
@@ -137,6 +140,7 @@
 	}
 	report := func(err error) {
 		event.Err, event.Took = err, c.carrier.config.Clock.Now().Sub(event.At)
+		o.took = event.Took
 		event.Result = balancer.Succeeded
 		if err != nil {
 			event.Result = balancer.Failed
@@ -206,6 +210,7 @@
 // if that one has not sent it.
 func (r *runner) handleDelegated(o *outcome) (done, succeeded bool) {
 	if o.err == nil {
+		r.endOtherAttempts(o)
 		return true, r.deliver(o)
 	}
 	r.recordOutcome(o)
--- a/carrier/event.go
+++ b/carrier/event.go
@@ -28,6 +28,8 @@
 	Checks        int
 	Estimate      time.Duration
 	LightlyLoaded bool
+	// Hedge is set if the attempt is a hedge.
+	Hedge bool
 	// Delegate is the host to which the request was delegated, empty if it was not.
 	Delegate verbenastand.HostID
 	// DelegatedBy is the host that delegated the request to this one.
--- a/carrier/run.go
+++ b/carrier/run.go
@@ -11,19 +11,6 @@
 )
 
 const (
-	// hedgeFactor is the multiple of the expected duration after which a hedge is
-	// sent if it can still be in time.
-	hedgeFactor = 1.4
-	// stallFactor is the multiple of the estimated duration after which an attempt
-	// counts as stalled. A hedge that can't be in time is sent only then.
-	stallFactor = 3
-	// hedgeInterval is the minimum time between two searches for a hedge's server.
-	hedgeInterval = 20 * time.Millisecond
-	// hedgeChecks bounds the health checks for a hedge.
-	hedgeChecks = 2
-	// hedgeReserve is the number of retries that must be left in the budget for a
-	// hedge, so that requests whose server failed can still be retried.
-	hedgeReserve = 2
 	// refusedRetryAfter is the shortest Retry-After delay. It is that of requests refused by
 	// servers that are not known to be full or to pause.
 	refusedRetryAfter = 10 * time.Millisecond
@@ -51,12 +38,9 @@
 	// fallback is a response that is delivered if there is no better one.
 	fallback *outcome
 	lastErr  error
-	hedged   bool
-	// stalledAt is the time from which the latest attempt counts as stalled.
-	stalledAt time.Time
-	// hedgeTimer fires when a hedge is to be considered.
-	hedgeTimer *time.Timer
-	cancels    []context.CancelFunc
+	hedging  hedging
+	// cancels end the attempts and delegations, by their index.
+	cancels []context.CancelFunc
 	// delegates are the hosts to which the request was delegated.
 	delegates []verbenastand.HostID
 	// delegating is set while another host may be sending the request, or has sent it.
@@ -74,8 +58,9 @@
 	}
 	limit := time.NewTimer(c.deadline.Add(responseGrace).Sub(c.carrier.config.Clock.Now()))
 	defer limit.Stop()
-	r.hedgeTimer = time.NewTimer(time.Hour)
-	defer r.hedgeTimer.Stop()
+	r.hedging.timer = time.NewTimer(time.Hour)
+	defer r.hedging.timer.Stop()
+	defer r.endHedging()
 	defer r.cancelAttempts()
 	defer r.releaseMemory()
 	if err := r.begin(); err != nil {
@@ -92,8 +77,8 @@
 			if done, succeeded := r.handleOutcome(o); done {
 				return succeeded
 			}
-		case <-r.hedgeTimer.C:
-			r.hedge()
+		case <-r.hedging.timer.C:
+			r.onHedgeTimer()
 		case <-ctx.Done():
 			c.interrupt(ctx, r.verdict())
 			return false
@@ -142,13 +127,21 @@
 	if r.running == 0 {
 		return
 	}
+	r.drainAttempts()
+}
+
+// drainAttempts releases what the attempts hold that have been cancelled.
+func (r *runner) drainAttempts() {
+	running := r.running
+	r.running = 0
 	go func() {
-		for range r.running {
+		for range running {
 			o := <-r.results
 			if o.acceptable() && !o.body.Complete() {
 				o.finish(errNotNeeded)
 			}
 			o.body.Release()
+			r.hedging.recordEnd(o)
 		}
 	}()
 }
@@ -167,26 +160,18 @@
 		base = context.WithoutCancel(base)
 	}
 	ctx, cancel := context.WithDeadline(base, r.deadline.Add(responseGrace))
+	index := len(r.cancels)
 	r.cancels = append(r.cancels, cancel)
 	r.running++
 	r.sent++
 	r.tried = append(r.tried, choice.Server)
-	number := r.sent
-	go func() { r.results <- r.attempt(ctx, choice, number) }()
-	r.stalledAt = r.carrier.config.Clock.Now().Add(stallFactor * choice.Estimate)
-	if !r.hedged && r.route.Retryable() && r.request.Buffered() {
-		r.hedgeTimer.Reset(r.hedgeDelay(choice))
-	}
-}
-
-// hedgeDelay returns how long after the start of an attempt a hedge is considered.
-func (r *runner) hedgeDelay(choice balancer.Choice) time.Duration {
-	base := r.service.Expected(r.route)
-	early := time.Duration(hedgeFactor * float64(base))
-	if r.carrier.config.Clock.Now().Add(early + base).Before(r.targetTime) {
-		return early
-	}
-	return stallFactor * choice.Estimate
+	sent := sentAttempt{number: r.sent, hedge: r.hedging.isHedge(index)}
+	go func() {
+		o := r.attempt(ctx, choice, sent)
+		o.index = index
+		r.results <- o
+	}()
+	r.planHedge(choice, index)
 }
 
 // handleOutcome delivers the response of an attempt that ended, or else retries the
@@ -195,10 +180,14 @@
 func (r *runner) handleOutcome(o *outcome) (done, succeeded bool) {
 	r.running--
 	r.handled = append(r.handled, o)
+	if !o.acceptable() || o.body.Complete() {
+		r.hedging.recordEnd(o)
+	}
 	if o.delegate != "" {
 		return r.handleDelegated(o)
 	}
 	if o.acceptable() {
+		r.endOtherAttempts(o)
 		return true, r.deliver(o)
 	}
 	r.recordOutcome(o)
@@ -206,7 +195,7 @@
 		r.interrupt(r.ctx, r.verdict())
 		return true, false
 	}
-	if r.retry(o) {
+	if r.awaitsOther() || r.retry(o) {
 		return false, false
 	}
 	if r.running > 0 {
@@ -309,50 +298,6 @@
 	return ""
 }
 
-// hedge sends a second attempt if a lightly loaded server is available, or tries
-// again soon. If the first attempt has stalled, any server that is not full is accepted.
-func (r *runner) hedge() {
-	if r.hedged || r.running != 1 || r.sent >= r.route.MaxAttempts() {
-		return
-	}
-	if r.cut() {
-		r.hedged = r.hedgeByDelegate()
-		return
-	}
-	choice, ok := r.chooseHedge()
-	if !ok {
-		r.hedgeTimer.Reset(max(hedgeInterval, r.service.Expected(r.route)/2))
-		return
-	}
-	r.hedged = true
-	r.startAttempt(choice)
-}
-
-// hedgeByDelegate lets another host send a request again whose server is no longer
-// reached.
-func (r *runner) hedgeByDelegate() bool {
-	suspected := r.carrier.config.Quarantiner.PossiblySuspected(r.fingerprint)
-	return !suspected && !r.delegating && r.mayDelegate(r.ctx) && r.budget.Available() >= hedgeReserve && r.budget.Allow() && r.delegate()
-}
-
-func (r *runner) chooseHedge() (balancer.Choice, bool) {
-	suspected := r.carrier.config.Quarantiner.PossiblySuspected(r.fingerprint)
-	if suspected || r.budget.Available() < hedgeReserve || r.service.Waiting() > 0 {
-		return balancer.Choice{}, false
-	}
-	choice, err := r.service.Choose(r.ctx, balancer.Query{Route: r.route, Tried: r.tried, Avoided: r.avoided(), CheckLimit: hedgeChecks})
-	if err != nil {
-		return choice, false
-	}
-	now := r.carrier.config.Clock.Now()
-	useful := choice.LightlyLoaded || (now.After(r.stalledAt) && !choice.Full)
-	if !useful || now.Add(choice.Estimate).After(r.deadline) || !r.budget.Allow() {
-		choice.Release()
-		return choice, false
-	}
-	return choice, true
-}
-
 // finishFailed responds to a request for which no attempt succeeded.
 func (r *runner) finishFailed() {
 	if r.fallback != nil && !impliesNotRun(r.fallback.response.Status) {
--- a/classifier/classifier.go
+++ b/classifier/classifier.go
@@ -55,11 +55,15 @@
 // Size returns whether the request is short or long.
 func (c Class) Size() verbenastand.Size { return c.size }
 
+// Route returns the name of the request's route, empty if there are too many routes.
+func (c Class) Route() verbenastand.RouteName { return c.route.name }
+
 // Expected returns the expected duration of the request.
 func (c Class) Expected() time.Duration { return c.expected }
 
 // route holds the moving average of the durations of one route.
 type route struct {
+	name    verbenastand.RouteName
 	mean    atomic.Uint64
 	samples atomic.Uint64
 }
@@ -249,8 +253,9 @@
 	for k, r := range old {
 		next[k] = r
 	}
-	added := &route{}
-	next[strings.Clone(key)] = added
+	key = strings.Clone(key)
+	added := &route{name: verbenastand.RouteName(key)}
+	next[key] = added
 	c.routes.Store(&next)
 	return added
 }
--- a/configurer/gateway.go
+++ b/configurer/gateway.go
@@ -31,6 +31,8 @@
 	RetryAllowance float64       `long:"retry-allowance" env:"VERBENASTAND_RETRY_ALLOWANCE" default:"10" description:"Additional retries that all hosts together may send to a service in a window"`
 	RetryWindow    time.Duration `long:"retry-window" env:"VERBENASTAND_RETRY_WINDOW" default:"10s" description:"Window over which retries are counted"`
 
+	HedgeLimit *float64 `long:"hedge-limit" env:"VERBENASTAND_HEDGE_LIMIT" description:"Extra server time of hedged requests as a fraction of the server time of first attempts, per service; no hedged requests if 0, limited by the retry budget alone if not set"`
+
 	LinkMbps float64 `long:"link-mbps" env:"VERBENASTAND_LINK_MBPS" default:"0" description:"Bandwidth of the link of this host in Mbit/s, 0 if unknown; hosts with fast links read the store and forward changes for the others"`
 
 	WarmupOverage float64 `long:"warmup-overage" env:"VERBENASTAND_WARMUP_OVERAGE" default:"1" description:"Multiple of the limit of a server that is not warm which all hosts together may send to it in one second"`
@@ -79,5 +81,6 @@
 		{"trace-share", g.TraceShare, 0, 1},
 		{"log-share", g.LogShare, 0, 1},
 	})
+	errs.checkHedgeLimit(g.HedgeLimit)
 	return errs.join()
 }
--- a/configurer/settings.go
+++ b/configurer/settings.go
@@ -31,6 +31,8 @@
 	DrainTimeout   time.Duration `long:"drain-timeout" env:"VERBENASTAND_DRAIN_TIMEOUT" default:"5m" description:"Maximum time that a graceful shutdown waits for requests in flight"`
 	StartTimeout   time.Duration `long:"start-timeout" env:"VERBENASTAND_START_TIMEOUT" default:"5s" description:"Maximum time to load the configuration before serving"`
 
+	HedgeLimit *float64 `long:"hedge-limit" env:"VERBENASTAND_HEDGE_LIMIT" description:"Extra server time of hedged requests as a fraction of the server time of first attempts, per service; no hedged requests if 0, limited by the retry budget alone if not set"`
+
 	ZoneRTT time.Duration `long:"zone-rtt" env:"VERBENASTAND_ZONE_RTT" default:"3ms" description:"Round-trip time to servers in other availability zones"`
 
 	MaxBody       int64 `long:"max-body" env:"VERBENASTAND_MAX_BODY" default:"1073741824" description:"Maximum size of a request body in bytes"`
@@ -85,5 +87,6 @@
 		{"probe-budget", s.ProbeBudget, 1e-6, 0.5},
 		{"trace-share", s.TraceShare, 0, 1},
 	})
+	errs.checkHedgeLimit(s.HedgeLimit)
 	return errs.join()
 }
--- a/configurer/validation.go
+++ b/configurer/validation.go
@@ -38,6 +38,13 @@
 	}
 }
 
+// checkHedgeLimit requires a limit of extra server time that is a fraction, unless it is not set.
+func (errs *validationErrors) checkHedgeLimit(limit *float64) {
+	if limit != nil {
+		checkRanges(errs, []flagRange[float64]{{"hedge-limit", *limit, 0, 1}})
+	}
+}
+
 // checkURL requires an HTTP or HTTPS URL or an empty value.
 func (errs *validationErrors) checkURL(u flagValue) {
 	parsed, err := url.Parse(u.value)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -16,6 +16,7 @@
 	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/deduplicator"
 	"github.com/verbenastand/verbenastand/excluder"
+	"github.com/verbenastand/verbenastand/hedger"
 	"github.com/verbenastand/verbenastand/limiter"
 	"github.com/verbenastand/verbenastand/meter"
 	"github.com/verbenastand/verbenastand/quarantiner"
@@ -37,8 +38,10 @@
 	Reachability Reachability
 	Peers        verbenastand.PeerTransport
 	Servers      verbenastand.ServerTransport
-	Meter        *meter.Meter
-	Tracer       trace.Tracer
+	// Hedger decides when a request is sent to a second server; nil for the default policy.
+	Hedger *hedger.Hedger
+	Meter  *meter.Meter
+	Tracer trace.Tracer
 	// MaxBody is the maximum size of a request body in bytes.
 	MaxBody int64
 	// StallTimeout is how long a caller may take to send a small body or to
@@ -78,6 +81,9 @@
 	if c.OnConnectionLost == nil {
 		c.OnConnectionLost = func(quarantiner.Suspect) {}
 	}
+	if c.Hedger == nil {
+		c.Hedger = hedger.NewHedger(hedger.Config{Clock: c.Timer})
+	}
 	stopped, stop := context.WithCancel(context.Background())
 	return &Dispatcher{config: c, stopped: stopped, stop: stop}
 }
--- a/dispatcher/execute.go
+++ b/dispatcher/execute.go
@@ -101,6 +101,9 @@
 	}
 	now := d.config.Timer.Now()
 	d.config.Meter.Queued(req.service, now.Sub(start))
+	if now.Sub(start) > immediate {
+		d.config.Hedger.RecordWait(req.service)
+	}
 	if d.stopped.Err() != nil {
 		// The slot became free because the host stops.
 		req.components.Scheduler().Release(grant, estimator.Abandoned, scheduler.NoReport)
@@ -114,18 +117,23 @@
 	return grant, nil
 }
 
+// immediate is the time up to which a request that gets a slot has not waited for it.
+const immediate = time.Millisecond
+
 // maxGrantAge is how long a granted slot may stay unused before it counts as
 // stale.
 const maxGrantAge = 500 * time.Millisecond
 
-func (d *Dispatcher) roundTrip(ctx context.Context, req *proxiedRequest, grant scheduler.Grant, attempt int) (*serverResponse, error) {
+func (d *Dispatcher) roundTrip(ctx context.Context, req *proxiedRequest, grant scheduler.Grant, attempt int, hedge bool) (*serverResponse, error) {
 	ctx, span := d.config.Tracer.Start(ctx, "server")
 	out := d.newRequest(ctx, req)
 	out.Header.Set(verbenastand.HeaderAttempt, strconv.Itoa(req.attempt+attempt-1))
 	out.Header.Set(verbenastand.HeaderDepth, strconv.Itoa(req.depth+1))
 	setTimeout(out, req.deadline.Sub(d.config.Timer.Now()))
 	response, err := d.config.Servers.RoundTrip(grant.Server(), out)
-	resp := &serverResponse{dispatcher: d, request: req, grant: grant, span: span, response: response}
+	resp := &serverResponse{
+		dispatcher: d, request: req, grant: grant, span: span, response: response, first: attempt == 1 && req.attempt == 0 && !hedge,
+	}
 	if err != nil {
 		return nil, resp.closeWithError(ctx, err)
 	}
@@ -146,6 +154,7 @@
 			return nil, err
 		}
 	}
+	resp.took = d.config.Timer.Now().Sub(grant.GrantedAt())
 	return resp, nil
 }
 
@@ -207,6 +216,10 @@
 	prefix   []byte
 	complete bool
 	closed   bool
+	// first is set for the first attempt of a request. took is the time until the part of
+	// the response that is buffered had been read, zero before.
+	first bool
+	took  time.Duration
 	// stop cancels the context of the attempt if the attempt has a separate one.
 	stop context.CancelFunc
 }
@@ -283,6 +296,7 @@
 	if resp.span != nil {
 		resp.span.End()
 	}
+	resp.observeDuration()
 	req := resp.request
 	if resp.result == estimator.Succeeded {
 		req.components.Classifier().Observe(req.class, resp.dispatcher.config.Timer.Now().Sub(resp.grant.GrantedAt()))
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/verbenastand/verbenastand/follower"
 	"github.com/verbenastand/verbenastand/forwarder"
 	"github.com/verbenastand/verbenastand/gossiper"
+	"github.com/verbenastand/verbenastand/hedger"
 	"github.com/verbenastand/verbenastand/limiter"
 	"github.com/verbenastand/verbenastand/meter"
 	"github.com/verbenastand/verbenastand/quarantiner"
@@ -207,6 +208,7 @@
 	g.carrier = carrier.NewCarrier(carrier.Config{
 		Clock: g.timer, Names: g.config.HeaderFormat.Names(), HeaderFormat: g.config.HeaderFormat, Router: g.router,
 		Balancer: g.balancer, Sender: g.sender, Quarantiner: g.quarantiner, Limiter: g.limiter, Excluder: g.excluder, HealthChecker: g.healthChecker,
+		Hedger:          hedger.NewHedger(hedger.Config{Clock: g.timer, Limit: s.HedgeLimit, Observer: g.meter}),
 		Observer:        g.recorder,
 		RegistrationAge: g.follower.Staleness, RegistrationTime: g.registrationTime(),
 		Self: g.self.ID(), Reachability: g.reach.detector, Delegator: delegator.NewDelegator(delegator.Config{
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -25,6 +25,7 @@
 	"github.com/verbenastand/verbenastand/excluder"
 	"github.com/verbenastand/verbenastand/forwarder"
 	"github.com/verbenastand/verbenastand/gossiper"
+	"github.com/verbenastand/verbenastand/hedger"
 	"github.com/verbenastand/verbenastand/internal/closer"
 	"github.com/verbenastand/verbenastand/limiter"
 	"github.com/verbenastand/verbenastand/merger"
@@ -203,6 +204,7 @@
 		MaxConcurrent: h.settings.MaxConcurrent, StallTimeout: h.settings.StallTimeout,
 		OnDrainNotice: h.onDrainNotice, OnCrashSuspected: h.onCrashSuspected,
 		OnConnectionLost: h.onConnectionLost,
+		Hedger:           hedger.NewHedger(hedger.Config{Clock: h.timer, Limit: h.settings.HedgeLimit, Observer: h.meter}),
 	})
 	h.prober = prober.NewProber(prober.Config{
 		Timer: h.timer, Registrar: h.registrar, MaxHosts: h.settings.Fleet,
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	verbenastand "github.com/verbenastand/verbenastand"
+	"github.com/verbenastand/verbenastand/hedger"
 )
 
 const namespace = "verbenastand"
@@ -31,6 +32,9 @@
 	attemptDurations   *prometheus.HistogramVec
 	refusedMessages    *prometheus.CounterVec
 	cutRequests        *prometheus.CounterVec
+	hedges             *prometheus.CounterVec
+	hedgeSeconds       *prometheus.CounterVec
+	hedgesDenied       *prometheus.CounterVec
 }
 
 // latencyBuckets range from half a millisecond to about a minute.
@@ -68,6 +72,9 @@
 		}, []string{"service", "result"}),
 		refusedMessages: vector("refused_messages_total", "Messages of callers that are no valid requests, by reason.", "reason"),
 		cutRequests:     vector("cut_requests_total", "Requests without a complete response whose connection ended, by reason.", "reason"),
+		hedges:          vector("hedges_total", "Hedges sent, and those whose answer was used.", "service", "result"),
+		hedgeSeconds:    vector("hedge_server_seconds_total", "Extra server time of hedged requests: that of the attempts whose answers were not used.", "service"),
+		hedgesDenied:    vector("hedges_denied_total", "Times that a hedge was considered and not sent, by reason.", "service", "reason"),
 		joinedRetries:   counter("joined_resends_total", "Resends answered by an attempt that ran or had run."),
 	}
 }
@@ -111,6 +118,26 @@
 	m.attempts.WithLabelValues(string(s), "hedge").Inc()
 }
 
+// HedgeSent implements hedger.Observer.
+func (m *Meter) HedgeSent(s verbenastand.ServiceName) {
+	m.hedges.WithLabelValues(string(s), "sent").Inc()
+}
+
+// HedgeWon implements hedger.Observer.
+func (m *Meter) HedgeWon(s verbenastand.ServiceName) {
+	m.hedges.WithLabelValues(string(s), "won").Inc()
+}
+
+// HedgeSettled implements hedger.Observer.
+func (m *Meter) HedgeSettled(s verbenastand.ServiceName, extra time.Duration) {
+	m.hedgeSeconds.WithLabelValues(string(s)).Add(extra.Seconds())
+}
+
+// HedgeDenied implements hedger.Observer.
+func (m *Meter) HedgeDenied(s verbenastand.ServiceName, reason hedger.Denial) {
+	m.hedgesDenied.WithLabelValues(string(s), reason.String()).Inc()
+}
+
 // Forwarded counts a request forwarded to another host.
 func (m *Meter) Forwarded(ok bool) { m.forwards.WithLabelValues(result(ok)).Inc() }
 
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -78,7 +78,7 @@
 		return
 	}
 	r.entry(e).WithFields(log.Fields{
-		"server": string(e.Server), "attempt": e.Attempt, "running": e.Report.Running, "waiting": e.Report.Waiting,
+		"server": string(e.Server), "attempt": e.Attempt, "hedge": e.Hedge, "running": e.Report.Running, "waiting": e.Report.Waiting,
 		"slots": e.Report.Slots, "slowdown": e.Report.Slowdown, "reportAgeMs": milliseconds(e.Age), "looks": e.Checks,
 		"estimateMs": milliseconds(e.Estimate), "calm": e.LightlyLoaded, "result": e.Result.String(), "error": errorText(e.Err),
 	}).Info(eventAttempt)
