Explain where a gateway would send a request now

Cause: why a request went to a server, waited or was refused could be read from log lines only afterwards, and only for sampled requests. Change: `verbenastand route` asks a running gateway (GET /route at its metrics address). The answer comes from the functions that decide: Router.Find, the split's next position, the order of candidates, estimates, the queue. The query takes no tokens, makes no health checks and does not advance the split. Text and JSON.

--- a/commander/commander.go
+++ b/commander/commander.go
@@ -45,6 +45,7 @@
 		{"ask", "Ask a host which hosts to use", "Asks a running host which hosts a caller of a service should use.", &askCommand{config: c}},
 		{"check", "Check ticket files", "Checks change tickets offline and prints every error with the path of the field.", &checkCommand{config: c}},
 		{"explain", "Explain the outcome of a request", "Reads structured log lines from files or standard input and prints the timeline of one request, or counts failures by cause.", &explainCommand{config: c}},
+		{"route", "Explain where a request would be sent", "Asks a running gateway where it would send a request now, and why, without sending it.", &routeCommand{config: c}},
 		{"status", "Show the state of a host", "Shows the tickets in effect, peers, services and servers of a running host.", &statusCommand{config: c}},
 		{"version", "Show the version", "Shows the version of the program and of Go.", &versionCommand{config: c}},
 	}
--- a/launcher/gateway_run.go
+++ b/launcher/gateway_run.go
@@ -13,6 +13,7 @@
 	"github.com/apex/log"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	verbenastand "github.com/verbenastand/verbenastand"
+	"github.com/verbenastand/verbenastand/inspector"
 	"github.com/verbenastand/verbenastand/sender"
 )
 
@@ -79,6 +80,7 @@
 func (g *Gateway) serveHTTP(l listeners) []*http.Server {
 	metrics := http.NewServeMux()
 	metrics.Handle("GET /metrics", promhttp.HandlerFor(g.meter.Registry(), promhttp.HandlerOpts{}))
+	metrics.Handle("GET "+inspector.Path, inspector.NewHandler(string(g.self.ID()), g.carrier))
 	var servers []*http.Server
 	for _, e := range []struct {
 		listener net.Listener
--- a/router/router.go
+++ b/router/router.go
@@ -114,7 +114,18 @@
 	if len(split) == 1 {
 		return split[0].Service()
 	}
-	position := float64(m.sequence.Add(goldenRatioStep)) / math.MaxUint64 * float64(m.totalWeight)
+	return m.serviceAt(m.sequence.Add(goldenRatioStep))
+}
+
+// PeekService returns the service that would serve the next request of the route.
+func (m *Match) PeekService() verbenastand.ServiceName {
+	return m.serviceAt(m.sequence.Load() + goldenRatioStep)
+}
+
+// serviceAt returns the service at a position of the sequence.
+func (m *Match) serviceAt(sequence uint64) verbenastand.ServiceName {
+	split := m.route.Split()
+	position := float64(sequence) / math.MaxUint64 * float64(m.totalWeight)
 	for _, p := range split {
 		position -= float64(p.Weight())
 		if position < 0 {
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -118,3 +118,15 @@
 		r.Find("h", "/zz/1")
 	}
 }
+
+// Guards against a query that changes which service the next request goes to, or names another one.
+func TestPeekServiceNamesTheNextOneAndLeavesIt(t *testing.T) {
+	r := NewRouter()
+	r.Update(tableOf(1, route("a", "h", "/", verbenastand.NewWeightedService("one", 3), verbenastand.NewWeightedService("two", 2))))
+	m, _ := r.Find("h", "/")
+	for range 100 {
+		peeked := m.PeekService()
+		require.Equal(t, peeked, m.PeekService())
+		require.Equal(t, peeked, m.NextService())
+	}
+}
