Bound the memory that a gateway holds for callers

A parsed header takes up to 15 times its bytes, and only bodies were counted, so that 1,600 pipelined requests of legal size took 441 to 926 MB.

One budget (bounder.Shares, a quarter of memoryMb) is charged for connections, headers before they are parsed, bodies, and headers and bodies of responses. A network address gets more only while it holds at most as much as is left: one alone gets half, and those that hold most wait first. Waiting means that the connection isn't read; a request for which nothing becomes free within the header timeout is refused unread with 503, Retry-After and the verdict notRun. What a header is expected to take is reserved before it is parsed, since connections that each hold a part would wait for each other. Requests are bounded in the same way by a quarter of maxFileDescriptors, connections by a half of it; those idle longest are closed first. Without the two settings, descriptors are not bounded, and the budget is 64 MB. The collector is told three quarters of memoryMb.

A legal request with 5,300 lines is served.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -41,6 +41,15 @@
 	// RequestMemory bounds the buffered bodies of all requests together. Bodies that
 	// find no memory left are read while they are sent to a server.
 	RequestMemory int64
+	// Memory bounds what is held for callers: connections, headers, bodies and responses.
+	// If nil, only bodies are bounded. Others may share it.
+	Memory *bounder.Shares
+	// MaxRequests bounds the requests that are handled at the same time, and MaxConnections
+	// the connections; if zero, they are not bounded.
+	MaxRequests, MaxConnections int
+	// OnShortage is called when a connection is not read because its caller's share of the
+	// memory, or of MaxRequests, is exhausted; nil if nobody is interested.
+	OnShortage func(Shortage)
 	// Observer receives what ends connections; nil if nobody does.
 	Observer Observer
 	// StallTimeout bounds how long a caller may take to send a body or to accept a
@@ -64,7 +73,12 @@
 type Acceptor struct {
 	config        Config
 	requestMemory *bounder.Budget
+	memory        *bounder.Shares
+	requests      *bounder.Shares
 	draining      atomic.Bool
+	// idleClosed counts the connections that were closed because there were too many, and
+	// rejected those that were closed at once.
+	idleClosed, rejected atomic.Int64
 
 	mu          sync.Mutex
 	connections map[*connection]struct{}
@@ -93,7 +107,20 @@
 	if c.Observer == nil {
 		c.Observer = ignorer{}
 	}
-	return &Acceptor{config: c, requestMemory: bounder.NewBudget(c.RequestMemory), connections: make(map[*connection]struct{})}
+	if c.Memory == nil {
+		c.Memory = bounder.NewShares(unlimited)
+	}
+	if c.OnShortage == nil {
+		c.OnShortage = func(Shortage) {}
+	}
+	requests := int64(unlimited)
+	if c.MaxRequests > 0 {
+		requests = int64(c.MaxRequests)
+	}
+	return &Acceptor{
+		config: c, requestMemory: bounder.NewBudget(c.RequestMemory), memory: c.Memory, requests: bounder.NewShares(requests),
+		connections: make(map[*connection]struct{}),
+	}
 }
 
 // Serve accepts connections until the listener is closed.
@@ -119,6 +146,12 @@
 
 func (a *Acceptor) start(conn net.Conn) {
 	c := newConnection(a, conn)
+	if !a.admit(c) {
+		a.rejected.Add(1)
+		c.closeShares()
+		_ = conn.Close()
+		return
+	}
 	a.mu.Lock()
 	a.connections[c] = struct{}{}
 	stopped := a.stopped
@@ -131,6 +164,8 @@
 		a.mu.Lock()
 		delete(a.connections, c)
 		a.mu.Unlock()
+		c.memory.Return(connectionMemory)
+		c.closeShares()
 	})
 }
 
--- a/acceptor/closing.go
+++ b/acceptor/closing.go
@@ -26,7 +26,10 @@
 // read, while responses are still pending.
 func (c *connection) detectDisconnect() {
 	c.mu.Lock()
-	c.closing = true
+	if !c.closing {
+		c.closing = true
+		close(c.closed)
+	}
 	pending := c.pending
 	c.mu.Unlock()
 	if pending == 0 || c.ctx.Err() != nil {
@@ -77,6 +80,7 @@
 		return
 	}
 	c.closing = true
+	close(c.closed)
 	if !c.streaming && !c.awaitsDelegated() {
 		_ = c.conn.SetReadDeadline(time.Now())
 	}
--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -45,6 +45,19 @@
 	handlers       sync.WaitGroup
 	// bodyUnread is set if the caller may still be sending a body that nobody reads.
 	bodyUnread bool
+	// memory and requests are the shares of the caller's network address.
+	memory, requests *bounder.Share
+	// bodyMemory is where the memory of bodies is taken from.
+	bodyMemory bounder.Source
+	// chargeHead charges a part of a header before it is parsed.
+	chargeHead func([]byte) error
+	// charged is the memory that was taken for the header that is being read, credit the part
+	// of it for what has not arrived yet, and reserved is set once its place among the
+	// requests was taken.
+	charged, credit int64
+	reserved        bool
+	// closed is closed once closing is set.
+	closed chan struct{}
 
 	mu sync.Mutex
 	// pending counts the requests that were read and have no response yet.
@@ -70,11 +83,16 @@
 func newConnection(a *Acceptor, conn net.Conn) *connection {
 	limited := bounder.NewReader(conn, bounder.Unlimited)
 	ctx, cancel := context.WithCancelCause(context.Background())
-	return &connection{
+	c := &connection{
 		acceptor: a, conn: conn, limited: limited, reader: bufio.NewReaderSize(limited, readBuffer),
 		ctx: ctx, cancelHandlers: cancel, pipelineSlots: make(chan struct{}, a.config.MaxPipelined),
-		idleSince: time.Now(),
+		idleSince: time.Now(), closed: make(chan struct{}),
 	}
+	account := c.account()
+	c.memory, c.requests = a.memory.Open(account), a.requests.Open(account)
+	c.bodyMemory = bounder.Sources{c.memory, a.requestMemory}
+	c.chargeHead = c.charge
+	return c
 }
 
 // run reads requests until the connection ends, then waits for their handlers.
@@ -83,13 +101,14 @@
 	var ahead *precedence
 	for {
 		r, err := c.read()
+		c.discardCharge()
 		if err != nil {
 			c.refuse(err, turn)
 			break
 		}
 		next := make(chan struct{})
 		if !c.addRequest(r) {
-			r.buffer.Release()
+			r.release()
 			break
 		}
 		w := &Response{connection: c, request: r, turn: turn, next: next}
@@ -171,7 +190,7 @@
 		c.writing = false
 		c.idleSince, c.responded = time.Now(), true
 		c.mu.Unlock()
-		r.buffer.Release()
+		r.release()
 		r.own.set(false)
 		close(w.next)
 	}()
@@ -194,9 +213,14 @@
 			return nil, err
 		}
 	}
+	if err := c.reserve(limits.HeaderBytes, limits.HeaderTimeout); err != nil {
+		return nil, err
+	}
 	c.allowReading(limits.HeaderTimeout)
 	c.limited.Allow(int64(limits.HeaderBytes) + headerSlack - int64(c.reader.Buffered()))
+	c.limited.Charge(c.chargeHead)
 	httpRequest, err := http.ReadRequest(c.reader)
+	c.limited.Charge(nil)
 	if err != nil {
 		return nil, c.readError(err)
 	}
@@ -206,12 +230,14 @@
 		c.bodyUnread = true
 		return nil, err
 	}
+	c.settle(r)
 	c.allowReading(c.bodyTimeout(httpRequest))
 	if err := c.readBody(r, limits.BodyBytes); err != nil {
 		c.bodyUnread = true
 		if c.interrupted() {
 			return r, nil
 		}
+		r.release()
 		return nil, err
 	}
 	_ = c.conn.SetReadDeadline(time.Time{})
@@ -286,7 +312,12 @@
 // whether the caller has left: callers choose the bytes that errors of the parsers depend on.
 func (c *connection) readError(err error) error {
 	cause := c.limited.Err()
+	var memory *messageError
 	switch {
+	case errors.Is(cause, errClosing):
+		return errClosing
+	case errors.As(cause, &memory):
+		return memory
 	case c.limited.Exceeded():
 		return &messageError{FaultHeaderTooLarge, "the header is too large"}
 	case errors.Is(cause, os.ErrDeadlineExceeded):
@@ -357,13 +388,16 @@
 		return nil
 	}
 	buffer, err := bounder.ReadBuffer(bounder.BufferConfig{
-		Reader: r.Body, Length: r.ContentLength, Limit: c.acceptor.config.BufferedBody, Budget: c.acceptor.requestMemory,
+		Reader: r.Body, Length: r.ContentLength, Limit: c.acceptor.config.BufferedBody, Budget: c.bodyMemory,
 	})
 	if err != nil {
 		return c.readError(err)
 	}
 	r.buffer = buffer
-	if !buffer.Complete() {
+	if buffer.Complete() {
+		// Trailers are not passed on.
+		r.Trailer = nil
+	} else {
 		r.stream = newBodyStream(io.MultiReader(bytes.NewReader(buffer.Bytes()), r.Body), limit, c.allowPart)
 	}
 	return nil
@@ -449,6 +483,9 @@
 	c.setWriting(true)
 	c.allowWriting()
 	head := http.Header{"Content-Type": {"text/plain"}}
+	if message.fault == FaultMemory {
+		head = noMemoryHeader()
+	}
 	_ = writeMessage(c.conn, message.fault.status(), head, []byte(message.text+"\n"), true, false)
 	c.mu.Lock()
 	c.pending--
--- a/acceptor/enums_string.go
+++ b/acceptor/enums_string.go
@@ -14,11 +14,12 @@
 	_ = x[FaultHeaderTooLarge-3]
 	_ = x[FaultBodyTooLarge-4]
 	_ = x[FaultIncomplete-5]
+	_ = x[FaultMemory-6]
 }
 
-const _Fault_name = "malformedunsupportedVersionunsupportedEncodingheaderTooLargebodyTooLargeincomplete"
+const _Fault_name = "malformedunsupportedVersionunsupportedEncodingheaderTooLargebodyTooLargeincompletenoMemory"
 
-var _Fault_index = [...]uint8{0, 9, 27, 46, 60, 72, 82}
+var _Fault_index = [...]uint8{0, 9, 27, 46, 60, 72, 82, 90}
 
 func (i Fault) String() string {
 	idx := int(i) - 0
--- a/acceptor/message.go
+++ b/acceptor/message.go
@@ -35,6 +35,11 @@
 	origin *verbenastand.Origin
 	// last is set if no further request of the connection is read.
 	last bool
+	// memory and requests are the shares from which charged and, if reserved is set, a place
+	// among the requests were taken.
+	memory, requests *bounder.Share
+	charged          int64
+	reserved         bool
 	// late is set if the acceptor stopped before it took the request.
 	late bool
 }
--- a/acceptor/observer.go
+++ b/acceptor/observer.go
@@ -15,6 +15,7 @@
 	FaultHeaderTooLarge              // headerTooLarge
 	FaultBodyTooLarge                // bodyTooLarge
 	FaultIncomplete                  // incomplete
+	FaultMemory                      // noMemory
 )
 
 // status returns the status of the response to a message.
@@ -30,6 +31,8 @@
 		return http.StatusRequestEntityTooLarge
 	case FaultIncomplete:
 		return http.StatusRequestTimeout
+	case FaultMemory:
+		return http.StatusServiceUnavailable
 	default:
 		return http.StatusBadRequest
 	}
--- a/carrier/attempt.go
+++ b/carrier/attempt.go
@@ -52,6 +52,14 @@
 	crashChecked <-chan struct{}
 }
 
+// release returns the memory of the response.
+func (o *outcome) release() {
+	o.body.Release()
+	if o.response != nil {
+		o.response.Release()
+	}
+}
+
 // notRun reports whether the server did not run the request and never will.
 func (o *outcome) notRun() bool {
 	if o.err != nil {
@@ -152,7 +160,8 @@
 	}
 	var err error
 	o.body, err = bounder.ReadBuffer(bounder.BufferConfig{
-		Reader: o.response.Body, Length: length, Limit: maxBufferedBody, Budget: c.carrier.responseMemory,
+		Reader: o.response.Body, Length: length, Limit: maxBufferedBody,
+		Budget: bounder.Sources{c.request.Memory(), c.carrier.responseMemory},
 	})
 	if o.response.NotRun {
 		return nil
--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -352,7 +352,7 @@
 	}
 	r := &sender.Request{
 		Method: c.request.Method, URI: uri, Host: c.request.Host, Header: h,
-		Body: c.request.Bytes(), ID: c.id,
+		Body: c.request.Bytes(), ID: c.id, Memory: c.request.Memory(),
 	}
 	if !c.request.Buffered() {
 		r.Stream = c.request.Stream()
--- a/carrier/run.go
+++ b/carrier/run.go
@@ -148,7 +148,7 @@
 			if o.acceptable() && !o.body.Complete() {
 				o.finish(errNotNeeded)
 			}
-			o.body.Release()
+			o.release()
 		}
 	}()
 }
@@ -156,7 +156,7 @@
 // releaseMemory gives up the responses in memory.
 func (r *runner) releaseMemory() {
 	for _, o := range r.handled {
-		o.body.Release()
+		o.release()
 	}
 }
 
--- a/internal/bounder/bounder.go
+++ b/internal/bounder/bounder.go
@@ -19,6 +19,8 @@
 	reader    io.Reader
 	remaining int64
 	err       error
+	// charge is called with what was read; nil if nothing is charged.
+	charge func([]byte) error
 }
 
 // NewReader returns a reader that reads up to limit bytes from r.
@@ -27,6 +29,10 @@
 // Allow sets how many bytes may be read from now on.
 func (r *Reader) Allow(bytes int64) { r.remaining = bytes }
 
+// Charge makes the reader pass what it reads to f before the caller gets it. An error of f
+// becomes that of Read, and of Err. Nil ends that.
+func (r *Reader) Charge(f func([]byte) error) { r.charge = f }
+
 // Remaining returns how many bytes may still be read.
 func (r *Reader) Remaining() int64 { return r.remaining }
 
@@ -48,5 +54,11 @@
 	n, err := r.reader.Read(p)
 	r.remaining -= int64(n)
 	r.err = err
+	if r.charge != nil && n > 0 {
+		if err := r.charge(p[:n]); err != nil {
+			r.err = err
+			return 0, err
+		}
+	}
 	return n, err
 }
--- a/internal/bounder/buffer.go
+++ b/internal/bounder/buffer.go
@@ -20,7 +20,7 @@
 	// Limit bounds the part of the body that is buffered.
 	Limit int64
 	// Budget provides the memory.
-	Budget *Budget
+	Budget Source
 }
 
 // Buffer is the beginning of a body in memory. Its zero value is empty.
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/verbenastand/verbenastand/follower"
 	"github.com/verbenastand/verbenastand/forwarder"
 	"github.com/verbenastand/verbenastand/gossiper"
+	"github.com/verbenastand/verbenastand/internal/bounder"
 	"github.com/verbenastand/verbenastand/limiter"
 	"github.com/verbenastand/verbenastand/meter"
 	"github.com/verbenastand/verbenastand/quarantiner"
@@ -103,6 +104,7 @@
 	reach         *reach
 	healthChecker *carrier.HealthChecker
 	acceptor      *acceptor.Acceptor
+	memory        *bounder.Shares
 	resolver      *resolver.Resolver
 	requestTracer trace.Tracer
 	stopTracer    func(context.Context) error
@@ -190,6 +192,7 @@
 
 func (g *Gateway) buildRequestPath() {
 	s := g.config.Settings
+	g.memory = callerMemory(s.MemoryMB)
 	g.router = router.NewRouter()
 	g.sender = sender.NewSender(sender.Config{HeaderFormat: g.config.HeaderFormat})
 	g.reach = &reach{gossiper: g.gossiper, log: g.log}
@@ -221,6 +224,8 @@
 	})
 	g.acceptor = acceptor.NewAcceptor(acceptor.Config{
 		Handler: g.carrier, Limits: g.limits, Observer: g.recorder, RequestTimeout: g.carrier.RequestTimeout,
+		Memory: g.memory, RequestMemory: g.memory.Size(), MaxRequests: boundedRequests(s.MaxConcurrent, s.MaxDescriptors),
+		MaxConnections: s.MaxDescriptors / connectionsPart, OnShortage: g.recorder.MemoryExhausted,
 	})
 	g.resolver = resolver.NewResolver(resolver.Config{
 		Membership: g.gossiper, Self: g.self, Serving: g.ready, Validity: s.AnswerValidity,
@@ -313,6 +318,7 @@
 
 func (g *Gateway) registerMetrics() {
 	g.meter.Gauge("connections", "Open connections of callers.", func() float64 { return float64(g.acceptor.Connections()) })
+	g.registerMemory()
 	g.meter.Gauge("server_connections_idle", "Kept connections to servers.", func() float64 { return float64(g.sender.Idle()) })
 	g.meter.Gauge("requests_in_flight", "Requests on this host.", func() float64 { return float64(g.carrier.InFlight()) })
 	g.meter.Gauge("view_age_seconds", "Age of the proof that routes and servers are current.", func() float64 { return g.follower.Staleness().Seconds() })
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -34,6 +34,7 @@
 	eventLost        = "connectionLost"
 	eventExclusion   = "serverExcluded"
 	eventMessage     = "messageRefused"
+	eventMemory      = "memoryExhausted"
 	eventCut         = "connectionCut"
 	eventPanic       = "panic"
 )
@@ -101,6 +102,11 @@
 	}).Info(eventMessage)
 }
 
+// MemoryExhausted logs that a connection is not read for lack of memory.
+func (r *Recorder) MemoryExhausted(s acceptor.Shortage) {
+	r.config.Log.WithFields(log.Fields{"caller": s.Caller, "heldBytes": s.Held, "leftBytes": s.Left}).Warn(eventMemory)
+}
+
 // ConnectionCut implements acceptor.Observer.
 func (r *Recorder) ConnectionCut(c acceptor.Cut) {
 	r.config.Meter.RequestsCut(c.Reason.String(), c.Pending)
--- a/sender/connection.go
+++ b/sender/connection.go
@@ -62,6 +62,9 @@
 	Length int64
 	// ID identifies the request in the response.
 	ID string
+	// Memory provides the memory for the header of the response; nil if it isn't bounded.
+	Memory bounder.Source
+	memory headMemory
 }
 
 // Response is the response of a server. Its body must be read to the end, or the
@@ -76,6 +79,14 @@
 	NotRun bool
 	// Signed is set if the response has a signature.
 	Signed bool
+	memory *headMemory
+}
+
+// Release returns the memory of the header. It may be called more than once.
+func (r *Response) Release() {
+	if r.memory != nil {
+		r.memory.release()
+	}
 }
 
 // Connection is one connection to a server. It carries one exchange at a time.
--- a/sender/exchange.go
+++ b/sender/exchange.go
@@ -25,15 +25,17 @@
 		release()
 		return nil, mayHaveRun(verbenastand.ReasonServerFailed, classifyError(ctx, err, err))
 	}
+	r.memory.source = r.Memory
 	response, err := c.readResponse(ctx, r)
 	if err != nil {
+		r.memory.release()
 		release()
 		return nil, err
 	}
 	names := c.sender.names
 	header := response.Header
 	return &Response{
-		Status: response.StatusCode, Header: header, Length: response.ContentLength,
+		Status: response.StatusCode, Header: header, Length: response.ContentLength, memory: &r.memory,
 		Body:   &responseBody{connection: c, response: response, release: release, ctx: ctx},
 		NotRun: c.sender.refused(response),
 		Signed: header.Get(names.Signature) != "",
@@ -136,7 +138,9 @@
 	skippable := int64(maxSkippedBytes)
 	for {
 		c.limit.Allow(maxHeaderBytes)
+		c.limit.Charge(r.memory.charge)
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		c.limit.Charge(nil)
 		if err != nil {
 			return nil, mayHaveRun(verbenastand.ReasonServerFailed, c.readError(ctx, err))
 		}
