Bound the memory that entry hosts and the other ports hold for callers

An entry host took 221 MB for 300 headers of 32 KB and 186 MB for 1,200 streams of HTTP/2, and every port of both kinds of host kept any number of connections.

internal/admitter bounds the servers of net/http with the same shares as the gateway's acceptor: headers are charged in Read before the server parses them, requests and their buffered bodies while they are handled, connections when they are accepted. A header without memory is answered with 431 and Retry-After; a request with 503 and notRun; one with an idempotency key, of which an earlier copy may have run, by closing its connection. Each of the other ports gets a sixteenth of the descriptors, headers of 32 KB.

What stays after requests end: lines held IDs and errors of up to 64 KB while they waited to be written; they are cut to 256 bytes, copied. Stored outcomes of idempotency keys counted bodies but not headers; their bound is an eighth of the memory, 64 MB at most.

--- a/acceptor/memory.go
+++ b/acceptor/memory.go
@@ -64,23 +64,12 @@
 // parsed: connections that wait for more memory, each with a part of a header, would wait for
 // each other.
 func (c *connection) expectedCost(part []byte, limit int) int64 {
-	rest := int64(max(0, limit+headerSlack-len(part)))
-	cost := rest * ordinaryCost
-	if len(part) >= minSample {
-		cost = rest * bounder.HeadCost(part) / int64(len(part))
-	}
-	return min(cost, c.acceptor.memory.Size()/maxExpectedPart)
+	return min(bounder.ExpectedCost(part, limit+headerSlack), c.acceptor.memory.Size()/maxExpectedPart)
 }
 
-const (
-	// ordinaryCost is the cost of a byte of a header with 30 bytes in a line, and minSample the
-	// length from which a part tells how long its lines are.
-	ordinaryCost = 11
-	minSample    = 1 << 10
-	// maxExpectedPart bounds the expected cost to a part of all memory, if headers may be very
-	// long.
-	maxExpectedPart = 8
-)
+// maxExpectedPart bounds the expected cost to a part of all memory, if headers may be very
+// long.
+const maxExpectedPart = 8
 
 // charge charges a part of a header before it is parsed. A header that takes more than
 // expected, while no memory is left, is refused at once.
--- a/configurer/settings.go
+++ b/configurer/settings.go
@@ -38,6 +38,9 @@
 	MaxConcurrent int64 `long:"max-concurrent" env:"VERBENASTAND_MAX_CONCURRENT" default:"20000" description:"Maximum number of concurrent requests on this host"`
 	MaxQueue      int   `long:"max-queue" env:"VERBENASTAND_MAX_QUEUE" default:"8192" description:"Maximum number of requests that wait for a slot of one service"`
 
+	MemoryMB       float64 `long:"memory-mb" env:"VERBENASTAND_MEMORY_MB" default:"0" description:"Memory of this host in MB, 0 if unknown"`
+	MaxDescriptors int     `long:"max-descriptors" env:"VERBENASTAND_MAX_DESCRIPTORS" default:"0" description:"Maximum number of file descriptors of the process, 0 if unknown"`
+
 	HeaderTimeout time.Duration `long:"header-timeout" env:"VERBENASTAND_HEADER_TIMEOUT" default:"5s" description:"Maximum time a caller may take to send a request header"`
 	IdleTimeout   time.Duration `long:"idle-timeout" env:"VERBENASTAND_IDLE_TIMEOUT" default:"90s" description:"How long an idle connection of a caller is kept open"`
 	StallTimeout  time.Duration `long:"stall-timeout" env:"VERBENASTAND_STALL_TIMEOUT" default:"30s" description:"Maximum time without progress while a caller sends or receives a body"`
@@ -82,6 +85,8 @@
 		{"max-header", float64(s.MaxHeader), 1024, 1 << 20},
 		{"max-concurrent", float64(s.MaxConcurrent), 1, 1e7},
 		{"max-queue", float64(s.MaxQueue), 1, 1e6},
+		{"memory-mb", s.MemoryMB, 0, 1e9},
+		{"max-descriptors", float64(s.MaxDescriptors), 0, 1e9},
 		{"probe-budget", s.ProbeBudget, 1e-6, 0.5},
 		{"trace-share", s.TraceShare, 0, 1},
 	})
--- a/deduplicator/deduplicator.go
+++ b/deduplicator/deduplicator.go
@@ -7,6 +7,7 @@
 	"time"
 
 	verbenastand "github.com/verbenastand/verbenastand"
+	"github.com/verbenastand/verbenastand/internal/bounder"
 	"github.com/verbenastand/verbenastand/verifier"
 )
 
@@ -39,6 +40,9 @@
 	return Outcome{status: status, header: header, body: body, complete: complete}
 }
 
+// memory returns the memory that an outcome takes.
+func (o Outcome) memory() int { return len(o.body) + int(bounder.HeaderCost(o.header)) }
+
 // NewFailure returns the outcome of a request that got no response.
 func NewFailure(err *verbenastand.RequestError) Outcome { return Outcome{err: err} }
 
@@ -223,7 +227,7 @@
 	}
 	e.finished = true
 	e.outcome = o
-	d.bytes += len(o.body)
+	d.bytes += o.memory()
 	close(e.done)
 }
 
@@ -250,7 +254,7 @@
 	now := d.now()
 	for localID, e := range d.entries {
 		if e.finished && !now.Before(e.expiry) {
-			d.bytes -= len(e.outcome.body)
+			d.bytes -= e.outcome.memory()
 			delete(d.entries, localID)
 		}
 	}
--- a/deduplicator/deduplicator_test.go
+++ b/deduplicator/deduplicator_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -182,3 +183,22 @@
 		attempt.Finish(NewResponse(200, nil, nil, true))
 	}
 }
+
+// Guards against stored headers that take memory beyond the bound, which counted bodies only.
+func TestStoredHeadersCount(t *testing.T) {
+	clock := fake.NewClock()
+	d := NewDeduplicator(Config{Clock: clock, Instance: instance, Validity: 10 * time.Second, MaxKeys: 4, MaxBytes: 10_000})
+	header := make(http.Header)
+	for i := range 100 {
+		header.Set(fmt.Sprint("A", i), "")
+	}
+	attempt, _ := d.Begin(context.Background(), parse(t, d.IssuePrefix()+"1"), 1)
+	require.NotNil(t, attempt)
+	attempt.Finish(NewResponse(http.StatusOK, header, nil, true))
+	attempt, outcome := d.Begin(context.Background(), parse(t, d.IssuePrefix()+"2"), 2)
+	require.Nil(t, attempt)
+	require.Equal(t, verbenastand.NotRun, outcome.Verdict())
+	clock.Advance(time.Minute)
+	d.Sweep(clock.Now())
+	require.Zero(t, d.bytes)
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -16,6 +16,7 @@
 	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/deduplicator"
 	"github.com/verbenastand/verbenastand/excluder"
+	"github.com/verbenastand/verbenastand/internal/bounder"
 	"github.com/verbenastand/verbenastand/limiter"
 	"github.com/verbenastand/verbenastand/meter"
 	"github.com/verbenastand/verbenastand/quarantiner"
@@ -41,6 +42,9 @@
 	Tracer       trace.Tracer
 	// MaxBody is the maximum size of a request body in bytes.
 	MaxBody int64
+	// Memory returns what provides the memory for the body of a request, given its context;
+	// nil, or if it returns nil, the memory isn't bounded.
+	Memory func(context.Context) bounder.Source
 	// StallTimeout is how long a caller may take to send a small body or to
 	// accept one write of a response body.
 	StallTimeout time.Duration
@@ -144,6 +148,12 @@
 		d.writeError(w, serviceOf(r), err)
 		return
 	}
+	returnMemory, ok := d.takeMemory(r.Context(), req)
+	if !ok {
+		d.RefuseForMemory(w, r)
+		return
+	}
+	defer returnMemory()
 	ctx, span := d.startSpan(r, "call")
 	defer span.End()
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(d.config.StallTimeout))
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -23,6 +23,7 @@
 	"github.com/verbenastand/verbenastand/deduplicator"
 	"github.com/verbenastand/verbenastand/dispatcher"
 	"github.com/verbenastand/verbenastand/excluder"
+	"github.com/verbenastand/verbenastand/internal/bounder"
 	"github.com/verbenastand/verbenastand/internal/fake"
 	"github.com/verbenastand/verbenastand/limiter"
 	"github.com/verbenastand/verbenastand/merger"
@@ -61,6 +62,8 @@
 	unreached atomic.Bool
 	// accepting is set if servers accept new connections.
 	accepting atomic.Bool
+	// memory provides the memory for bodies; nil if it isn't bounded.
+	memory bounder.Source
 }
 
 func (p *proxy) Cut(verbenastand.ServiceName) bool { return p.cut.Load() }
@@ -123,6 +126,7 @@
 		Quarantiner: p.quarantiner, Limiter: p.limiter, Excluder: p.excluder, Reachability: p,
 		Peers: p, Servers: p, Meter: meter.NewMeter(), Tracer: noop.NewTracerProvider().Tracer(""),
 		MaxBody: 1 << 20, MaxConcurrent: 1000, StallTimeout: time.Second,
+		Memory:           func(context.Context) bounder.Source { return p.memory },
 		OnDrainNotice:    func(verbenastand.ServiceName, scheduler.DrainNotice) {},
 		OnCrashSuspected: func([]verbenastand.Host, quarantiner.Suspect) { p.notified.Add(1) },
 	})
--- a/dispatcher/request.go
+++ b/dispatcher/request.go
@@ -173,12 +173,9 @@
 // of a request with an idempotency key is always buffered, because the request
 // runs even if its caller disconnects.
 func (req *proxiedRequest) readBody() error {
-	limit := int64(maxBufferedBody)
-	if req.keyed {
-		limit = maxKeyedBody
-	}
-	hasBody := req.request.Body != nil && req.request.Body != http.NoBody && req.request.ContentLength != 0
-	if hasBody && (req.keyed || (req.request.ContentLength > 0 && req.request.ContentLength <= limit)) {
+	limit := req.bodyLimit()
+	hasBody := req.hasBody()
+	if req.bufferedSize() > 0 {
 		body, err := io.ReadAll(io.LimitReader(req.request.Body, limit+1))
 		if err != nil {
 			return req.bodyError(err)
@@ -194,6 +191,33 @@
 	return nil
 }
 
+// bodyLimit returns the size up to which a body is buffered.
+func (req *proxiedRequest) bodyLimit() int64 {
+	if req.keyed {
+		return maxKeyedBody
+	}
+	return maxBufferedBody
+}
+
+func (req *proxiedRequest) hasBody() bool {
+	return req.request.Body != nil && req.request.Body != http.NoBody && req.request.ContentLength != 0
+}
+
+// bufferedSize returns the size of the body, or its limit if the size is unknown, zero if the
+// body isn't buffered.
+func (req *proxiedRequest) bufferedSize() int64 {
+	length, limit := req.request.ContentLength, req.bodyLimit()
+	switch {
+	case !req.hasBody():
+		return 0
+	case length > 0 && length <= limit:
+		return length
+	case req.keyed:
+		return limit
+	}
+	return 0
+}
+
 // bodyError returns the error for a body that could not be read. Its sender gets a response,
 // since it may be there still: bytes that can't be parsed are no end of its connection. An
 // earlier copy of a request with an idempotency key may have run.
--- a/internal/bounder/cost.go
+++ b/internal/bounder/cost.go
@@ -63,3 +63,19 @@
 		source.Return(bytes)
 	}
 }
+
+const (
+	// ordinaryCost is the cost of a byte of a header with 30 bytes in a line, and minSample the
+	// length from which a part tells how long its lines are.
+	ordinaryCost = 11
+	minSample    = 1 << 10
+)
+
+// ExpectedCost returns the cost of the rest of a header of a length, given its first part.
+func ExpectedCost(part []byte, length int) int64 {
+	rest := int64(max(0, length-len(part)))
+	if len(part) < minSample {
+		return rest * ordinaryCost
+	}
+	return rest * HeadCost(part) / int64(len(part))
+}
--- a/launcher/event.go
+++ b/launcher/event.go
@@ -47,6 +47,7 @@
 }
 
 func (h *Host) registerMetrics() {
+	registerMemory(h.meter, h.memory, func() int64 { return h.callAdmitter.Closed() + h.apiAdmitter.Closed() })
 	h.meter.Counter("invariant_failures_total", "Assertions that failed.", func() float64 { return float64(verifier.Failures()) })
 	h.meter.Counter("lines_left_out_total", "Log lines that were not written.", func() float64 { return float64(h.droppedLines()) })
 	h.meter.Counter("platform_reads_total", "Reads of the platform's tickets.", func() float64 { return float64(h.watcher.Reads()) })
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/verbenastand/verbenastand/follower"
 	"github.com/verbenastand/verbenastand/forwarder"
 	"github.com/verbenastand/verbenastand/gossiper"
+	"github.com/verbenastand/verbenastand/internal/admitter"
 	"github.com/verbenastand/verbenastand/internal/bounder"
 	"github.com/verbenastand/verbenastand/limiter"
 	"github.com/verbenastand/verbenastand/meter"
@@ -105,6 +106,7 @@
 	healthChecker *carrier.HealthChecker
 	acceptor      *acceptor.Acceptor
 	memory        *bounder.Shares
+	ports         []*admitter.Admitter
 	resolver      *resolver.Resolver
 	requestTracer trace.Tracer
 	stopTracer    func(context.Context) error
@@ -153,6 +155,7 @@
 		return nil, err
 	}
 	g.buildRequestPath()
+	g.buildPortAdmitters()
 	g.registerMetrics()
 	return g, nil
 }
@@ -318,7 +321,7 @@
 
 func (g *Gateway) registerMetrics() {
 	g.meter.Gauge("connections", "Open connections of callers.", func() float64 { return float64(g.acceptor.Connections()) })
-	g.registerMemory()
+	registerMemory(g.meter, g.memory, func() int64 { return g.acceptor.Closed() + g.portConnectionsClosed() })
 	g.meter.Gauge("server_connections_idle", "Kept connections to servers.", func() float64 { return float64(g.sender.Idle()) })
 	g.meter.Gauge("requests_in_flight", "Requests on this host.", func() float64 { return float64(g.carrier.InFlight()) })
 	g.meter.Gauge("view_age_seconds", "Age of the proof that routes and servers are current.", func() float64 { return g.follower.Staleness().Seconds() })
--- a/launcher/gateway_run.go
+++ b/launcher/gateway_run.go
@@ -80,7 +80,7 @@
 	metrics := http.NewServeMux()
 	metrics.Handle("GET /metrics", promhttp.HandlerFor(g.meter.Registry(), promhttp.HandlerOpts{}))
 	var servers []*http.Server
-	for _, e := range []struct {
+	for i, e := range []struct {
 		listener net.Listener
 		handler  http.Handler
 	}{
@@ -88,9 +88,9 @@
 		{l.readiness, g.config.NewReadiness(g.ready)},
 		{l.metrics, metrics},
 	} {
-		server := &http.Server{Handler: e.handler, ReadHeaderTimeout: httpTimeout}
+		server := &http.Server{Handler: e.handler, ReadHeaderTimeout: httpTimeout, MaxHeaderBytes: portHeaderBytes}
 		go func() {
-			if err := server.Serve(e.listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := g.ports[i].Serve(server, e.listener); !errors.Is(err, http.ErrServerClosed) {
 				g.log.WithError(err).Error("listenerFailed")
 			}
 		}()
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -25,6 +25,8 @@
 	"github.com/verbenastand/verbenastand/excluder"
 	"github.com/verbenastand/verbenastand/forwarder"
 	"github.com/verbenastand/verbenastand/gossiper"
+	"github.com/verbenastand/verbenastand/internal/admitter"
+	"github.com/verbenastand/verbenastand/internal/bounder"
 	"github.com/verbenastand/verbenastand/internal/closer"
 	"github.com/verbenastand/verbenastand/limiter"
 	"github.com/verbenastand/verbenastand/merger"
@@ -109,12 +111,14 @@
 	prober       *prober.Prober
 	reach        *reach
 
-	callServer        *http.Server
-	callListener      *closer.Listener
-	apiServer         *http.Server
-	stopTracer        func(context.Context) error
-	background        sync.WaitGroup
-	membershipChanged chan struct{}
+	memory                    *bounder.Shares
+	callAdmitter, apiAdmitter *admitter.Admitter
+	callServer                *http.Server
+	callListener              *closer.Listener
+	apiServer                 *http.Server
+	stopTracer                func(context.Context) error
+	background                sync.WaitGroup
+	membershipChanged         chan struct{}
 }
 
 // NewHost returns a host with the given settings, which must be valid.
@@ -160,7 +164,7 @@
 		Clock: h.timer, Self: h.self.ID(), Hosts: h.limitedHosts, OnChange: h.recorder.LimitChanged,
 	})
 	h.deduplicator = deduplicator.NewDeduplicator(deduplicator.Config{
-		Clock: h.timer, Instance: instance, Validity: h.settings.KeyValidity,
+		Clock: h.timer, Instance: instance, Validity: h.settings.KeyValidity, MaxBytes: keyMemory(h.settings.MemoryMB),
 	})
 	h.registrar = registrar.NewRegistrar(registrar.Config{
 		Clock: h.timer, Self: h.self, MaxQueue: h.settings.MaxQueue, Limiter: h.limiter, Excluder: h.excluder, ZoneRTT: h.settings.ZoneRTT, Configuration: h.merger,
@@ -199,7 +203,7 @@
 	h.dispatcher = dispatcher.NewDispatcher(dispatcher.Config{
 		Timer: h.timer, Self: h.self, Membership: h.gossiper, Registrar: h.registrar,
 		Deduplicator: h.deduplicator, Quarantiner: h.quarantiner, Limiter: h.limiter, Excluder: h.excluder, Peers: h.forwarder, Reachability: h,
-		Servers: h.connector, Meter: h.meter, Tracer: requestTracer, MaxBody: h.settings.MaxBody,
+		Servers: h.connector, Memory: admitter.Memory, Meter: h.meter, Tracer: requestTracer, MaxBody: h.settings.MaxBody,
 		MaxConcurrent: h.settings.MaxConcurrent, StallTimeout: h.settings.StallTimeout,
 		OnDrainNotice: h.onDrainNotice, OnCrashSuspected: h.onCrashSuspected,
 		OnConnectionLost: h.onConnectionLost,
@@ -224,7 +228,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/v1/", handler)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(h.meter.Registry(), promhttp.HandlerOpts{}))
-	h.apiServer = &http.Server{Handler: mux, ReadHeaderTimeout: apiReadTimeout, ReadTimeout: apiReadTimeout}
+	h.apiServer = &http.Server{Handler: mux, ReadHeaderTimeout: apiReadTimeout, ReadTimeout: apiReadTimeout, MaxHeaderBytes: portHeaderBytes}
 	h.callServer = &http.Server{
 		Handler: h.requestHandler(), ReadHeaderTimeout: h.settings.HeaderTimeout,
 		IdleTimeout: h.settings.IdleTimeout, MaxHeaderBytes: h.settings.MaxHeader,
@@ -232,6 +236,7 @@
 	}
 	h.callServer.Protocols.SetHTTP1(true)
 	h.callServer.Protocols.SetUnencryptedHTTP2(true)
+	h.buildAdmitters()
 	h.peerServer = forwarder.NewServer(forwarder.ServerConfig{
 		Certifier: h.certifier, Exchange: h.gossiper.HandleMessage, Merger: h.merger,
 		Handover: h.importKeys, ForwardHandler: h.dispatcher.ForwardHandler(),
--- a/launcher/memory.go
+++ b/launcher/memory.go
@@ -3,7 +3,12 @@
 import (
 	"runtime/debug"
 
+	"github.com/apex/log"
+
+	"github.com/verbenastand/verbenastand/deduplicator"
+	"github.com/verbenastand/verbenastand/internal/admitter"
 	"github.com/verbenastand/verbenastand/internal/bounder"
+	"github.com/verbenastand/verbenastand/meter"
 )
 
 const (
@@ -13,6 +18,8 @@
 	// lets the heap grow to twice of what is in use, and routes, servers and peers take
 	// 20 to 40 MB.
 	callerShare = 0.25
+	// keyShare is the part of a host's memory for outcomes of requests with idempotency keys.
+	keyShare = 0.125
 	// collectorShare is the part of a host's memory from which on the collector runs more
 	// often. It bounds no use of memory, only what is no longer used.
 	collectorShare = 0.75
@@ -20,6 +27,9 @@
 	// which has one connection to a server, sometimes two. The others are left for idle
 	// connections to servers, the other ports and files.
 	connectionsPart, requestsPart = 2, 4
+	// portConnectionsPart is the part of the file descriptors for the connections of each of
+	// the other ports.
+	portConnectionsPart = 16
 )
 
 // callerMemory returns the shares of the memory that is held for callers of a host with the
@@ -33,6 +43,12 @@
 	return bounder.NewShares(int64(memoryMB * callerShare * (1 << 20)))
 }
 
+// keyMemory returns the memory for the outcomes of requests with idempotency keys on a host with
+// the memory given in MB, zero for the default if that is unknown.
+func keyMemory(memoryMB float64) int {
+	return min(deduplicator.DefaultMaxBytes, int(memoryMB*keyShare*(1<<20)))
+}
+
 // boundedRequests returns the number of requests that a host handles at the same time, given
 // its settings and its descriptors, zero for no other limit than that of the settings.
 func boundedRequests(maxConcurrent, descriptors int) int {
@@ -42,11 +58,52 @@
 	return min(maxConcurrent, max(1, descriptors/requestsPart))
 }
 
-func (g *Gateway) registerMemory() {
-	g.meter.Gauge("caller_memory_bytes", "Memory held for callers.", func() float64 { return float64(g.memory.Size() - g.memory.Left()) })
-	g.meter.Gauge("caller_memory_limit_bytes", "Memory that may be held for callers.", func() float64 { return float64(g.memory.Size()) })
-	g.meter.Counter("memory_denied_total", "Times that memory for callers was not available at once.", func() float64 { return float64(g.memory.Denied()) })
-	g.meter.Counter("connections_closed_total", "Connections closed or rejected because there were too many.", func() float64 {
-		return float64(g.acceptor.Closed())
+// portHeaderBytes bounds headers on the ports that aren't for callers' requests.
+const portHeaderBytes = 32 << 10
+
+// registerMemory registers the metrics of the memory that is held for callers.
+func registerMemory(m *meter.Meter, memory *bounder.Shares, closed func() int64) {
+	m.Gauge("caller_memory_bytes", "Memory held for callers.", func() float64 { return float64(memory.Size() - memory.Left()) })
+	m.Gauge("caller_memory_limit_bytes", "Memory that may be held for callers.", func() float64 { return float64(memory.Size()) })
+	m.Counter("memory_denied_total", "Times that memory for callers was not available at once.", func() float64 { return float64(memory.Denied()) })
+	m.Counter("connections_closed_total", "Connections closed or rejected because there were too many.", func() float64 { return float64(closed()) })
+}
+
+// buildPortAdmitters builds the admitters of the ports for lookups, readiness and metrics.
+func (g *Gateway) buildPortAdmitters() {
+	for range 3 {
+		g.ports = append(g.ports, newPortAdmitter(g.memory, g.config.Settings.MaxDescriptors, g.log))
+	}
+}
+
+func (g *Gateway) portConnectionsClosed() int64 {
+	sum := int64(0)
+	for _, p := range g.ports {
+		sum += p.Closed()
+	}
+	return sum
+}
+
+func newPortAdmitter(memory *bounder.Shares, descriptors int, l log.Interface) *admitter.Admitter {
+	return admitter.NewAdmitter(admitter.Config{
+		Memory: memory, MaxConnections: descriptors / portConnectionsPart, MaxHeader: portHeaderBytes, OnShortage: logShortage(l, memory),
+	})
+}
+
+// logShortage returns a function that logs that no memory is left for a client. The rate of
+// lines is limited by the recorder.
+func logShortage(l log.Interface, memory *bounder.Shares) func(string) {
+	return func(client string) {
+		l.WithFields(log.Fields{"caller": client, "leftBytes": memory.Left()}).Warn("memoryExhausted")
+	}
+}
+
+// buildAdmitters builds the admitters of the ports for requests and for the API.
+func (h *Host) buildAdmitters() {
+	h.memory = callerMemory(h.settings.MemoryMB)
+	h.callAdmitter = admitter.NewAdmitter(admitter.Config{
+		Memory: h.memory, MaxConnections: h.settings.MaxDescriptors / connectionsPart, MaxHeader: h.settings.MaxHeader,
+		Refuse: h.dispatcher.RefuseForMemory, OnShortage: logShortage(h.log, h.memory),
 	})
+	h.apiAdmitter = newPortAdmitter(h.memory, h.settings.MaxDescriptors, h.log)
 }
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -98,7 +99,7 @@
 	r.config.Meter.MessageRefused(refusal.Fault.String())
 	r.config.Log.WithFields(log.Fields{
 		"caller": refusal.Caller, "reason": refusal.Fault.String(), "status": refusal.Status, "pending": refusal.Pending,
-		"error": loggedTarget(errorText(refusal.Err)),
+		"error": errorText(refusal.Err),
 	}).Info(eventMessage)
 }
 
@@ -111,7 +112,7 @@
 func (r *Recorder) ConnectionCut(c acceptor.Cut) {
 	r.config.Meter.RequestsCut(c.Reason.String(), c.Pending)
 	r.config.Log.WithFields(log.Fields{
-		"caller": c.Caller, "reason": c.Reason.String(), "pending": c.Pending, "error": loggedTarget(errorText(c.Err)),
+		"caller": c.Caller, "reason": c.Reason.String(), "pending": c.Pending, "error": errorText(c.Err),
 	}).Info(eventCut)
 }
 
@@ -161,7 +162,7 @@
 // entry returns a log entry with the fields common to all lines of a request.
 func (r *Recorder) entry(e carrier.Event) *log.Entry {
 	fields := log.Fields{
-		"id": e.ID, "route": string(e.Route), "version": uint64(e.Version), "service": string(e.Service),
+		"id": loggedTarget(e.ID), "route": string(e.Route), "version": uint64(e.Version), "service": string(e.Service),
 		"tookMs": milliseconds(e.Took), "fingerprint": e.Fingerprint.String(),
 	}
 	if e.DelegatedBy != "" {
@@ -212,7 +213,7 @@
 // RequestSuspected logs that a server crashed while it ran a request.
 func (r *Recorder) RequestSuspected(s quarantiner.Suspect) {
 	r.config.Log.WithFields(log.Fields{
-		"id": s.RequestID, "fingerprint": s.Fingerprint.String(), "server": string(s.Server), "state": s.State.String(),
+		"id": loggedTarget(s.RequestID), "fingerprint": s.Fingerprint.String(), "server": string(s.Server), "state": s.State.String(),
 		"caller": s.Caller, "method": s.Method, "target": loggedTarget(s.Target),
 	}).Warn(eventSuspected)
 }
@@ -220,11 +221,18 @@
 // ConnectionLost logs what is known about a server after the connection to it was lost.
 func (r *Recorder) ConnectionLost(s quarantiner.Suspect) {
 	r.config.Log.WithFields(log.Fields{
-		"id": s.RequestID, "fingerprint": s.Fingerprint.String(), "server": string(s.Server), "state": s.State.String(),
+		"id": loggedTarget(s.RequestID), "fingerprint": s.Fingerprint.String(), "server": string(s.Server), "state": s.State.String(),
 	}).Info(eventLost)
 }
 
-func loggedTarget(target string) string { return target[:min(len(target), maxLoggedTarget)] }
+// loggedTarget returns the beginning of a text. A copy does not keep the whole text in memory
+// while its line waits to be written.
+func loggedTarget(target string) string {
+	if len(target) <= maxLoggedTarget {
+		return target
+	}
+	return strings.Clone(target[:maxLoggedTarget])
+}
 
 func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 
@@ -232,5 +240,5 @@
 	if err == nil {
 		return ""
 	}
-	return err.Error()
+	return loggedTarget(err.Error())
 }
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -155,6 +155,39 @@
 	}
 }
 
+// Guards against lines that hold what callers and servers send, up to whole headers, while they
+// wait to be written.
+func TestLinesAreShort(t *testing.T) {
+	long := strings.Repeat("x", 16<<10)
+	event := carrier.Event{ID: long, URI: long, Caller: "c", Attempt: 2, Err: errors.New(long)}
+	cases := []struct {
+		name string
+		do   func(*Recorder)
+	}{
+		{"attempt", func(r *Recorder) { r.AttemptEnded(event) }},
+		{"response", func(r *Recorder) { r.RequestEnded(event) }},
+		{"refusal", func(r *Recorder) {
+			e := event
+			e.Refused, e.Reason = true, verbenastand.ReasonQuarantined
+			r.RequestEnded(e)
+		}},
+		{"delegated", func(r *Recorder) { r.Delegated(event) }},
+		{"message", func(r *Recorder) { r.MessageRefused(acceptor.Refusal{Err: errors.New(long)}) }},
+		{"cut", func(r *Recorder) { r.ConnectionCut(acceptor.Cut{Err: errors.New(long)}) }},
+		{"suspect", func(r *Recorder) { r.RequestSuspected(quarantiner.Suspect{RequestID: long, Target: long}) }},
+		{"lost connection", func(r *Recorder) { r.ConnectionLost(quarantiner.Suspect{RequestID: long, Target: long}) }},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			lines := record(t, 1, tc.do)
+			require.NotEmpty(t, lines)
+			data, err := json.Marshal(lines)
+			require.NoError(t, err)
+			require.Less(t, len(data), 4<<10)
+		})
+	}
+}
+
 func BenchmarkLine(b *testing.B) {
 	h := NewHandler(jsonlog.New(&bytes.Buffer{}))
 	r := NewRecorder(Config{Log: &log.Logger{Level: log.InfoLevel, Handler: h}, Meter: meter.NewMeter()})
