Read long responses into memory ahead of callers that read slowly

A response beyond its first megabyte was read from its server at the pace of the caller: the server's slot was held, and a server aborts a response that stays unread for some seconds. If the caller leaves, it interrupts the connection. All responses together take half of the memory for callers, 8 MB if the memory of the host is unknown.

--- a/carrier/attempt.go
+++ b/carrier/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -25,9 +24,9 @@
 	// receives any of it, so that another attempt can replace a response that ends
 	// early.
 	maxBufferedBody = 1 << 20
-	// maxResponseMemory bounds the buffered responses of all requests together, since
-	// the hosts may be small and servers in trouble may send without end. Responses
-	// that find no memory left are delivered while they are read.
+	// maxResponseMemory is the default bound of the buffered responses of all requests
+	// together, since the hosts may be small and servers in trouble may send without end.
+	// Responses that find no memory left are delivered while they are read.
 	maxResponseMemory = 8 << 20
 )
 
@@ -45,6 +44,8 @@
 	// body is the part of the response body that has been read.
 	body bounder.Buffer
 	err  error
+	// connection is where the rest of the body is read from.
+	connection *sender.Connection
 	// finish ends the attempt after the rest of the body has been read.
 	finish func(error)
 	// crashChecked is closed when it is known whether the server crashed; nil if the
@@ -109,7 +110,7 @@
 	event := c.event(choice, number)
 	c.carrier.config.Observer.AttemptSent(event)
 	response, err := connection.Exchange(ctx, request)
-	o = &outcome{server: choice.Server, response: response, err: err}
+	o = &outcome{server: choice.Server, response: response, err: err, connection: connection}
 	if err == nil {
 		c.carrier.config.Reachability.Responded(registration, !connection.Reused())
 	}
@@ -160,8 +161,7 @@
 	}
 	var err error
 	o.body, err = bounder.ReadBuffer(bounder.BufferConfig{
-		Reader: o.response.Body, Length: length, Limit: maxBufferedBody,
-		Budget: bounder.Sources{c.request.Memory(), c.carrier.responseMemory},
+		Reader: o.response.Body, Length: length, Limit: maxBufferedBody, Budget: c.responseMemory(),
 	})
 	if o.response.NotRun {
 		return nil
@@ -176,6 +176,11 @@
 	return verbenastand.NewRequestError(verbenastand.MayHaveRun, verbenastand.ReasonInvalidResponse, err)
 }
 
+// responseMemory returns what provides the memory for responses to the request.
+func (c *call) responseMemory() bounder.Source {
+	return bounder.Sources{c.request.Memory(), c.carrier.responseMemory}
+}
+
 // connect uses the connection of the health check, or else another one.
 func (c *call) connect(ctx context.Context, choice balancer.Choice, r verbenastand.Registration) (*sender.Connection, error) {
 	if checked, ok := choice.Conn.(*checkConn); ok && checked != nil {
@@ -267,39 +272,28 @@
 }
 
 // fullBody returns the response body from its beginning. It must be closed.
-func (o *outcome) fullBody() *bodyReader { return &bodyReader{outcome: o} }
+func (c *call) fullBody(o *outcome) *bodyReader {
+	return &bodyReader{held: o.body.Bytes(), rest: newReadAhead(o, c.responseMemory(), func(value any) error {
+		return c.carrier.reportPanic(c.id, value)
+	})}
+}
 
 // bodyReader reads the buffered part of a body, then the rest from the server.
 type bodyReader struct {
-	outcome *outcome
-	offset  int
-	ended   bool
+	held []byte
+	rest *readAhead
 }
 
 // Read implements io.Reader.
 func (r *bodyReader) Read(p []byte) (int, error) {
-	o := r.outcome
-	if r.offset < len(o.body.Bytes()) {
-		n := copy(p, o.body.Bytes()[r.offset:])
-		r.offset += n
+	if len(r.held) > 0 {
+		n := copy(p, r.held)
+		r.held = r.held[n:]
 		return n, nil
 	}
-	n, err := o.response.Body.Read(p)
-	if errors.Is(err, io.EOF) {
-		r.end(nil)
-	} else if err != nil {
-		r.end(err)
-	}
-	return n, err
+	return r.rest.Read(p)
 }
 
 // close ends an attempt whose response was not read to its end, for example because
 // the caller has disconnected.
-func (r *bodyReader) close() { r.end(errNotNeeded) }
-
-func (r *bodyReader) end(err error) {
-	if !r.ended {
-		r.ended = true
-		r.outcome.finish(err)
-	}
-}
+func (r *bodyReader) close() { r.rest.close() }
--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -94,6 +94,9 @@
 	OnConnectionLost func(quarantiner.Suspect)
 	// MaxConcurrent bounds the concurrent requests on this host.
 	MaxConcurrent int
+	// ResponseMemory bounds the responses in memory, in addition to the shares of callers; if
+	// zero, to 8 MB.
+	ResponseMemory int64
 }
 
 // Carrier handles the requests of callers. It implements acceptor.Handler.
@@ -133,11 +136,14 @@
 	if c.OnConnectionLost == nil {
 		c.OnConnectionLost = func(quarantiner.Suspect) {}
 	}
+	if c.ResponseMemory == 0 {
+		c.ResponseMemory = maxResponseMemory
+	}
 	return &Carrier{
 		delegated: make(chan struct{}, max(1, int(delegatedShare*float64(c.MaxConcurrent)))),
 		config:    c, semaphore: make(chan struct{}, c.MaxConcurrent), stopped: stopped, stop: stop,
 		unserved: newRecent[verbenastand.ServiceName](unservedMemory), streamed: newRecent[verbenastand.RouteName](streamedMemory),
-		budgets: make(map[verbenastand.ServiceName]*retrier.WindowBudget), responseMemory: bounder.NewBudget(maxResponseMemory),
+		budgets: make(map[verbenastand.ServiceName]*retrier.WindowBudget), responseMemory: bounder.NewBudget(c.ResponseMemory),
 	}
 }
 
--- a/carrier/delegate.go
+++ b/carrier/delegate.go
@@ -156,6 +156,7 @@
 	}
 	connection := c.carrier.config.Sender.Adopt(conn, sender.Target{Address: host.PeerAddress()})
 	end = connection.Close
+	o.connection = connection
 	o.finish = func(err error) {
 		connection.Close()
 		report(err)
--- a/carrier/respond.go
+++ b/carrier/respond.go
@@ -32,7 +32,7 @@
 		err = c.writer.Write(o.response.Status, h, o.body.Bytes())
 	} else {
 		c.carrier.streamed.record(c.route.Name(), c.carrier.config.Clock.Now())
-		body := o.fullBody()
+		body := c.fullBody(o)
 		err = c.writer.Copy(o.response.Status, h, o.response.Length, body)
 		body.close()
 	}
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -218,7 +218,7 @@
 		Self: g.self.ID(), Reachability: g.reach.detector, Delegator: delegator.NewDelegator(delegator.Config{
 			Self: g.self, Membership: g.gossiper, Tunnel: g.forwarder.Tunnel,
 		}),
-		Tracer: g.requestTracer, OnCrashSuspected: g.onCrashSuspected, OnConnectionLost: g.onConnectionLost, MaxConcurrent: s.MaxConcurrent,
+		Tracer: g.requestTracer, OnCrashSuspected: g.onCrashSuspected, OnConnectionLost: g.onConnectionLost, MaxConcurrent: s.MaxConcurrent, ResponseMemory: g.responseMemory(),
 		NewBudget: func(verbenastand.ServiceName) *retrier.WindowBudget {
 			return retrier.NewWindowBudget(retrier.WindowBudgetConfig{
 				Clock: g.timer, Duration: s.RetryWindow, Ratio: s.RetryRatio, Allowance: s.RetryAllowance, Hosts: g.hostCount,
--- a/launcher/memory.go
+++ b/launcher/memory.go
@@ -18,6 +18,9 @@
 	// lets the heap grow to twice of what is in use, and routes, servers and peers take
 	// 20 to 40 MB.
 	callerShare = 0.25
+	// responsePart is the part of the memory for callers that responses may take. Buffers of
+	// responses of unknown length are copied as they grow.
+	responsePart = 2
 	// keyShare is the part of a host's memory for outcomes of requests with idempotency keys.
 	keyShare = 0.125
 	// collectorShare is the part of a host's memory from which on the collector runs more
@@ -76,6 +79,15 @@
 	}
 }
 
+// responseMemory returns the bound of the responses that wait for callers that read slowly, in
+// addition to their shares: half of the memory for callers if that of the host is known.
+func (g *Gateway) responseMemory() int64 {
+	if g.config.Settings.MemoryMB == 0 {
+		return 0
+	}
+	return g.memory.Size() / responsePart
+}
+
 func (g *Gateway) portConnectionsClosed() int64 {
 	sum := int64(0)
 	for _, p := range g.ports {
--- a/sender/connection.go
+++ b/sender/connection.go
@@ -132,6 +132,10 @@
 	_ = c.conn.Close()
 }
 
+// Interrupt makes the reads and writes of an exchange fail. It may be called by another goroutine
+// than the one that uses the connection, until the exchange has ended.
+func (c *Connection) Interrupt() { _ = c.conn.SetDeadline(time.Unix(1, 0)) }
+
 // stillIdle reports whether nothing has arrived since the last exchange: neither
 // EOF nor unexpected data.
 func (c *Connection) stillIdle() bool {
