--- a/carrier/run.go
+++ b/carrier/run.go
@@ -143,7 +143,7 @@
 			if o.acceptable() && !o.body.Complete() {
 				o.finish(errNotNeeded)
 			}
-			o.body.Release()
+			o.release()
 			r.hedging.recordEnd(o)
 		}
 	}()
@@ -152,7 +152,7 @@
 // releaseMemory gives up the responses in memory.
 func (r *runner) releaseMemory() {
 	for _, o := range r.handled {
-		o.body.Release()
+		o.release()
 	}
 }
 
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -24,6 +24,7 @@
 	"github.com/verbenastand/verbenastand/dispatcher"
 	"github.com/verbenastand/verbenastand/excluder"
 	"github.com/verbenastand/verbenastand/hedger"
+	"github.com/verbenastand/verbenastand/internal/bounder"
 	"github.com/verbenastand/verbenastand/internal/fake"
 	"github.com/verbenastand/verbenastand/limiter"
 	"github.com/verbenastand/verbenastand/merger"
@@ -62,6 +63,8 @@
 	unreached atomic.Bool
 	// accepting is set if servers accept new connections.
 	accepting atomic.Bool
+	// memory provides the memory for bodies; nil if it isn't bounded.
+	memory bounder.Source
 }
 
 func (p *proxy) Cut(verbenastand.ServiceName) bool { return p.cut.Load() }
@@ -129,6 +132,7 @@
 		Quarantiner: p.quarantiner, Limiter: p.limiter, Excluder: p.excluder, Reachability: p,
 		Peers: p, Servers: p, Meter: meter.NewMeter(), Tracer: noop.NewTracerProvider().Tracer(""),
 		MaxBody: 1 << 20, MaxConcurrent: 1000, StallTimeout: time.Second,
+		Memory:           func(context.Context) bounder.Source { return p.memory },
 		OnDrainNotice:    func(verbenastand.ServiceName, scheduler.DrainNotice) {},
 		OnCrashSuspected: func([]verbenastand.Host, quarantiner.Suspect) { p.notified.Add(1) },
 		Hedger:           hedger.NewHedger(hedger.Config{Clock: p.clock, Limit: hedgeLimit}),
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -26,6 +26,8 @@
 	"github.com/verbenastand/verbenastand/forwarder"
 	"github.com/verbenastand/verbenastand/gossiper"
 	"github.com/verbenastand/verbenastand/hedger"
+	"github.com/verbenastand/verbenastand/internal/admitter"
+	"github.com/verbenastand/verbenastand/internal/bounder"
 	"github.com/verbenastand/verbenastand/limiter"
 	"github.com/verbenastand/verbenastand/meter"
 	"github.com/verbenastand/verbenastand/quarantiner"
@@ -105,6 +107,8 @@
 	reach         *reach
 	healthChecker *carrier.HealthChecker
 	acceptor      *acceptor.Acceptor
+	memory        *bounder.Shares
+	ports         []*admitter.Admitter
 	resolver      *resolver.Resolver
 	requestTracer trace.Tracer
 	stopTracer    func(context.Context) error
@@ -157,6 +161,7 @@
 		return nil, err
 	}
 	g.buildRequestPath()
+	g.buildPortAdmitters()
 	g.registerMetrics()
 	return g, nil
 }
@@ -196,6 +201,7 @@
 
 func (g *Gateway) buildRequestPath() {
 	s := g.config.Settings
+	g.memory = callerMemory(s.MemoryMB)
 	g.router = router.NewRouter()
 	g.sender = sender.NewSender(sender.Config{HeaderFormat: g.config.HeaderFormat})
 	g.reach = &reach{gossiper: g.gossiper, log: g.log}
@@ -220,7 +226,7 @@
 		Self: g.self.ID(), Reachability: g.reach.detector, Delegator: delegator.NewDelegator(delegator.Config{
 			Self: g.self, Membership: g.gossiper, Tunnel: g.forwarder.Tunnel,
 		}),
-		Tracer: g.requestTracer, OnCrashSuspected: g.onCrashSuspected, OnConnectionLost: g.onConnectionLost, MaxConcurrent: s.MaxConcurrent,
+		Tracer: g.requestTracer, OnCrashSuspected: g.onCrashSuspected, OnConnectionLost: g.onConnectionLost, MaxConcurrent: s.MaxConcurrent, ResponseMemory: g.responseMemory(),
 		NewBudget: func(verbenastand.ServiceName) *retrier.WindowBudget {
 			return retrier.NewWindowBudget(retrier.WindowBudgetConfig{
 				Clock: g.timer, Duration: s.RetryWindow, Ratio: s.RetryRatio, Allowance: s.RetryAllowance, Hosts: g.hostCount,
@@ -229,6 +235,8 @@
 	})
 	g.acceptor = acceptor.NewAcceptor(acceptor.Config{
 		Handler: g.carrier, Limits: g.limits, Observer: g.recorder, RequestTimeout: g.carrier.RequestTimeout,
+		Memory: g.memory, RequestMemory: g.memory.Size(), MaxRequests: boundedRequests(s.MaxConcurrent, s.MaxDescriptors),
+		MaxConnections: s.MaxDescriptors / connectionsPart, OnShortage: g.recorder.MemoryExhausted,
 	})
 	g.resolver = resolver.NewResolver(resolver.Config{
 		Membership: g.gossiper, Self: g.self, Serving: g.ready, Validity: s.AnswerValidity,
@@ -334,6 +342,7 @@
 
 func (g *Gateway) registerMetrics() {
 	g.meter.Gauge("connections", "Open connections of callers.", func() float64 { return float64(g.acceptor.Connections()) })
+	registerMemory(g.meter, g.memory, func() int64 { return g.acceptor.Closed() + g.portConnectionsClosed() })
 	g.meter.Gauge("server_connections_idle", "Kept connections to servers.", func() float64 { return float64(g.sender.Idle()) })
 	g.meter.Gauge("requests_in_flight", "Requests on this host.", func() float64 { return float64(g.carrier.InFlight()) })
 	g.meter.Gauge("view_age_seconds", "Age of the proof that routes and servers are current.", func() float64 { return g.follower.Staleness().Seconds() })
