Name the callers that are refused for lack of capacity

Lines of refused requests with reason overload have the caller and the server time that it was assigned recently; the gauge waiting_callers tells how many callers wait.

--- a/balancer/queue_test.go
+++ b/balancer/queue_test.go
@@ -219,6 +219,7 @@
 	for range 3 {
 		add("few", 2*time.Hour)
 	}
+	require.Equal(t, 2, h.balancer.WaitingCallers())
 	var order []string
 	for range 9 {
 		if len(order) == 6 {
@@ -228,6 +229,9 @@
 		s.grantLocked(w, Choice{}, h.clock.Now())
 		order = append(order, w.query.Caller)
 	}
+	require.Equal(t, 5*s.Expected(testRoute), s.CallerUsage("many"))
+	require.Zero(t, s.CallerUsage("unknown"))
+	require.Equal(t, 1, h.balancer.WaitingCallers())
 	require.Equal(t, []string{"many", "few", "many", "few", "many", "few", "late", "many", "many"}, order)
 }
 
--- a/balancer/usage.go
+++ b/balancer/usage.go
@@ -54,3 +54,24 @@
 		delete(t, u.caller)
 	}
 }
+
+// CallerUsage returns the server time that a caller was assigned recently by this host.
+func (s *Service) CallerUsage(caller string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.queue.usage.of(caller, s.clock.Now())
+}
+
+// WaitingCallers returns the number of callers with requests that wait, of all services.
+func (b *Balancer) WaitingCallers() (n int) {
+	for _, s := range *b.services.Load() {
+		callers := make(map[string]bool)
+		s.mu.Lock()
+		for _, w := range s.queue.waiters {
+			callers[w.query.Caller] = true
+		}
+		s.mu.Unlock()
+		n += len(callers)
+	}
+	return n
+}
--- a/carrier/event.go
+++ b/carrier/event.go
@@ -48,6 +48,8 @@
 	Waiting int
 	// ExpectedWait is the wait that was expected for a request refused for lack of capacity.
 	ExpectedWait time.Duration
+	// CallerUsage is the server time that the caller was assigned recently by this host.
+	CallerUsage time.Duration
 	// RetryDenied is the reason why a failed request was not sent to another
 	// server.
 	RetryDenied string
@@ -83,7 +85,7 @@
 		e.DelegatedBy = origin.Host
 	}
 	if c.service != nil {
-		e.Waiting = c.service.Waiting()
+		e.Waiting, e.CallerUsage = c.service.Waiting(), c.service.CallerUsage(c.callerAddress())
 	}
 	if c.rejected.Server != nil {
 		choice := c.rejected
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -323,6 +323,9 @@
 		leaving, _ := g.excluder.Counts()
 		return float64(leaving)
 	})
+	g.meter.Gauge("waiting_callers", "Callers with requests that wait for a server.", func() float64 {
+		return float64(g.balancer.WaitingCallers())
+	})
 	g.meter.Gauge("paused_servers", "Servers that have asked this host for a pause.", func() float64 {
 		_, paused := g.excluder.Counts()
 		return float64(paused)
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -124,6 +124,9 @@
 		if e.Reason == verbenastand.ReasonQuarantined {
 			entry = entry.WithFields(log.Fields{"caller": e.Caller, "method": e.Method, "target": loggedTarget(e.URI)})
 		}
+		if e.Reason == verbenastand.ReasonOverload {
+			entry = entry.WithFields(log.Fields{"caller": e.Caller, "callerUsageMs": milliseconds(e.CallerUsage)})
+		}
 		entry.WithFields(log.Fields{
 			"status": e.Status, "verdict": e.Verdict.String(), "reason": e.Reason.String(),
 			"retryAfterMs": milliseconds(e.RetryAfter), "repeatDenied": e.RetryDenied, "waiting": e.Waiting,
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -155,6 +155,20 @@
 	}
 }
 
+// TestRefusedCallersAreNamed guards against overload whose lines do not tell which callers use the servers.
+func TestRefusedCallersAreNamed(t *testing.T) {
+	lines := record(t, 0, func(r *Recorder) {
+		r.RequestEnded(carrier.Event{
+			ID: "1", Status: 503, Refused: true, Reason: verbenastand.ReasonOverload, Caller: "10.0.0.7:4000", CallerUsage: 1500 * time.Millisecond,
+		})
+	})
+	require.Len(t, lines, 1)
+	fields, ok := lines[0]["fields"].(map[string]any)
+	require.True(t, ok)
+	require.Equal(t, "10.0.0.7:4000", fields["caller"])
+	require.EqualValues(t, 1500, fields["callerUsageMs"])
+}
+
 func BenchmarkLine(b *testing.B) {
 	h := NewHandler(jsonlog.New(&bytes.Buffer{}))
 	r := NewRecorder(Config{Log: &log.Logger{Level: log.InfoLevel, Handler: h}, Meter: meter.NewMeter()})
