Give hosts that learn of others no share of the limits of cold servers

Cause: a host that has just started counts on the few hosts that it knows, and takes a share that others use. 472 hosts, of which many had started during a partition, sent a cold server up to 14 requests in a second. The live and the unreachable hosts were read at different moments, so that some were missing or counted twice: of 7 shares, 4 to 7 were in use. Change: Gossiper.SharingHosts reads them at once, and returns none until no other host has become known for the discovery period.

--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -111,6 +111,8 @@
 	peers map[verbenastand.HostID]*peer
 	byTag map[uint32]*peer
 	seeds []verbenastand.Host
+	// grownAt is when another host became known, or when this one started.
+	grownAt time.Time
 	// needsRecords is set after a heartbeat of an unknown instance arrived, until
 	// a message with many records does.
 	needsRecords bool
@@ -130,7 +132,7 @@
 	if c.Fanout == 0 {
 		c.Fanout = DefaultFanout
 	}
-	g := &Gossiper{config: c, self: recordOf(c.Self), peers: make(map[verbenastand.HostID]*peer), byTag: make(map[uint32]*peer), seeds: c.Seeds}
+	g := &Gossiper{config: c, self: recordOf(c.Self), peers: make(map[verbenastand.HostID]*peer), byTag: make(map[uint32]*peer), seeds: c.Seeds, grownAt: c.Timer.Now()}
 	g.view.Store(&[]verbenastand.Host{c.Self})
 	return g
 }
--- a/gossiper/peer.go
+++ b/gossiper/peer.go
@@ -43,7 +43,7 @@
 	p := g.peers[id]
 	if p == nil {
 		p = &peer{record: r, tag: r.tag(), lastSeen: now, changedAt: now}
-		g.peers[id] = p
+		g.peers[id], g.grownAt = p, now
 		g.byTag[p.tag] = p
 		return true
 	}
--- /dev/null
+++ b/gossiper/sharing.go
@@ -0,0 +1,45 @@
+package gossiper
+
+import (
+	"time"
+
+	verbenastand "github.com/verbenastand/verbenastand"
+)
+
+// SharingHosts returns this host and all others that it knows, alive or unreachable, but none
+// that is leaving: they share what is bounded for the whole fleet. It returns none while this host
+// does not know its seed hosts, or has learned of another host within the given time: it would
+// count on fewer hosts than there are.
+func (g *Gossiper) SharingHosts(settled time.Duration) []verbenastand.Host {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.config.Timer.Now().Sub(g.grownAt) < settled || !g.knowsSeedsLocked() {
+		return nil
+	}
+	hosts := make([]verbenastand.Host, 0, len(g.peers)+1)
+	if !g.self.Leaving {
+		hosts = append(hosts, g.self.host())
+	}
+	for _, p := range g.peers {
+		if !p.record.Leaving && !p.listedLeaving {
+			hosts = append(hosts, p.record.host())
+		}
+	}
+	return hosts
+}
+
+// knowsSeedsLocked reports whether this host knows at least half of the seed hosts, itself among
+// them. The process of a host that starts in a partition, or was alone for long, does not know the
+// others. Both sides of a partition may know a half.
+func (g *Gossiper) knowsSeedsLocked() bool {
+	unknown := make(map[string]bool, len(g.seeds))
+	for _, s := range g.seeds {
+		unknown[s.PeerAddress()] = true
+	}
+	seeds := len(unknown)
+	delete(unknown, g.self.PeerAddress)
+	for _, p := range g.peers {
+		delete(unknown, p.record.PeerAddress)
+	}
+	return 2*len(unknown) <= seeds
+}
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -299,14 +299,10 @@
 	return staying(slices.Concat(g.gossiper.Hosts(), g.gossiper.Unreachable()))
 }
 
-// warmupHosts returns the hosts that share the limits of cold servers, silent ones among them. It
-// returns none while this host does not know its seed hosts: it would take a share that a host
-// uses which it does not know.
+// warmupHosts returns the hosts that share the limits of cold servers, none during the discovery
+// period.
 func (g *Gateway) warmupHosts(verbenastand.ServerProcess) []verbenastand.Host {
-	if time.Since(g.started) < discoveryPeriod || !g.gossiper.KnowsSeeds() {
-		return nil
-	}
-	return staying(g.gossiper.KnownHosts())
+	return g.gossiper.SharingHosts(discoveryPeriod)
 }
 
 // staying returns the hosts that have not announced their shutdown.
