--- a/limiter/warmup_test.go
+++ b/limiter/warmup_test.go
@@ -313,3 +313,19 @@
 		require.LessOrEqual(t, float64(most), warmupOverage*rate+warmupSlack)
 	})
 }
+
+func BenchmarkWarmupAvailable(b *testing.B) {
+	for _, bm := range []struct {
+		name   string
+		rate   verbenastand.RequestRate
+		warmup time.Duration
+	}{{"no limit", 0, 0}, {"warm", warmupRate, 0}, {"cold", warmupRate, time.Hour}} {
+		b.Run(bm.name, func(b *testing.B) {
+			l, _ := newTestWarmup(fake.NewClock(), 0, 123)
+			l.Update(viewOf(coldProcess, bm.rate, bm.warmup))
+			for range b.N {
+				l.Available(coldProcess)
+			}
+		})
+	}
+}
