--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -155,6 +155,15 @@
 	}
 }
 
+// Guards against a second attempt of which nobody can tell whether it is a retry or a hedge.
+func TestAttemptLinesNameHedges(t *testing.T) {
+	for _, hedge := range []bool{false, true} {
+		lines := record(t, 0, func(r *Recorder) { r.AttemptEnded(carrier.Event{Attempt: 2, Hedge: hedge, Result: balancer.Succeeded}) })
+		require.Len(t, lines, 1)
+		require.Equal(t, hedge, lines[0]["fields"].(map[string]any)["hedge"])
+	}
+}
+
 func BenchmarkLine(b *testing.B) {
 	h := NewHandler(jsonlog.New(&bytes.Buffer{}))
 	r := NewRecorder(Config{Log: &log.Logger{Level: log.InfoLevel, Handler: h}, Meter: meter.NewMeter()})
