--- a/balancer/evacuate.go
+++ b/balancer/evacuate.go
@@ -31,7 +31,7 @@
 }
 
 // Cold reports whether the server counts as cold: it has said so, or the evacuation of its zone
-// has ended and no health check or registration has told since.
+// has ended and no health check or registration has said so since.
 func (s *Server) Cold() bool {
 	now := s.service.clock.Now()
 	s.mu.Lock()
--- a/carrier/admit.go
+++ b/carrier/admit.go
@@ -46,7 +46,7 @@
 		query.LocalWithin = c.targetTime.Add(-linkTime).Sub(c.carrier.config.Clock.Now())
 	}
 	choice, err := c.chooseOrWait(ctx, query)
-	c.recordAdmission(choice, err)
+	c.recordWait(choice, err)
 	if err != nil {
 		return choice, c.refusal(err)
 	}
--- a/carrier/hedge.go
+++ b/carrier/hedge.go
@@ -285,8 +285,8 @@
 	})
 }
 
-// recordAdmission passes on whether a request had to wait for a server.
-func (c *call) recordAdmission(choice balancer.Choice, err error) {
+// recordWait passes on whether a request had to wait for a server.
+func (c *call) recordWait(choice balancer.Choice, err error) {
 	waited := choice.Waited || errors.Is(err, balancer.ErrNoCapacity)
-	c.carrier.config.Hedger.RecordAdmission(c.serviceName, waited)
+	c.carrier.config.Hedger.RecordWait(c.serviceName, waited)
 }
--- a/carrier/hedge_test.go
+++ b/carrier/hedge_test.go
@@ -74,7 +74,7 @@
 		}, 1},
 		{"above zero, requests wait", limit(0.1), 1000, verbenastand.Idempotent, func(h *harness) {
 			for range 10 {
-				h.carrier.config.Hedger.RecordAdmission("svc", true)
+				h.carrier.config.Hedger.RecordWait("svc", true)
 			}
 		}, 1},
 		{"above zero, cold servers", limit(0.1), 1000, verbenastand.Idempotent, func(h *harness) {
--- a/dispatcher/execute.go
+++ b/dispatcher/execute.go
@@ -101,7 +101,7 @@
 	}
 	now := d.config.Timer.Now()
 	d.config.Meter.Queued(req.service, now.Sub(start))
-	d.config.Hedger.RecordAdmission(req.service, now.Sub(start) > immediate)
+	d.config.Hedger.RecordWait(req.service, now.Sub(start) > immediate)
 	if d.stopped.Err() != nil {
 		// The slot became free because the host stops.
 		req.components.Scheduler().Release(grant, estimator.Abandoned, scheduler.NoReport)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -17,7 +17,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
 
 	verbenastand "github.com/verbenastand/verbenastand"
@@ -63,26 +62,6 @@
 	CloseIdle bool
 }
 
-func quicConfig(closeIdle bool) *quic.Config {
-	c := &quic.Config{
-		HandshakeIdleTimeout: handshakeTimeout, MaxIdleTimeout: idleTimeout,
-		KeepAlivePeriod: keepAlive, MaxIncomingStreams: maxStreams,
-	}
-	if closeIdle {
-		c.KeepAlivePeriod, c.MaxIdleTimeout = 0, neighborIdleTimeout
-		// The probes of a connection's path are larger than most of what it carries before
-		// it is closed again.
-		c.DisablePathMTUDiscovery = true
-		c.InitialStreamReceiveWindow, c.InitialConnectionReceiveWindow = initialWindow, initialWindow
-	}
-	return c
-}
-
-// initialWindow is the initial receive window of hosts that close idle connections.
-// They exchange gossip messages and changes of the configuration store, and forward
-// requests only while they reach no server.
-const initialWindow = 64 << 10
-
 // peerConn is the connection to one instance of a peer.
 type peerConn struct {
 	address   string
--- a/hedger/hedger.go
+++ b/hedger/hedger.go
@@ -148,8 +148,8 @@
 	h.config.Observer.HedgeDenied(name, reason)
 }
 
-// RecordAdmission records whether a request had to wait for a server of the service.
-func (h *Hedger) RecordAdmission(name verbenastand.ServiceName, waited bool) {
+// RecordWait records whether a request had to wait for a server of the service.
+func (h *Hedger) RecordWait(name verbenastand.ServiceName, waited bool) {
 	if h.mode != Limited {
 		return
 	}
--- a/internal/saturator/unusual_test.go
+++ b/internal/saturator/unusual_test.go
@@ -50,7 +50,7 @@
 	}
 }
 
-// Guards against limits that refuse a single request of legal size in calm.
+// Guards against limits that refuse a single request of legal size without memory pressure.
 func TestALegalRequestIsServed(t *testing.T) {
 	for _, kind := range kinds {
 		for i, header := range []string{lines(headerBytes, sameName), lines(headerBytes, differentNames())} {
