Keep connections on which the body of a request is arriving

What callers saw: at the end of the intake of a planned stop, an upload that was still arriving got no 503; its connection was closed. Cause, suspected: when a network address has used up its share of memory, its idle connections are closed, and a connection counted as idle while a body was being read. Change: a connection whose request header is complete isn't closed for others.

--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -76,6 +76,8 @@
 	wasCut bool
 	// writing is set while the response to the first pending request is written.
 	writing bool
+	// receiving is set while the body of a request is read whose header is complete.
+	receiving bool
 	// streaming is set while a handler reads the body of a request.
 	streaming bool
 }
@@ -231,6 +233,8 @@
 		return nil, err
 	}
 	c.settle(r)
+	c.setReceiving(true)
+	defer c.setReceiving(false)
 	c.allowReading(c.bodyTimeout(httpRequest))
 	if err := c.readBody(r, limits.BodyBytes); err != nil {
 		c.bodyUnread = true
@@ -360,6 +364,12 @@
 	return nil
 }
 
+func (c *connection) setReceiving(receiving bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.receiving = receiving
+}
+
 func (c *connection) setWriting(writing bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/acceptor/memory.go
+++ b/acceptor/memory.go
@@ -224,7 +224,7 @@
 			continue
 		}
 		c.mu.Lock()
-		if c.pending == 0 && !c.closing {
+		if c.pending == 0 && !c.receiving && !c.closing {
 			idle = append(idle, candidate{c, c.idleSince})
 		}
 		c.mu.Unlock()
@@ -237,12 +237,12 @@
 	return len(idle) > 0
 }
 
-// closeUnlessPending closes a connection of which no request is pending. A request that is
-// being read is not taken.
+// closeUnlessPending closes a connection of which no request is pending. A request whose header is
+// being read is not taken; one whose body is arriving keeps its connection, since it gets a response.
 func (c *connection) closeUnlessPending() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.pending > 0 || c.closing {
+	if c.pending > 0 || c.receiving || c.closing {
 		return
 	}
 	c.closeLocked()
