Test the end of connections for memory in a fixed order

Cause: TestACallerWithoutMemoryIsRefused opened 20 connections while requests on the first of them were already charged. Change: two fixed orders. With all connections open before the first request none is closed; with each request before the next connection the closed ones are counted, and served, refused and closed add up to the crowd, which the test did not check before.

--- a/acceptor/memory_test.go
+++ b/acceptor/memory_test.go
@@ -54,69 +54,127 @@
 	return b.String()
 }
 
-// Guards against callers that take all memory, refusals that aren't true, and memory that is
-// not returned.
+// Guards against callers that take all memory, refusals that aren't true, connections that end
+// without being counted, and memory that is not returned.
 func TestACallerWithoutMemoryIsRefused(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		const size = 4 << 20
-		memory := bounder.NewShares(size)
-		var shortages, served atomic.Int64
-		release := make(chan struct{})
-		a := NewAcceptor(Config{
-			Memory: memory, Limits: memoryLimits,
-			OnShortage: func(Shortage) { shortages.Add(1) },
-			Handler: HandlerFunc(func(_ context.Context, w *Response, r *Request) {
-				served.Add(1)
-				if r.URL.Path == "/held" {
-					<-release
+	const size = 4 << 20
+	send := func(conn net.Conn) {
+		go func() {
+			_, _ = io.WriteString(conn, "GET /held HTTP/1.1\r\nHost: a.example\r\n"+manyLines(1500)+"\r\n")
+		}()
+	}
+	cases := []struct {
+		name  string
+		crowd int
+		// connect opens the connections of one network address and sends a request on each.
+		connect func(a *Acceptor, crowd int) []net.Conn
+		// closed reports whether connections are closed for others of the same address.
+		closed bool
+	}{
+		{"requests on open connections", 20, func(a *Acceptor, crowd int) (conns []net.Conn) {
+			for range crowd {
+				conns = append(conns, connectFrom(a, "10.0.0.1"))
+			}
+			synctest.Wait()
+			for _, conn := range conns {
+				send(conn)
+			}
+			return conns
+		}, false},
+		{"connections that follow requests", 100, func(a *Acceptor, crowd int) (conns []net.Conn) {
+			for range crowd {
+				conn := connectFrom(a, "10.0.0.1")
+				send(conn)
+				synctest.Wait()
+				conns = append(conns, conn)
+			}
+			return conns
+		}, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				memory := bounder.NewShares(size)
+				var shortages, served atomic.Int64
+				release := make(chan struct{})
+				a := NewAcceptor(Config{
+					Memory: memory, Limits: memoryLimits,
+					OnShortage: func(Shortage) { shortages.Add(1) },
+					Handler: HandlerFunc(func(_ context.Context, w *Response, r *Request) {
+						served.Add(1)
+						if r.URL.Path == "/held" {
+							<-release
+						}
+						_ = w.Write(http.StatusOK, http.Header{}, nil)
+					}),
+				})
+				hogs := tc.connect(a, tc.crowd)
+				synctest.Wait()
+				held := served.Load()
+				require.Positive(t, held)
+				require.Less(t, held, int64(tc.crowd))
+				require.Positive(t, shortages.Load())
+				require.GreaterOrEqual(t, memory.Left(), int64(size/3))
+
+				ordinary := connectFrom(a, "10.0.0.2")
+				_, _ = io.WriteString(ordinary, get("/a"))
+				response, err := http.ReadResponse(bufio.NewReader(ordinary), nil)
+				require.NoError(t, err)
+				require.Equal(t, http.StatusOK, response.StatusCode)
+
+				// Those that wait are refused once their headers would have to be complete.
+				refused := 0
+				for _, conn := range hogs {
+					_ = conn.SetReadDeadline(time.Now().Add(testLimits.HeaderTimeout + time.Second))
+					response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+					if err != nil {
+						continue
+					}
+					refused++
+					require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+					require.Equal(t, "1", response.Header.Get("Retry-After"))
+					require.Equal(t, verbenastand.NotRun.String(), response.Header.Get(verbenastand.HeaderVerdict))
+					require.True(t, response.Close)
 				}
-				_ = w.Write(http.StatusOK, http.Header{}, nil)
-			}),
+				require.Equal(t, tc.closed, a.Closed() > 0)
+				require.EqualValues(t, tc.crowd, int64(refused)+held+a.Closed())
+				require.Equal(t, held+1, served.Load())
+				close(release)
+				for _, conn := range append(hogs, ordinary) {
+					_ = conn.Close()
+				}
+				a.Close()
+				require.EqualValues(t, size, memory.Left())
+				require.EqualValues(t, unlimited, a.requests.Left())
+			})
 		})
-		var hogs []net.Conn
+	}
+}
+
+// Guards against an upload that ends without a response because its network address opens more
+// connections than its memory allows.
+func TestAnUploadIsNotClosedForOtherConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := bounder.NewShares(4 * (requestMemory + connectionMemory))
+		a := NewAcceptor(Config{Memory: memory, Limits: memoryLimits, Handler: HandlerFunc(echoPath)})
+		upload := connectFrom(a, "10.0.0.1")
+		_, _ = io.WriteString(upload, "POST /upload HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\n\r\nab")
+		synctest.Wait()
+		var others []net.Conn
 		for range 20 {
-			conn := connectFrom(a, "10.0.0.1")
-			hogs = append(hogs, conn)
-			go func() {
-				_, _ = io.WriteString(conn, "GET /held HTTP/1.1\r\nHost: a.example\r\n"+manyLines(1500)+"\r\n")
-			}()
+			others = append(others, connectFrom(a, "10.0.0.1"))
+			synctest.Wait()
 		}
-		synctest.Wait()
-		held := served.Load()
-		require.Positive(t, held)
-		require.Less(t, held, int64(20))
-		require.Positive(t, shortages.Load())
-		require.GreaterOrEqual(t, memory.Left(), int64(size/3))
-
-		ordinary := connectFrom(a, "10.0.0.2")
-		_, _ = io.WriteString(ordinary, get("/a"))
-		response, err := http.ReadResponse(bufio.NewReader(ordinary), nil)
+		require.Positive(t, a.Closed())
+		_, err := io.WriteString(upload, "cd")
+		require.NoError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(upload), nil)
 		require.NoError(t, err)
 		require.Equal(t, http.StatusOK, response.StatusCode)
-
-		// Those that wait are refused once their headers would have to be complete.
-		refused := 0
-		for _, conn := range hogs {
-			_ = conn.SetReadDeadline(time.Now().Add(testLimits.HeaderTimeout + time.Second))
-			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-			if err != nil {
-				continue
-			}
-			refused++
-			require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
-			require.Equal(t, "1", response.Header.Get("Retry-After"))
-			require.Equal(t, verbenastand.NotRun.String(), response.Header.Get(verbenastand.HeaderVerdict))
-			require.True(t, response.Close)
-		}
-		require.EqualValues(t, 20, int64(refused)+held)
-		require.Equal(t, held+1, served.Load())
-		close(release)
-		for _, conn := range append(hogs, ordinary) {
+		for _, conn := range append(others, upload) {
 			_ = conn.Close()
 		}
 		a.Close()
-		require.EqualValues(t, size, memory.Left())
-		require.EqualValues(t, unlimited, a.requests.Left())
 	})
 }
 
