--- a/acceptor/memory_test.go
+++ b/acceptor/memory_test.go
@@ -64,15 +64,15 @@
 		}()
 	}
 	cases := []struct {
-		name  string
-		crowd int
+		name        string
+		connections int
 		// connect opens the connections of one network address and sends a request on each.
-		connect func(a *Acceptor, crowd int) []net.Conn
+		connect func(a *Acceptor, connections int) []net.Conn
 		// closed reports whether connections are closed for others of the same address.
 		closed bool
 	}{
-		{"requests on open connections", 20, func(a *Acceptor, crowd int) (conns []net.Conn) {
-			for range crowd {
+		{"requests on open connections", 20, func(a *Acceptor, connections int) (conns []net.Conn) {
+			for range connections {
 				conns = append(conns, connectFrom(a, "10.0.0.1"))
 			}
 			synctest.Wait()
@@ -81,8 +81,8 @@
 			}
 			return conns
 		}, false},
-		{"connections that follow requests", 100, func(a *Acceptor, crowd int) (conns []net.Conn) {
-			for range crowd {
+		{"connections that follow requests", 100, func(a *Acceptor, connections int) (conns []net.Conn) {
+			for range connections {
 				conn := connectFrom(a, "10.0.0.1")
 				send(conn)
 				synctest.Wait()
@@ -108,11 +108,11 @@
 						_ = w.Write(http.StatusOK, http.Header{}, nil)
 					}),
 				})
-				hogs := tc.connect(a, tc.crowd)
+				conns := tc.connect(a, tc.connections)
 				synctest.Wait()
 				held := served.Load()
 				require.Positive(t, held)
-				require.Less(t, held, int64(tc.crowd))
+				require.Less(t, held, int64(tc.connections))
 				require.Positive(t, shortages.Load())
 				require.GreaterOrEqual(t, memory.Left(), int64(size/3))
 
@@ -124,7 +124,7 @@
 
 				// Those that wait are refused once their headers would have to be complete.
 				refused := 0
-				for _, conn := range hogs {
+				for _, conn := range conns {
 					_ = conn.SetReadDeadline(time.Now().Add(testLimits.HeaderTimeout + time.Second))
 					response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 					if err != nil {
@@ -137,10 +137,10 @@
 					require.True(t, response.Close)
 				}
 				require.Equal(t, tc.closed, a.Closed() > 0)
-				require.EqualValues(t, tc.crowd, int64(refused)+held+a.Closed())
+				require.EqualValues(t, tc.connections, int64(refused)+held+a.Closed())
 				require.Equal(t, held+1, served.Load())
 				close(release)
-				for _, conn := range append(hogs, ordinary) {
+				for _, conn := range append(conns, ordinary) {
 					_ = conn.Close()
 				}
 				a.Close()
--- a/carrier/delegate_test.go
+++ b/carrier/delegate_test.go
@@ -585,7 +585,7 @@
 	})
 }
 
-// Guards against innocent requests that are taken for ones that crash servers, because a
+// Guards against harmless requests that are taken for ones that crash servers, because a
 // host loses its connections to all servers while they run (issue 26, RECOVER).
 func TestALostLinkIsNoEvidenceOfCrashes(t *testing.T) {
 	withDelegatingFleet(t, 14, atMostOnce, steadyBackends(8), func(f *delegatingFleet) {
--- a/carrier/restart_test.go
+++ b/carrier/restart_test.go
@@ -380,7 +380,7 @@
 }
 
 // Guards against a host that takes a service for unreached although one of its servers is up,
-// because it looks for one among those that are down (issue 29, BUDGET: innocent requests are
+// because it looks for one among those that are down (issue 29, BUDGET: harmless requests are
 // served). Hosts that are not alone ask each other.
 func TestALoneHostFindsTheOnlyServerThatIsUp(t *testing.T) {
 	const rounds = 10
@@ -393,7 +393,7 @@
 	}
 }
 
-// Guards against innocent requests that are refused because connections to running servers
+// Guards against harmless requests that are refused because connections to running servers
 // were lost while they ran (issue 26, RECOVER; issue 29, BUDGET).
 func TestLostConnectionsQuarantineNoInnocentRequest(t *testing.T) {
 	const hosts, servers = 14, 8
--- a/dispatcher/crash_test.go
+++ b/dispatcher/crash_test.go
@@ -25,7 +25,7 @@
 }
 
 // Guards against a request that crashes further servers because, while nothing else of the
-// service responds, its crashes leave no evidence; and against innocent requests that are
+// service responds, its crashes leave no evidence; and against harmless requests that are
 // refused because a host was cut off from servers (issue 29, BUDGET; issue 26, RECOVER).
 func TestACrashIsProvedThoughNothingElseResponds(t *testing.T) {
 	cases := []struct {
--- a/dispatcher/delegate_test.go
+++ b/dispatcher/delegate_test.go
@@ -179,7 +179,7 @@
 	})), "quarantined")
 }
 
-// Guards against innocent requests that are taken for ones that crash servers, because the
+// Guards against harmless requests that are taken for ones that crash servers, because the
 // host loses its connections to all servers while they run (issue 26, RECOVER).
 func TestALostLinkIsNoEvidenceOfCrashes(t *testing.T) {
 	p := newProxy(8, false)
--- a/quarantiner/loss_test.go
+++ b/quarantiner/loss_test.go
@@ -113,7 +113,7 @@
 	}
 }
 
-// Guards against innocent requests that stay refused because a host that was cut off from
+// Guards against harmless requests that stay refused because a host that was cut off from
 // servers took them for crashed (issue 29, BUDGET).
 func TestARunningServerRefutesACrash(t *testing.T) {
 	clock := fake.NewClock()
