Direct callers of an evacuated zone to hosts that were heard of recently

Cause: a host counts as alive for its lifetime after its last heartbeat has arrived. Between zones that takes up to 3 s, so that callers of an evacuated zone were directed to dead hosts for longer than the 6 s allowed.

Change: hosts of which nothing was heard for 2 s are the last alternatives in the responses to callers of evacuated zones. Membership, messages and all other lookups are as before.

--- a/gossiper/sharing.go
+++ b/gossiper/sharing.go
@@ -43,3 +43,24 @@
 	}
 	return 2*len(unknown) <= seeds
 }
+
+// Silent returns the known hosts, alive or not, of which this one has heard nothing for the given
+// time before it last heard of any host. A host that hears of nobody, since it was paused or is cut off,
+// knows nothing of the others.
+func (g *Gossiper) Silent(d time.Duration) map[verbenastand.HostID]bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var latest time.Time
+	for _, p := range g.peers {
+		if p.lastSeen.After(latest) {
+			latest = p.lastSeen
+		}
+	}
+	silent := make(map[verbenastand.HostID]bool)
+	for id, p := range g.peers {
+		if latest.Sub(p.lastSeen) >= d {
+			silent[id] = true
+		}
+	}
+	return silent
+}
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -48,6 +48,10 @@
 	gossipLifetimePerHost = 20 * time.Millisecond
 	// gossipNeighbours limits the hosts with which a host exchanges gossip messages.
 	gossipNeighbours = 8
+	// lookupSilence is the time without news of a host after which callers of an evacuated zone are
+	// directed to others. Within 123 hosts the last heartbeat of a host takes up to 3 s to the
+	// others, and a dead host may be named for 6 s.
+	lookupSilence = 2 * time.Second
 	// urgentPeriod is the time between two checks for urgent changes to pass on.
 	urgentPeriod   = 200 * time.Millisecond
 	followerPeriod = 100 * time.Millisecond
@@ -241,6 +245,7 @@
 	g.resolver = resolver.NewResolver(resolver.Config{
 		Membership: g.gossiper, Self: g.self, Serving: g.ready, Validity: s.AnswerValidity,
 		Evacuated: func(z verbenastand.Zone) bool { return g.follower.View().Evacuated(z) },
+		Silent:    func() map[verbenastand.HostID]bool { return g.gossiper.Silent(lookupSilence) },
 	})
 }
 
--- a/resolver/resolver.go
+++ b/resolver/resolver.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	verbenastand "github.com/verbenastand/verbenastand"
@@ -26,6 +27,9 @@
 	// Evacuated reports whether the servers of an availability zone get no requests; nil if
 	// that is never so.
 	Evacuated func(verbenastand.Zone) bool
+	// Silent returns the hosts considered alive that have not been heard of for so long that they
+	// may be dead; nil if that is never so.
+	Silent func() map[verbenastand.HostID]bool
 	// Validity is how long a caller may use a response.
 	Validity time.Duration
 }
@@ -38,15 +42,23 @@
 	if c.Evacuated == nil {
 		c.Evacuated = func(verbenastand.Zone) bool { return false }
 	}
+	if c.Silent == nil {
+		c.Silent = func() map[verbenastand.HostID]bool { return nil }
+	}
 	return &Resolver{config: c}
 }
 
 // Resolve returns the addresses of hosts for a caller in an availability zone, and
 // how long they are valid. Callers of an evacuated zone are directed to hosts of other zones:
-// each of their requests and its health checks would cross zones otherwise.
+// each of their requests and its health checks would cross zones otherwise. Silent hosts are only
+// their last alternatives, since news of a death take longer between zones.
 func (r *Resolver) Resolve(zone verbenastand.Zone) (addresses []string, validity time.Duration) {
-	var selected, others, detached, evacuated []string
+	var selected, others, detached, evacuated, silent []string
 	leavesZone := r.config.Evacuated(zone)
+	var isSilent map[verbenastand.HostID]bool
+	if leavesZone {
+		isSilent = r.config.Silent()
+	}
 	for _, h := range r.config.Membership.Hosts() {
 		if h.Leaving() || (h.ID() == r.config.Self.ID() && !r.config.Serving()) {
 			continue
@@ -55,6 +67,10 @@
 			detached = append(detached, h.CallAddress())
 			continue
 		}
+		if isSilent[h.ID()] {
+			silent = append(silent, h.CallAddress())
+			continue
+		}
 		if r.config.Evacuated(h.Zone()) {
 			evacuated = append(evacuated, h.CallAddress())
 			continue
@@ -68,7 +84,8 @@
 	shuffle(selected)
 	shuffle(others)
 	shuffle(evacuated)
-	others = append(others, evacuated...)
+	shuffle(silent)
+	others = slices.Concat(others, evacuated, silent)
 	if missing := minHosts - len(selected); missing > 0 {
 		selected = append(selected, others[:min(missing, len(others))]...)
 	}
