Read the hosts that share a limit at one moment

Cause: launcher.limitedHosts read the live and the unreachable hosts one after the other. A host that failed in between was counted twice, so that part of the limit was unused; one that returned was left out, and the others took its share.

Change: gossiper.StayingHosts returns both as of one moment; SharingHosts uses it. A host that the platform lists as leaving while it is unreachable keeps its share in SharingHosts as well, as it did for limits that servers name.

--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -79,7 +78,7 @@
 	if n.network.clock.Now().Before(n.membershipUnknownUntil) {
 		return nil
 	}
-	return slices.DeleteFunc(slices.Concat(n.Hosts(), n.Unreachable()), func(h verbenastand.Host) bool { return h.Leaving() })
+	return n.StayingHosts()
 }
 
 func (net *network) add(i, seeds int) *node { return net.addInstance(i, seeds, 1) }
--- a/gossiper/sharing.go
+++ b/gossiper/sharing.go
@@ -16,12 +16,29 @@
 	if g.config.Timer.Now().Sub(g.grownAt) < settled || !g.knowsSeedsLocked() {
 		return nil
 	}
+	return g.stayingLocked()
+}
+
+// StayingHosts returns this host and all others that it knows, alive or unreachable, but none
+// that is leaving, as of one moment. If Hosts and Unreachable are called one after the other, a host
+// that fails or returns in between is in both or in neither.
+func (g *Gossiper) StayingHosts() []verbenastand.Host {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.stayingLocked()
+}
+
+func (g *Gossiper) stayingLocked() []verbenastand.Host {
+	now := g.config.Timer.Now()
 	hosts := make([]verbenastand.Host, 0, len(g.peers)+1)
 	if !g.self.Leaving {
 		hosts = append(hosts, g.self.host())
 	}
 	for _, p := range g.peers {
-		if !p.record.Leaving && !p.listedLeaving {
+		// The platform's host list lags behind. Of an unreachable host, it does not tell that
+		// the host has stopped to use its shares.
+		alive := now.Sub(p.lastSeen) < g.lifetimeLocked()
+		if !p.record.Leaving && (!alive || !p.listedLeaving) {
 			hosts = append(hosts, p.record.host())
 		}
 	}
--- a/launcher/event.go
+++ b/launcher/event.go
@@ -165,8 +165,7 @@
 	if !found || time.Since(h.started) < discoveryPeriod {
 		return nil
 	}
-	hosts := staying(slices.Concat(h.gossiper.Hosts(), h.gossiper.Unreachable()))
-	return placer.Homes(p.Service, service.Homes(), hosts)
+	return placer.Homes(p.Service, service.Homes(), h.gossiper.StayingHosts())
 }
 
 func (h *Host) addStatus(s *api.Status) {
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -5,7 +5,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -314,7 +313,7 @@
 	if time.Since(g.started) < discoveryPeriod {
 		return nil
 	}
-	return staying(slices.Concat(g.gossiper.Hosts(), g.gossiper.Unreachable()))
+	return g.gossiper.StayingHosts()
 }
 
 // warmupHosts returns the hosts that share the limits of cold servers, none during the discovery
@@ -322,12 +321,6 @@
 func (g *Gateway) warmupHosts(verbenastand.ServerProcess) []verbenastand.Host {
 	return g.gossiper.SharingHosts(discoveryPeriod)
 }
-
-// staying returns the hosts that have not announced their shutdown.
-func staying(hosts []verbenastand.Host) []verbenastand.Host {
-	return slices.DeleteFunc(hosts, func(h verbenastand.Host) bool { return h.Leaving() })
-}
-
 func (g *Gateway) limits() verbenastand.CallerLimits {
 	if t := g.router.Table(); t != nil {
 		return t.Limits()
