Keep bounds of cold servers that allow less than a request of slack

Cause: where the bound of a second is below floor(rate)+1, as at the defaults (overage 1, slack 0), one host got the whole rate. With a token saved up it sent 5 requests in a second where 4.3 were allowed.

Change: the rate of that host is at most floor(bound) less the margin. Below one request, the bound is that of the rate; a bound of zero allows no request. TestNoWindowExceedsTheBoundOfAColdServer now draws overage and slack as well; its former case is kept.

Other settings get the same shares as before.

--- a/limiter/warmup_share.go
+++ b/limiter/warmup_share.go
@@ -140,28 +140,37 @@
 	}
 	s.sharedAmong, s.sharedRate = list.digest, rate
 	ahead, hosts, found := l.sharer.rank(s.process, list.hosts)
-	users, depth := divide(float64(rate), l.config.Overage*float64(rate)+l.config.Slack, hosts)
+	users, share, depth := divide(float64(rate), l.config.Overage*float64(rate)+l.config.Slack, hosts)
 	if !found || ahead >= users {
 		s.share, s.depth, s.phase, s.tokens = 0, 0, 0, 0
 		return
 	}
-	s.share, s.depth = rate/verbenastand.RequestRate(users), depth
+	s.share, s.depth = verbenastand.RequestRate(share), depth
 	// The first requests of the hosts follow each other at the rate, as from one bucket.
 	s.phase = 1 - float64(ahead+1)/float64(users)
 }
 
-// divide returns among how many hosts a rate is divided, and the size of their buckets. In one
-// second, a host sends what its bucket holds and what it earns, in whole requests. The sum of
-// them is at most half the bound, since the hosts that have started in a partition don't know
-// those on its other side and take shares as well. A bound that is too small for that is
-// not halved.
-func divide(rate, bound float64, hosts int) (users int, depth float64) {
+// divide returns among how many hosts a rate is divided, the share of each, and the size of their
+// buckets. In one second, a host sends what its bucket holds and what it earns, in whole requests.
+// The sum of them is at most half the bound, since the hosts that have started in a partition don't
+// know those on its other side and take shares as well. A bound that is too small for that is not
+// halved. One that is too small for the rate lowers it.
+func divide(rate, bound float64, hosts int) (users int, share, depth float64) {
 	for _, bound := range []float64{bound / 2, bound} {
 		for n := int(min(float64(hosts), bound, MaxLimits)); n >= 1; n-- {
 			if float64(n)*math.Floor(1+rate/float64(n)) <= bound {
-				return n, max(1, math.Floor(bound/float64(n))+1-depthMargin-rate/float64(n))
+				return n, rate / float64(n), max(1, math.Floor(bound/float64(n))+1-depthMargin-rate/float64(n))
 			}
 		}
 	}
-	return 1, 1
+	return 1, min(rate, singleShare(bound)), 1
+}
+
+// singleShare returns the largest rate of one host whose bucket holds one request, so that it sends
+// no more than the bound in a second. Below one request a second, the bound is that of the rate.
+func singleShare(bound float64) float64 {
+	if bound < 1 {
+		return max(0, bound)
+	}
+	return math.Floor(bound) - depthMargin
 }
--- a/limiter/warmup_test.go
+++ b/limiter/warmup_test.go
@@ -284,34 +284,95 @@
 // Checks the hard bound for any limit and number of hosts, with hosts that send whenever they
 // may, at random times: in no second more than the bound.
 func TestNoWindowExceedsTheBoundOfAColdServer(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		clock := fake.NewClock()
-		count := rapid.IntRange(1, 60).Draw(t, "hosts")
-		rate := rapid.Float64Range(0.2, 30).Draw(t, "rate")
-		var fleet []*Warmup
-		for i := range count {
-			l, _ := newTestWarmup(clock, i, count)
-			l.Update(viewOf(coldProcess, verbenastand.RequestRate(rate), time.Hour))
-			fleet = append(fleet, l)
+	cases := []struct {
+		name           string
+		overage, slack *rapid.Generator[float64]
+	}{
+		{"deployment B", rapid.Just[float64](warmupOverage), rapid.Just[float64](warmupSlack)},
+		{"defaults", rapid.Just[float64](1), rapid.Just[float64](0)},
+		{"any", rapid.Float64Range(0, 3), rapid.Float64Range(0, 20)},
+		{"no slack", rapid.Float64Range(0, 3), rapid.Just[float64](0)},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				count := rapid.IntRange(1, 60).Draw(t, "hosts")
+				rate := rapid.Float64Range(0.2, 30).Draw(t, "rate")
+				overage, slack := tc.overage.Draw(t, "overage"), tc.slack.Draw(t, "slack")
+				clock := fake.NewClock()
+				var fleet []*Warmup
+				for i := range count {
+					l, _ := newTestWarmup(clock, i, count)
+					l.config.Overage, l.config.Slack = overage, slack
+					l.Update(viewOf(coldProcess, verbenastand.RequestRate(rate), time.Hour))
+					fleet = append(fleet, l)
+				}
+				var times []time.Time
+				for range rapid.IntRange(1, 60).Draw(t, "steps") {
+					clock.Advance(time.Duration(rapid.IntRange(1, 800).Draw(t, "pause")) * time.Millisecond)
+					for _, l := range fleet {
+						for l.Take(coldProcess) {
+							times = append(times, clock.Now())
+						}
+					}
+				}
+				bound := overage*rate + slack
+				if bound > 0 && bound < 1 {
+					// Requests are whole; their rate is below the bound.
+					bound = 1
+				}
+				require.LessOrEqual(t, float64(mostInASecond(times)), bound)
+			})
+		})
+	}
+}
+
+// mostInASecond returns the largest number of requests in a second.
+func mostInASecond(times []time.Time) (most int) {
+	first := 0
+	for i, at := range times {
+		for at.Sub(times[first]) > time.Second {
+			first++
 		}
-		var times []time.Time
-		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			clock.Advance(time.Duration(rapid.IntRange(1, 800).Draw(t, "pause")) * time.Millisecond)
-			for _, l := range fleet {
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// Guards against a host that sends more than a bound without slack allows in a second, and against
+// a bound that leaves more of the limit unused than whole requests do.
+func TestABoundWithoutSlack(t *testing.T) {
+	cases := []struct {
+		rate, overage float64
+		most          int
+		// want is the number of requests in 20 s.
+		want float64
+	}{
+		{4.3, 1, 4, 4 * 20},
+		{4, 1, 4, 4 * 20},
+		{1, 1, 1, 20},
+		{0.5, 1, 1, 10},
+		{4.3, 0.5, 2, 2 * 20},
+		{4.3, 0.1, 1, 0.43 * 20},
+		{4.3, 0, 0, 0},
+	}
+	for _, tc := range cases {
+		t.Run(fmt.Sprintf("%g a second, overage %g", tc.rate, tc.overage), func(t *testing.T) {
+			clock := fake.NewClock()
+			l, _ := newTestWarmup(clock, 0, 1)
+			l.config.Overage, l.config.Slack = tc.overage, 0
+			l.Update(viewOf(coldProcess, verbenastand.RequestRate(tc.rate), time.Hour))
+			var times []time.Time
+			for range 2000 {
+				clock.Advance(10 * time.Millisecond)
 				for l.Take(coldProcess) {
 					times = append(times, clock.Now())
 				}
 			}
-		}
-		first, most := 0, 0
-		for i, at := range times {
-			for at.Sub(times[first]) > time.Second {
-				first++
-			}
-			most = max(most, i-first+1)
-		}
-		require.LessOrEqual(t, float64(most), warmupOverage*rate+warmupSlack)
-	})
+			require.LessOrEqual(t, mostInASecond(times), tc.most)
+			require.InDelta(t, tc.want, len(times), max(1, 0.05*tc.want))
+		})
+	}
 }
 
 func BenchmarkWarmupAvailable(b *testing.B) {
