--- a/gossiper/sharing.go
+++ b/gossiper/sharing.go
@@ -16,12 +16,29 @@
 	if g.config.Timer.Now().Sub(g.grownAt) < settled || !g.knowsSeedsLocked() {
 		return nil
 	}
+	return g.stayingLocked()
+}
+
+// StayingHosts returns this host and all others that it knows, alive or unreachable, but none
+// that is leaving, as of one moment. If Hosts and Unreachable are called one after the other, a host
+// that fails or returns in between is in both or in neither.
+func (g *Gossiper) StayingHosts() []verbenastand.Host {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.stayingLocked()
+}
+
+func (g *Gossiper) stayingLocked() []verbenastand.Host {
+	now := g.config.Timer.Now()
 	hosts := make([]verbenastand.Host, 0, len(g.peers)+1)
 	if !g.self.Leaving {
 		hosts = append(hosts, g.self.host())
 	}
 	for _, p := range g.peers {
-		if !p.record.Leaving && !p.listedLeaving {
+		// The platform's host list lags behind. Of an unreachable host, it does not tell that
+		// the host has stopped to use its shares.
+		alive := now.Sub(p.lastSeen) < g.lifetimeLocked()
+		if !p.record.Leaving && (!alive || !p.listedLeaving) {
 			hosts = append(hosts, p.record.host())
 		}
 	}
@@ -43,3 +60,24 @@
 	}
 	return 2*len(unknown) <= seeds
 }
+
+// Silent returns the known hosts, alive or not, of which this one has heard nothing for the given
+// time before it last heard of any host. A host that hears of nobody, since it was paused or is cut off,
+// knows nothing of the others.
+func (g *Gossiper) Silent(d time.Duration) map[verbenastand.HostID]bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var latest time.Time
+	for _, p := range g.peers {
+		if p.lastSeen.After(latest) {
+			latest = p.lastSeen
+		}
+	}
+	silent := make(map[verbenastand.HostID]bool)
+	for id, p := range g.peers {
+		if latest.Sub(p.lastSeen) >= d {
+			silent[id] = true
+		}
+	}
+	return silent
+}
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -5,7 +5,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,6 +47,10 @@
 	gossipLifetimePerHost = 20 * time.Millisecond
 	// gossipNeighbours limits the hosts with which a host exchanges gossip messages.
 	gossipNeighbours = 8
+	// lookupSilence is the time without news of a host after which callers of an evacuated zone are
+	// directed to others. Within 123 hosts the last heartbeat of a host takes up to 3 s to the
+	// others, and a dead host may be named for 6 s.
+	lookupSilence = 2 * time.Second
 	// urgentPeriod is the time between two checks for urgent changes to pass on.
 	urgentPeriod   = 200 * time.Millisecond
 	followerPeriod = 100 * time.Millisecond
@@ -241,6 +244,7 @@
 	g.resolver = resolver.NewResolver(resolver.Config{
 		Membership: g.gossiper, Self: g.self, Serving: g.ready, Validity: s.AnswerValidity,
 		Evacuated: func(z verbenastand.Zone) bool { return g.follower.View().Evacuated(z) },
+		Silent:    func() map[verbenastand.HostID]bool { return g.gossiper.Silent(lookupSilence) },
 	})
 }
 
@@ -309,7 +313,7 @@
 	if time.Since(g.started) < discoveryPeriod {
 		return nil
 	}
-	return staying(slices.Concat(g.gossiper.Hosts(), g.gossiper.Unreachable()))
+	return g.gossiper.StayingHosts()
 }
 
 // warmupHosts returns the hosts that share the limits of cold servers, none during the discovery
@@ -317,12 +321,6 @@
 func (g *Gateway) warmupHosts(verbenastand.ServerProcess) []verbenastand.Host {
 	return g.gossiper.SharingHosts(discoveryPeriod)
 }
-
-// staying returns the hosts that have not announced their shutdown.
-func staying(hosts []verbenastand.Host) []verbenastand.Host {
-	return slices.DeleteFunc(hosts, func(h verbenastand.Host) bool { return h.Leaving() })
-}
-
 func (g *Gateway) limits() verbenastand.CallerLimits {
 	if t := g.router.Table(); t != nil {
 		return t.Limits()
