Charge responses at entry hosts and read them ahead

Cause: an entry host limited the header of a response to 64 KB, which may take 3.5 MB once it is parsed, but charged nothing for it; the buffers of streamed bodies were not charged either, and a long response was read at the pace of its caller, which held the slot of its server.

Change: each request has an account, which its context carries to the connector. The connector charges headers beyond the first 64 KB of memory before they are parsed, the dispatcher buffered bodies, the buffer of a streamed request and the headers of other hosts' responses. The reader that gateways use for long responses moves to internal/prefetcher, and entry hosts use it for responses of servers and of other hosts. The slot is released once the response is in memory.

TestBodiesAreChargedWhileTheyAreBuffered: requests whose bodies are streamed need memory for their buffer now. The two cases get exactly that and check that it is held; a third one checks that one byte less is refused. TestHeadersOfResponsesAreCharged of package sender moves to internal/bounder with the code.

--- a/carrier/attempt.go
+++ b/carrier/attempt.go
@@ -15,6 +15,7 @@
 	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/balancer"
 	"github.com/verbenastand/verbenastand/internal/bounder"
+	"github.com/verbenastand/verbenastand/internal/prefetcher"
 	"github.com/verbenastand/verbenastand/limiter"
 	"github.com/verbenastand/verbenastand/sender"
 )
@@ -295,15 +296,16 @@
 
 // fullBody returns the response body from its beginning. It must be closed.
 func (c *call) fullBody(o *outcome) *bodyReader {
-	return &bodyReader{held: o.body.Bytes(), rest: newReadAhead(o, c.responseMemory(), func(value any) error {
-		return c.carrier.reportPanic(c.id, value)
+	return &bodyReader{held: o.body.Bytes(), rest: prefetcher.NewReader(prefetcher.Config{
+		Body: o.response.Body, Memory: c.responseMemory(), Finish: o.finish, Interrupt: o.connection.Interrupt,
+		ReportPanic: func(value any) error { return c.carrier.reportPanic(c.id, value) },
 	})}
 }
 
 // bodyReader reads the buffered part of a body, then the rest from the server.
 type bodyReader struct {
 	held []byte
-	rest *readAhead
+	rest *prefetcher.Reader
 }
 
 // Read implements io.Reader.
@@ -318,4 +320,4 @@
 
 // close ends an attempt whose response was not read to its end, for example because
 // the caller has disconnected.
-func (r *bodyReader) close() { r.rest.close() }
+func (r *bodyReader) close() { r.rest.Close() }
--- a/connector/conn.go
+++ b/connector/conn.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 
 	verbenastand "github.com/verbenastand/verbenastand"
+	"github.com/verbenastand/verbenastand/internal/bounder"
 )
 
 // serverConn is a connection to a server. It remembers whether a refusal without a request
@@ -21,12 +22,23 @@
 	// lost is set once the server has closed or reset the connection, and stalled once it
 	// has timed out.
 	lost, stalled atomic.Bool
+	// current is the last use.
+	current atomic.Pointer[use]
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It charges the headers of responses before they are parsed.
 func (c *serverConn) Read(p []byte) (int, error) {
+	if u := c.current.Load(); u != nil && u.denied.Load() {
+		return 0, ErrNoMemory
+	}
 	n, err := c.Conn.Read(p)
 	c.observe(err)
+	if u := c.current.Load(); n > 0 && u != nil && !u.head.charge(p[:n]) {
+		u.denied.Store(true)
+		// The transport sends some requests again if it gets an error instead of the first
+		// byte of a response.
+		return 1, nil
+	}
 	return n, err
 }
 
@@ -67,16 +79,26 @@
 type use struct {
 	conn   *serverConn
 	number int64
+	// head is used by the reader of the connection only.
+	head head
+	// denied is set once there was no memory for the header of the response.
+	denied atomic.Bool
 }
 
-func newUse(conn net.Conn) *use {
+// newUse starts the use of a connection. The memory for the header of the response comes from a
+// source; if that is nil, it is not charged.
+func newUse(conn net.Conn, memory bounder.Source) *use {
 	c, ok := conn.(*serverConn)
 	if !ok {
 		return nil
 	}
-	return &use{conn: c, number: c.requests.Add(1)}
+	u := &use{conn: c, number: c.requests.Add(1), head: head{memory: bounder.NewHead(memory)}}
+	c.current.Store(u)
+	return u
 }
 
+func (u *use) noMemory() bool { return u != nil && u.denied.Load() }
+
 // classify joins ErrConnectionLost to err if the server has closed the connection, and
 // ErrMalformedResponse if the connection was still open. A deadline and a caller that has
 // left are neither.
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -14,6 +14,7 @@
 	"time"
 
 	verbenastand "github.com/verbenastand/verbenastand"
+	"github.com/verbenastand/verbenastand/internal/bounder"
 )
 
 const (
@@ -79,13 +80,14 @@
 func (emptyBody) Close() error             { return nil }
 
 // RoundTrip sends r to the server. The verdict of an error is NotRun only if no
-// connection was obtained, so that no byte of the request was written.
+// connection was obtained, so that no byte of the request was written. The header of the
+// response takes memory from the source that the context of r carries, which its user returns.
 func (c *Connector) RoundTrip(server verbenastand.Server, r *http.Request) (*http.Response, error) {
 	var connected, reused atomic.Bool
 	var used atomic.Pointer[use]
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		connected.Store(true)
-		used.Store(newUse(info.Conn))
+		used.Store(newUse(info.Conn, bounder.FromContext(r.Context())))
 		reused.Store(info.Reused)
 	}}
 	out := r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
@@ -108,6 +110,11 @@
 	if err == nil {
 		err = used.Load().checkStatus(response)
 	}
+	if err != nil && used.Load().noMemory() {
+		// The server has responded.
+		c.config.OnResult(server, !reused.Load(), nil)
+		return nil, verbenastand.NewRequestError(verbenastand.MayHaveRun, verbenastand.ReasonServerFailed, ErrNoMemory)
+	}
 	if !errors.Is(r.Context().Err(), context.Canceled) {
 		c.config.OnResult(server, !reused.Load(), err)
 	}
--- a/dispatcher/delegate.go
+++ b/dispatcher/delegate.go
@@ -11,6 +11,7 @@
 
 	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/deduplicator"
+	"github.com/verbenastand/verbenastand/internal/bounder"
 )
 
 const (
@@ -150,7 +151,9 @@
 		d.writeError(w, req.service, err)
 		return
 	}
-	prefix, err := io.ReadAll(io.LimitReader(response.Body, deduplicator.MaxStoredBody+1))
+	body, err := bounder.ReadBuffer(bounder.BufferConfig{
+		Reader: response.Body, Length: req.responseLength(response), Limit: deduplicator.MaxStoredBody + 1, Budget: req.budget(),
+	})
 	if err != nil {
 		_ = response.Body.Close()
 		err = verbenastand.NewRequestError(verbenastand.MayHaveRun, verbenastand.ReasonServerFailed, err)
@@ -158,7 +161,8 @@
 		d.writeError(w, req.service, err)
 		return
 	}
-	complete := len(prefix) <= deduplicator.MaxStoredBody
+	prefix := body.Bytes()
+	complete := body.Complete() && len(prefix) <= deduplicator.MaxStoredBody
 	header := make(http.Header, len(response.Header))
 	copyHeader(header, response.Header)
 	finish(deduplicator.NewResponse(response.StatusCode, header, prefix[:min(len(prefix), deduplicator.MaxStoredBody)], complete))
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -45,8 +45,8 @@
 	Tracer trace.Tracer
 	// MaxBody is the maximum size of a request body in bytes.
 	MaxBody int64
-	// Memory returns what provides the memory for the body of a request, given its context;
-	// nil, or if it returns nil, the memory isn't bounded.
+	// Memory returns what provides the memory for the body of a request and its response, given
+	// its context; nil, or if it returns nil, the memory isn't bounded.
 	Memory func(context.Context) bounder.Source
 	// StallTimeout is how long a caller may take to send a small body or to
 	// accept one write of a response body.
@@ -154,14 +154,17 @@
 		d.writeError(w, serviceOf(r), err)
 		return
 	}
-	returnMemory, ok := d.takeMemory(r.Context(), req)
+	account, ok := d.openAccount(r.Context(), req)
 	if !ok {
 		d.RefuseForMemory(w, r)
 		return
 	}
-	defer returnMemory()
 	ctx, span := d.startSpan(r, "call")
 	defer span.End()
+	if account != nil {
+		defer account.Close()
+		req.memory, ctx = account, bounder.NewContext(ctx, account)
+	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(d.config.StallTimeout))
 	if err := req.readBody(); err != nil {
 		if r.ProtoMajor == 1 {
--- a/dispatcher/execute.go
+++ b/dispatcher/execute.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel"
@@ -17,14 +17,13 @@
 	"github.com/verbenastand/verbenastand/connector"
 	"github.com/verbenastand/verbenastand/estimator"
 	"github.com/verbenastand/verbenastand/excluder"
+	"github.com/verbenastand/verbenastand/internal/bounder"
 	"github.com/verbenastand/verbenastand/limiter"
 	"github.com/verbenastand/verbenastand/reporter"
 	"github.com/verbenastand/verbenastand/retrier"
 	"github.com/verbenastand/verbenastand/scheduler"
 )
 
-const streamBufferSize = 32 << 10
-
 // execute sends the request to servers until an attempt succeeds or no further
 // retry is allowed.
 func (d *Dispatcher) execute(ctx context.Context, req *proxiedRequest) (*serverResponse, error) {
@@ -48,7 +47,7 @@
 			return resp, req.combineVerdicts(err)
 		}
 		if resp != nil {
-			resp.close()
+			resp.discard()
 		}
 		tried = append(tried, grant)
 	}
@@ -211,9 +210,14 @@
 	report     scheduler.Report
 	result     estimator.Result
 
-	prefix   []byte
-	complete bool
-	closed   bool
+	// prefix is the part of the body in memory, which body holds. buffered is set once it has
+	// been read, and complete if it is the whole body.
+	prefix             []byte
+	body               bounder.Buffer
+	buffered, complete bool
+	closed             bool
+	// interrupted is set once the rest of the body is not needed.
+	interrupted atomic.Bool
 	// first is set for the first attempt of a request. took is the time until the part of
 	// the response that is buffered had been read, zero before.
 	first bool
@@ -222,25 +226,34 @@
 	stop context.CancelFunc
 }
 
-// buffer reads the body up to a limit and closes the response if that is the whole
-// body. The rest of a longer body is streamed later. A body that the server
+// buffer reads the body up to a limit, as far as there is memory, and closes the response if
+// that is the whole body. The rest of a longer body is streamed later. A body that the server
 // truncated is an error.
 func (resp *serverResponse) buffer(limit int64) error {
-	if resp.prefix != nil {
+	if resp.buffered {
 		return nil
 	}
-	prefix, err := io.ReadAll(io.LimitReader(resp.response.Body, limit+1))
+	var err error
+	resp.body, err = bounder.ReadBuffer(bounder.BufferConfig{
+		Reader: resp.response.Body, Length: resp.request.responseLength(resp.response), Limit: limit + 1, Budget: resp.request.budget(),
+	})
 	if err != nil {
 		return resp.closeWithError(resp.response.Request.Context(), err)
 	}
-	resp.prefix = prefix
-	if int64(len(prefix)) <= limit {
+	resp.buffered, resp.prefix = true, resp.body.Bytes()
+	if resp.body.Complete() && int64(len(resp.prefix)) <= limit {
 		resp.complete = true
 		resp.close()
 	}
 	return nil
 }
 
+// discard closes a response that is not delivered.
+func (resp *serverResponse) discard() {
+	resp.close()
+	resp.body.Release()
+}
+
 // closeWithError closes the response after a connection error and returns the
 // error with its verdict.
 func (resp *serverResponse) closeWithError(ctx context.Context, err error) error {
--- a/dispatcher/forward.go
+++ b/dispatcher/forward.go
@@ -8,6 +8,7 @@
 	"time"
 
 	verbenastand "github.com/verbenastand/verbenastand"
+	"github.com/verbenastand/verbenastand/internal/prefetcher"
 )
 
 // misdirected reports whether the request should be forwarded to a home host. A
@@ -132,6 +133,10 @@
 func (d *Dispatcher) forwardTo(peer verbenastand.Host, out *http.Request) (*http.Response, error) {
 	response, err := d.config.Peers.Forward(peer, out)
 	d.config.Meter.Forwarded(err == nil)
+	if err == nil && !chargeHeader(out.Context(), response.Header) {
+		_ = response.Body.Close()
+		return nil, verbenastand.NewRequestError(verbenastand.MayHaveRun, verbenastand.ReasonServerFailed, errNoMemory)
+	}
 	return response, err
 }
 
@@ -141,7 +146,10 @@
 	copyHeader(w.Header(), response.Header)
 	announceTrailers(w, response)
 	w.WriteHeader(response.StatusCode)
-	if err := d.stream(w, response.Body, response.ContentLength < 0); err != nil {
+	body := d.readAhead(req, prefetcher.Config{
+		Body: response.Body, Finish: func(error) {}, Interrupt: func() { _ = response.Body.Close() },
+	})
+	if err := d.stream(w, nil, body, response.ContentLength < 0); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	copyTrailers(w, response)
@@ -149,29 +157,3 @@
 		d.recordResponse(req)
 	}
 }
-
-// stream copies a body with constant memory. It flushes after each read if the
-// length of the body is unknown, because such bodies may be produced slowly. The
-// connection of a caller that takes too long to accept a write is closed.
-func (d *Dispatcher) stream(w http.ResponseWriter, body io.Reader, flush bool) error {
-	controller := http.NewResponseController(w)
-	buffer := make([]byte, streamBufferSize)
-	for {
-		n, err := body.Read(buffer)
-		if n > 0 {
-			_ = controller.SetWriteDeadline(time.Now().Add(d.config.StallTimeout))
-			if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
-				return writeErr
-			}
-		}
-		if n > 0 && flush {
-			_ = controller.Flush()
-		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
--- a/dispatcher/header.go
+++ b/dispatcher/header.go
@@ -16,8 +16,15 @@
 
 // copyHeader copies the end-to-end fields of a message.
 func copyHeader(to, from http.Header) {
+	count := 0
+	for _, values := range from {
+		count += len(values)
+	}
+	copies := make([]string, 0, count)
 	for name, values := range from {
-		to[name] = append([]string(nil), values...)
+		start := len(copies)
+		copies = append(copies, values...)
+		to[name] = copies[start:len(copies):len(copies)]
 	}
 	for _, list := range from["Connection"] {
 		for name := range strings.SplitSeq(list, ",") {
--- a/dispatcher/hedge.go
+++ b/dispatcher/hedge.go
@@ -209,7 +209,7 @@
 		return
 	}
 	if !h.winLease() {
-		resp.close()
+		resp.discard()
 		pair.Ended(hedger.Second, h.elapsed(grant))
 		return
 	}
@@ -243,7 +243,7 @@
 		return resp, nil
 	}
 	if resp != nil {
-		resp.close()
+		resp.discard()
 	}
 	if hedgeStarted {
 		h.pair.Load().Ended(hedger.First, h.elapsed(h.first))
--- a/dispatcher/memory.go
+++ b/dispatcher/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -28,24 +29,62 @@
 	d.writeError(w, serviceOf(r), refusal.WithRetryAfter(noMemoryRetryAfter))
 }
 
-// takeMemory takes memory for the body of a request, which is buffered up to a limit, and
-// reports whether there is enough. release returns it.
-func (d *Dispatcher) takeMemory(ctx context.Context, req *proxiedRequest) (release func(), ok bool) {
-	none := func() {}
-	size := req.bufferedSize()
-	var memory bounder.Source
-	if d.config.Memory != nil && size > 0 {
-		memory = d.config.Memory(ctx)
+// openAccount opens the account of a request and takes memory for its body: what is buffered, or
+// the buffer through which it is sent. It reports whether there is enough. The account is nil if
+// memory isn't bounded.
+func (d *Dispatcher) openAccount(ctx context.Context, req *proxiedRequest) (account *bounder.Account, ok bool) {
+	if d.config.Memory == nil {
+		return nil, true
 	}
+	memory := d.config.Memory(ctx)
 	if memory == nil {
-		return none, true
+		return nil, true
 	}
-	// Reading a body of unknown length doubles its buffer.
-	if req.request.ContentLength < 0 {
+	size := req.bufferedSize()
+	switch {
+	case size > 0 && req.request.ContentLength < 0:
+		// Reading a body of unknown length doubles its buffer.
 		size *= 2
+	case size == 0 && req.hasBody():
+		size = streamBufferSize
 	}
-	if !memory.Take(size) {
-		return none, false
+	account = bounder.NewAccount(memory)
+	if !account.Take(size) {
+		account.Close()
+		return nil, false
+	}
+	return account, true
+}
+
+// budget returns what provides the memory for the response to a request.
+func (req *proxiedRequest) budget() bounder.Source {
+	if req.memory == nil {
+		return unbounded
+	}
+	return req.memory
+}
+
+// unbounded is a source that is never exhausted.
+var unbounded bounder.Source = bounder.Sources(nil)
+
+// responseLength returns the length of the body of a response, negative if it is unknown.
+func (req *proxiedRequest) responseLength(r *http.Response) int64 {
+	if req.request.Method == http.MethodHead {
+		return 0
+	}
+	return r.ContentLength
+}
+
+// errNoMemory means that there was no memory for the header of a response of another host.
+var errNoMemory = errors.New("dispatcher: no memory for the header of the response")
+
+// chargeHeader charges the header of a response that was parsed, and reports whether there is
+// memory for it. The account of the request returns it.
+func chargeHeader(ctx context.Context, h http.Header) bool {
+	source := bounder.FromContext(ctx)
+	if source == nil {
+		return true
 	}
-	return func() { memory.Return(size) }, true
+	head := bounder.NewHead(source)
+	return head.ChargeCost(bounder.HeaderCost(h))
 }
--- a/dispatcher/memory_test.go
+++ b/dispatcher/memory_test.go
@@ -26,8 +26,9 @@
 	require.PanicsWithValue(t, http.ErrAbortHandler, func() { d.RefuseForMemory(httptest.NewRecorder(), r) })
 }
 
-// Guards against bodies that are buffered without memory for them, memory that is not returned,
-// and a refusal of requests whose bodies are streamed.
+// Guards against bodies that are buffered or streamed without memory for them, memory that is not
+// returned, and a refusal of requests whose bodies are streamed while there is memory for a
+// buffer.
 func TestBodiesAreChargedWhileTheyAreBuffered(t *testing.T) {
 	cases := []struct {
 		name     string
@@ -40,8 +41,9 @@
 		{"no body", 0, false, 0, false, 0},
 		{"fits", 1000, false, 1000, false, 1000},
 		{"does not fit", 1000, false, 999, true, 0},
-		{"streamed", 1 << 20, false, 0, false, 0},
-		{"streamed, of unknown length", 1000, true, 0, false, 0},
+		{"streamed", 1 << 20, false, 32 << 10, false, 32 << 10},
+		{"streamed, of unknown length", 1000, true, 32 << 10, false, 32 << 10},
+		{"streamed, no memory for its buffer", 1 << 20, false, 32<<10 - 1, true, 0},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
--- a/dispatcher/request.go
+++ b/dispatcher/request.go
@@ -18,6 +18,7 @@
 	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/classifier"
 	"github.com/verbenastand/verbenastand/deduplicator"
+	"github.com/verbenastand/verbenastand/internal/bounder"
 	"github.com/verbenastand/verbenastand/quarantiner"
 	"github.com/verbenastand/verbenastand/registrar"
 )
@@ -47,6 +48,8 @@
 	deadline  time.Time
 	body      []byte
 	buffered  bool
+	// memory provides the memory for the response, nil if it isn't bounded.
+	memory bounder.Source
 	// keyFingerprint detects an idempotency key that is reused for another request.
 	keyFingerprint uint64
 	// crashFingerprint identifies equal requests of a caller in crash evidence.
--- a/dispatcher/write.go
+++ b/dispatcher/write.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"io"
@@ -123,8 +122,7 @@
 		_, err := w.Write(resp.prefix)
 		return ignoreBodyNotAllowed(err)
 	}
-	body := io.MultiReader(bytes.NewReader(resp.prefix), &serverBodyReader{serverResponse: resp})
-	return resp.dispatcher.stream(w, body, resp.response.ContentLength < 0)
+	return resp.dispatcher.stream(w, resp.prefix, resp.readAhead(), resp.response.ContentLength < 0)
 }
 
 func ignoreBodyNotAllowed(err error) error {
@@ -141,7 +139,7 @@
 func (s *serverBodyReader) Read(p []byte) (int, error) {
 	resp := s.serverResponse
 	n, err := resp.response.Body.Read(p)
-	if err == nil || errors.Is(err, io.EOF) {
+	if err == nil || errors.Is(err, io.EOF) || resp.interrupted.Load() {
 		return n, err
 	}
 	resp.result = estimator.Abandoned
--- a/sender/memory_test.go
+++ b/internal/bounder/head_test.go
@@ -1,12 +1,10 @@
-package sender
+package bounder
 
 import (
 	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
-
-	"github.com/verbenastand/verbenastand/internal/bounder"
 )
 
 // Guards against response headers that take memory which nobody counts, ordinary responses that
@@ -16,26 +14,26 @@
 		name   string
 		lines  int
 		memory int64
-		err    error
+		ok     bool
 	}{
-		{"ordinary, no memory", 30, 0, nil},
-		{"many lines", 5000, 4 << 20, nil},
-		{"many lines, too little memory", 5000, 100 << 10, ErrNoMemory},
+		{"ordinary, no memory", 30, 0, true},
+		{"many lines", 5000, 4 << 20, true},
+		{"many lines, too little memory", 5000, 100 << 10, false},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			budget := bounder.NewBudget(tc.memory)
-			m := headMemory{source: budget}
-			var err error
+			budget := NewBudget(tc.memory)
+			h := NewHead(budget)
+			ok := true
 			for part := range strings.SplitAfterSeq(strings.Repeat("a: b\r\n", tc.lines), "\n") {
-				if err = m.charge([]byte(part)); err != nil {
+				if ok = h.Charge([]byte(part)); !ok {
 					break
 				}
 			}
-			require.ErrorIs(t, err, tc.err)
-			require.Equal(t, max(0, m.charged), tc.memory-budget.Left())
-			m.release()
-			m.release()
+			require.Equal(t, tc.ok, ok)
+			require.Equal(t, max(0, h.charged), tc.memory-budget.Left())
+			h.Release()
+			h.Release()
 			require.Equal(t, tc.memory, budget.Left())
 		})
 	}
--- a/sender/connection.go
+++ b/sender/connection.go
@@ -64,7 +64,7 @@
 	ID string
 	// Memory provides the memory for the header of the response; nil if it isn't bounded.
 	Memory bounder.Source
-	memory headMemory
+	memory bounder.Head
 }
 
 // Response is the response of a server. Its body must be read to the end, or the
@@ -79,13 +79,13 @@
 	NotRun bool
 	// Signed is set if the response has a signature.
 	Signed bool
-	memory *headMemory
+	memory *bounder.Head
 }
 
 // Release returns the memory of the header. It may be called more than once.
 func (r *Response) Release() {
 	if r.memory != nil {
-		r.memory.release()
+		r.memory.Release()
 	}
 }
 
--- a/sender/exchange.go
+++ b/sender/exchange.go
@@ -25,10 +25,10 @@
 		release()
 		return nil, mayHaveRun(verbenastand.ReasonServerFailed, classifyError(ctx, err, err))
 	}
-	r.memory.source = r.Memory
+	r.memory = bounder.NewHead(r.Memory)
 	response, err := c.readResponse(ctx, r)
 	if err != nil {
-		r.memory.release()
+		r.memory.Release()
 		release()
 		return nil, err
 	}
@@ -138,7 +138,7 @@
 	skippable := int64(maxSkippedBytes)
 	for {
 		c.limit.Allow(maxHeaderBytes)
-		c.limit.Charge(r.memory.charge)
+		c.limit.Charge(r.charge)
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		c.limit.Charge(nil)
 		if err != nil {
