Delegate requests of an evacuated zone to hosts that share the limits

Cause: the limits of a server are shared among the hosts of its zone. A host in an evacuated zone has no share elsewhere, and refused the requests of its callers where all servers have limits or are cold, for as long as they use it.

Change: such a host delegates its callers' requests to a host of a zone that is not evacuated, by the existing delegation. Limits, shares and messages are as before; hosts without an evacuated zone behave as before. Delegates in evacuated zones are the last ones. verbenastand route shows the step.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -64,6 +64,8 @@
 type Balancer struct {
 	config   Config
 	services atomic.Pointer[map[verbenastand.ServiceName]*Service]
+	// zoneEvacuated is set while this host's zone is evacuated.
+	zoneEvacuated atomic.Bool
 	// previous is the view that was applied before.
 	previous *verbenastand.View
 }
@@ -93,6 +95,7 @@
 // Update applies a view. It must not be called concurrently. The state of a server
 // process is kept as long as it is registered and not draining.
 func (b *Balancer) Update(v *verbenastand.View) {
+	b.zoneEvacuated.Store(v.Evacuated(b.config.Zone))
 	old := *b.services.Load()
 	services := make(map[verbenastand.ServiceName]*Service, len(old))
 	add := func(n verbenastand.ServiceName) {
--- a/balancer/cold_test.go
+++ b/balancer/cold_test.go
@@ -193,3 +193,43 @@
 	s.findCapacity(h.query())
 	require.Zero(t, s.Waiting())
 }
+
+// Guards against requests that are delegated although this host may send them, and against a host of
+// an evacuated zone that refuses requests which others could send to cold servers.
+func TestAHostOfAnEvacuatedZoneWithoutShares(t *testing.T) {
+	cold := registration("cold", func(c *verbenastand.RegistrationConfig) { c.Zone, c.Warmup = "there", 3*time.Second })
+	warm := registration("warm", func(c *verbenastand.RegistrationConfig) { c.Zone = "there" })
+	local := registration("local", func(c *verbenastand.RegistrationConfig) { c.Zone = "here" })
+	cases := []struct {
+		name      string
+		rate      verbenastand.RequestRate
+		servers   []verbenastand.Registration
+		evacuated []verbenastand.Zone
+		want      bool
+	}{
+		{"a cold server elsewhere", 4.3, []verbenastand.Registration{cold, local}, []verbenastand.Zone{"here"}, true},
+		{"no evacuation", 4.3, []verbenastand.Registration{cold}, nil, false},
+		{"another zone is evacuated", 4.3, []verbenastand.Registration{cold, local}, []verbenastand.Zone{"there"}, false},
+		{"a warm server", 4.3, []verbenastand.Registration{cold, warm}, []verbenastand.Zone{"here"}, false},
+		{"no limits", 0, []verbenastand.Registration{cold}, []verbenastand.Zone{"here"}, false},
+		{"all zones", 4.3, []verbenastand.Registration{cold, local}, []verbenastand.Zone{"here", "there"}, false},
+		{"no servers", 4.3, nil, []verbenastand.Zone{"here"}, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newColdHarness("here", tc.rate, tc.servers...)
+			evacuated := make(map[verbenastand.Zone]bool)
+			for _, z := range tc.evacuated {
+				evacuated[z] = true
+			}
+			view := verbenastand.NewView(verbenastand.ViewConfig{
+				Servers: map[verbenastand.ServiceName][]verbenastand.Registration{"s": tc.servers}, Evacuated: evacuated,
+			})
+			h.warmup.Update(view)
+			h.balancer.Update(view)
+			require.Equal(t, tc.want, h.balancer.Service("s").Unshared())
+			h.clock.Advance(4 * time.Second)
+			require.False(t, h.balancer.Service("s").Unshared(), "the servers are warm")
+		})
+	}
+}
--- a/balancer/evacuate.go
+++ b/balancer/evacuate.go
@@ -78,6 +78,21 @@
 // evacuated.
 func (s *Service) Evacuated() bool { return len(s.Servers()) > 0 && len(s.usable()) == 0 }
 
+// Unshared reports whether this host is in an evacuated zone and has no share of the limits of
+// the servers elsewhere, which all have limits: hosts of the servers' zones share them.
+func (s *Service) Unshared() bool {
+	if !s.balancer.zoneEvacuated.Load() {
+		return false
+	}
+	for _, server := range s.usable() {
+		share, limited := s.balancer.config.Limiter.Share(server.Registration().Process())
+		if !limited || share > 0 {
+			return false
+		}
+	}
+	return len(s.usable()) > 0
+}
+
 // usable returns the servers whose zones are not evacuated.
 func (s *Service) usable() []*Server { return *s.usableServers.Load() }
 
--- a/carrier/delegate.go
+++ b/carrier/delegate.go
@@ -72,15 +72,23 @@
 // cut reports whether no server of the service responds to this host.
 func (c *call) cut() bool { return c.carrier.config.Reachability.Cut(c.serviceName) }
 
-// mayDelegate reports whether another host may send the request to a server: this host
-// can connect to none, received the request from its caller, and has not just learnt that
-// the others reach none either.
+// mayDelegate reports whether another host may send the request to a server, since this host
+// can connect to none.
 func (c *call) mayDelegate(ctx context.Context) bool {
+	return c.hasDelegates() && c.carrier.config.Reachability.Unreached(ctx, c.serviceName)
+}
+
+// hasDelegates reports whether other hosts may send the request: this host received it from its
+// caller, and has not just learnt that the others reach no server either.
+func (c *call) hasDelegates() bool {
 	return c.carrier.config.Delegator != nil && c.request.Origin() == nil && !c.evacuated() &&
-		!c.carrier.unserved.includes(c.serviceName, c.carrier.config.Clock.Now()) &&
-		c.carrier.config.Reachability.Unreached(ctx, c.serviceName)
+		!c.carrier.unserved.includes(c.serviceName, c.carrier.config.Clock.Now())
 }
 
+// unshared reports whether this host may send the request to no server since its zone is evacuated
+// and the hosts of other zones share the limits of their servers.
+func (c *call) unshared() bool { return c.service != nil && c.service.Unshared() }
+
 // chooseService returns the service for the request: the next one of the route's split,
 // unless another host has drawn it. Hosts that send the route with a delegated request
 // choose the service themselves.
--- a/carrier/explain.go
+++ b/carrier/explain.go
@@ -70,7 +70,8 @@
 	d.Timeout = shorter(route.Timeout(), q.Timeout)
 	d.Target = min(cmp.Or(route.Target(), d.Timeout), d.Timeout)
 	service := c.config.Balancer.Service(d.Service)
-	if c.config.Reachability.Cut(d.Service) && c.config.Delegator != nil {
+	unshared := service != nil && service.Unshared()
+	if c.config.Delegator != nil && (unshared || c.config.Reachability.Cut(d.Service)) {
 		d.Step = DelegatedStep
 		return d
 	}
--- a/carrier/load_test.go
+++ b/carrier/load_test.go
@@ -52,6 +52,9 @@
 	// seed changes arrivals and servers.
 	seed   uint64
 	length time.Duration
+	// limit is the number of requests per second that each server names as its limit, none if
+	// it is zero.
+	limit float64
 	// bulkShare is the fraction of the requests that are less urgent and take bulkWork.
 	bulkShare float64
 	bulkWork  time.Duration
@@ -188,7 +191,11 @@
 	m.ran.Add(1)
 	load := m.report()
 	m.finish()
-	_, _ = io.WriteString(conn, okResponse(r, "body", "X-Load: "+load))
+	fields := []string{"X-Load: " + load}
+	if m.config.limit > 0 {
+		fields = append(fields, fmt.Sprint("X-Limit: ", m.config.limit))
+	}
+	_, _ = io.WriteString(conn, okResponse(r, "body", fields...))
 }
 
 // model runs a load pattern.
--- a/carrier/run.go
+++ b/carrier/run.go
@@ -89,7 +89,8 @@
 	}
 }
 
-// begin sends the request to the first server, or delegates it if this host reaches none.
+// begin sends the request to the first server, or delegates it if this host reaches none or has
+// no share of their limits.
 // A delegated request is counted by the host that sends it.
 func (r *runner) begin() error {
 	if r.evacuated() {
@@ -101,6 +102,9 @@
 		}
 		return r.noServer(errCut)
 	}
+	if r.unshared() && r.hasDelegates() && r.delegate() {
+		return nil
+	}
 	if r.sent == 0 {
 		r.budget.RecordRequest()
 	}
--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -26,6 +26,9 @@
 type Config struct {
 	Self       verbenastand.Host
 	Membership interface{ Hosts() []verbenastand.Host }
+	// Evacuated reports whether the servers of an availability zone get no requests; nil if
+	// that is never so.
+	Evacuated func(verbenastand.Zone) bool
 	// Tunnel opens a connection to the acceptor of a host on behalf of a caller.
 	Tunnel func(ctx context.Context, host verbenastand.Host, origin verbenastand.Origin) (net.Conn, error)
 }
@@ -42,6 +45,9 @@
 
 // NewDelegator returns a delegator.
 func NewDelegator(c Config) *Delegator {
+	if c.Evacuated == nil {
+		c.Evacuated = func(verbenastand.Zone) bool { return false }
+	}
 	return &Delegator{config: c, inFlight: make(map[verbenastand.HostID]int)}
 }
 
@@ -57,6 +63,7 @@
 	if len(untried) == 0 {
 		return verbenastand.Host{}, ErrNoDelegate
 	}
+	untried = d.preferred(untried)
 	rand.Shuffle(len(untried), func(i, j int) { untried[i], untried[j] = untried[j], untried[i] })
 	selected := untried[0]
 	if len(untried) > 1 && d.inFlight[untried[1].ID()] < d.inFlight[selected.ID()] {
@@ -66,6 +73,16 @@
 	return selected, nil
 }
 
+// preferred returns the hosts whose zones are not evacuated, or all if there are none: the others
+// have no shares of servers' limits, and are far from all servers.
+func (d *Delegator) preferred(hosts []verbenastand.Host) []verbenastand.Host {
+	preferred := slices.DeleteFunc(slices.Clone(hosts), func(h verbenastand.Host) bool { return d.config.Evacuated(h.Zone()) })
+	if len(preferred) == 0 {
+		return hosts
+	}
+	return preferred
+}
+
 // delegatesLocked returns the hosts that reach servers, selected again only when the
 // membership has changed.
 func (d *Delegator) delegatesLocked() []verbenastand.Host {
--- a/delegator/delegator_test.go
+++ b/delegator/delegator_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -70,3 +72,39 @@
 	}
 	require.Empty(t, d.inFlight)
 }
+
+// Guards against requests that are delegated to hosts of evacuated zones, which are far from all servers
+// and have no share of their limits, and against having no delegate if there are no others.
+func TestHostsOfEvacuatedZonesAreTheLastDelegates(t *testing.T) {
+	inZone := func(id string, zone verbenastand.Zone) verbenastand.Host {
+		return newHost(id, func(c *verbenastand.HostConfig) { c.Zone = zone })
+	}
+	self := inZone("self", "a")
+	cases := []struct {
+		name      string
+		evacuated []verbenastand.Zone
+		want      []verbenastand.HostID
+	}{
+		{"none", nil, []verbenastand.HostID{"a1", "b1", "c1"}},
+		{"one zone", []verbenastand.Zone{"a"}, []verbenastand.HostID{"b1", "c1"}},
+		{"two zones", []verbenastand.Zone{"a", "c"}, []verbenastand.HostID{"b1"}},
+		{"all zones", []verbenastand.Zone{"a", "b", "c"}, []verbenastand.HostID{"a1", "b1", "c1"}},
+		{"unknown zones", []verbenastand.Zone{"", "x"}, []verbenastand.HostID{"a1", "b1", "c1"}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			d := NewDelegator(Config{
+				Self: self, Membership: &fakeMembership{[]verbenastand.Host{self, inZone("a1", "a"), inZone("b1", "b"), inZone("c1", "c")}},
+				Evacuated: func(z verbenastand.Zone) bool { return slices.Contains(tc.evacuated, z) },
+			})
+			selected := make(map[verbenastand.HostID]bool)
+			for range 100 {
+				h, err := d.Select(nil)
+				require.NoError(t, err)
+				selected[h.ID()] = true
+				d.Release(h)
+			}
+			require.ElementsMatch(t, tc.want, slices.Collect(maps.Keys(selected)))
+		})
+	}
+}
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -227,7 +227,7 @@
 		Observer:        g.recorder,
 		RegistrationAge: g.follower.Staleness, RegistrationTime: g.registrationTime(),
 		Self: g.self.ID(), Reachability: g.reach.detector, Delegator: delegator.NewDelegator(delegator.Config{
-			Self: g.self, Membership: g.gossiper, Tunnel: g.forwarder.Tunnel,
+			Self: g.self, Membership: g.gossiper, Evacuated: g.evacuated, Tunnel: g.forwarder.Tunnel,
 		}),
 		Tracer: g.requestTracer, OnCrashSuspected: g.onCrashSuspected, OnConnectionLost: g.onConnectionLost, MaxConcurrent: s.MaxConcurrent, ResponseMemory: g.responseMemory(),
 		NewBudget: func(verbenastand.ServiceName) *retrier.WindowBudget {
@@ -243,7 +243,7 @@
 	})
 	g.resolver = resolver.NewResolver(resolver.Config{
 		Membership: g.gossiper, Self: g.self, Serving: g.ready, Validity: s.AnswerValidity,
-		Evacuated: func(z verbenastand.Zone) bool { return g.follower.View().Evacuated(z) },
+		Evacuated: g.evacuated,
 		Silent:    func() map[verbenastand.HostID]bool { return g.gossiper.Silent(lookupSilence) },
 	})
 }
@@ -252,6 +252,9 @@
 // renews its registration several times in the lifetime of one.
 func (g *Gateway) registrationTime() time.Duration { return g.config.Settings.RegistrationLifetime / 2 }
 
+// evacuated reports whether the servers of an availability zone get no requests.
+func (g *Gateway) evacuated(z verbenastand.Zone) bool { return g.follower.View().Evacuated(z) }
+
 // hostCount returns the largest number of hosts seen so far. It returns zero during
 // the discovery period, while hosts that started together find each other.
 func (g *Gateway) hostCount() int {
