Count lingering connections, and close the longest for others

Cause: at an entry host a connection that lingers after its last response (10 s at most) returned its memory and its place when the server closed it, so that callers that leave responses unread could hold any number of descriptors. At a gateway it counted, but could not be closed for others: new connections were rejected instead, also if an idle connection was closed whose last response was less than 0.5 s ago, since that lingered too.

Change: a closer.Lingerer reports when it doesn't linger any more. Until then the admitter keeps its place and its memory. On both kinds of host lingering connections are closed for others in one order with idle ones, the longest first, and a connection closed for others doesn't linger.

--- a/acceptor/closing.go
+++ b/acceptor/closing.go
@@ -48,19 +48,24 @@
 
 // linger closes the connection in a way that lets the caller read the last response. A
 // connection that was idle is closed at once, so that a request that arrives meanwhile stays
-// unread.
+// unread, and so is one that makes room for others: the system still delivers what was written
+// unless the caller sends more.
 func (c *connection) linger() {
 	defer func() { _ = c.conn.Close() }()
 	c.mu.Lock()
 	recent := c.responded && time.Since(c.idleSince) < lingerTimeout
+	evicted := c.evicted
 	c.mu.Unlock()
-	if !recent && closer.Undelivered(c.conn) == 0 {
+	if evicted || (!recent && closer.Undelivered(c.conn) == 0) {
 		return
 	}
 	config := closer.Config{Timeout: lingerTimeout, Bytes: lingerBytes, Delivery: c.acceptor.config.StallTimeout}
 	if c.bodyUnread {
 		config.Timeout, config.Bytes = lingerBodyTimeout, c.acceptor.config.Limits().BodyBytes
 	}
+	c.mu.Lock()
+	c.lingeringSince = time.Now()
+	c.mu.Unlock()
 	closer.Linger(c.conn, config)
 }
 
--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -64,6 +64,10 @@
 	pending int
 	// idleSince is when the last response was written.
 	idleSince time.Time
+	// lingeringSince is when the connection began to linger, zero if it doesn't. evicted is set
+	// if it was closed for others, and must not linger.
+	lingeringSince time.Time
+	evicted        bool
 	// responded is set once a response was written.
 	responded bool
 	// closing is set once no further request is accepted on the connection.
--- a/acceptor/linger_test.go
+++ b/acceptor/linger_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -69,3 +71,71 @@
 		})
 	}
 }
+
+// halfClosable is a connection whose write side can be closed.
+type halfClosable struct{ addressedConn }
+
+func (halfClosable) CloseWrite() error { return nil }
+
+// Guards against connections that linger and can't be closed for others: callers that never read
+// their last response would keep a host from accepting connections.
+func TestTheLongestLingeringConnectionIsClosedFirst(t *testing.T) {
+	const delay = 50 * time.Millisecond
+	cases := []struct {
+		name string
+		// lingering is set for the connections that linger, in the order in which they begin
+		// to; the others are idle from then on.
+		lingering []bool
+		closed    int
+	}{
+		{"all linger", []bool{true, true, true}, 0},
+		{"the longest is idle", []bool{false, true, true}, 0},
+		{"the longest lingers", []bool{true, false, false}, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				a := NewAcceptor(Config{MaxConnections: len(tc.lingering), Handler: HandlerFunc(echoPath), Limits: memoryLimits})
+				var conns []net.Conn
+				for i, lingers := range tc.lingering {
+					near, far := net.Pipe()
+					a.start(halfClosable{addressedConn{far, fmt.Sprintf("10.0.0.%d:1", i)}})
+					header := ""
+					if lingers {
+						header = "Connection: close\r\n"
+					}
+					_, err := io.WriteString(near, "GET /a HTTP/1.1\r\nHost: a\r\n"+header+"\r\n")
+					require.NoError(t, err)
+					response, err := http.ReadResponse(bufio.NewReader(near), nil)
+					require.NoError(t, err)
+					require.Equal(t, http.StatusOK, response.StatusCode)
+					conns = append(conns, near)
+					time.Sleep(delay)
+				}
+				require.Equal(t, len(tc.lingering), a.Connections(), "lingering connections count")
+				another := connectFrom(a, "10.0.0.9")
+				synctest.Wait()
+				require.Equal(t, len(tc.lingering), a.Connections())
+				require.EqualValues(t, 1, a.Closed())
+				for i, conn := range conns {
+					_ = conn.SetReadDeadline(time.Now().Add(time.Millisecond))
+					_, err := conn.Read(make([]byte, 1))
+					if i == tc.closed {
+						require.ErrorIs(t, err, io.EOF)
+					} else {
+						require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+					}
+				}
+				_, err := io.WriteString(another, get("/a"))
+				require.NoError(t, err)
+				response, err := http.ReadResponse(bufio.NewReader(another), nil)
+				require.NoError(t, err)
+				require.Equal(t, http.StatusOK, response.StatusCode)
+				for _, conn := range append(conns, another) {
+					_ = conn.Close()
+				}
+				a.Close()
+			})
+		})
+	}
+}
--- a/acceptor/memory.go
+++ b/acceptor/memory.go
@@ -210,8 +210,8 @@
 	closedShare = 64
 )
 
-// closeIdle closes those connections that have been idle longest, of one account unless that
-// is empty, and reports whether there were any.
+// closeIdle closes those connections that have been idle or lingering longest, of one account
+// unless that is empty, and reports whether there were any.
 func (a *Acceptor) closeIdle(account string) bool {
 	type candidate struct {
 		connection *connection
@@ -224,7 +224,10 @@
 			continue
 		}
 		c.mu.Lock()
-		if c.pending == 0 && !c.receiving && !c.closing {
+		switch {
+		case !c.lingeringSince.IsZero():
+			idle = append(idle, candidate{c, c.lingeringSince})
+		case c.pending == 0 && !c.receiving && !c.closing:
 			idle = append(idle, candidate{c, c.idleSince})
 		}
 		c.mu.Unlock()
@@ -239,12 +242,20 @@
 
 // closeUnlessPending closes a connection of which no request is pending. A request whose header is
 // being read is not taken; one whose body is arriving keeps its connection, since it gets a response.
+// A connection that lingers doesn't any more: others wait for its place.
 func (c *connection) closeUnlessPending() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.lingeringSince.IsZero() {
+		c.lingeringSince = time.Time{}
+		_ = c.conn.Close()
+		c.acceptor.idleClosed.Add(1)
+		return
+	}
 	if c.pending > 0 || c.receiving || c.closing {
 		return
 	}
+	c.evicted = true
 	c.closeLocked()
 	c.acceptor.idleClosed.Add(1)
 }
--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -128,8 +128,10 @@
 	switch state {
 	case http.StateIdle:
 		c.setIdle()
-	case http.StateClosed, http.StateHijacked:
+	case http.StateHijacked:
 		c.end()
+	case http.StateClosed:
+		_ = c.Close()
 	}
 }
 
@@ -173,8 +175,8 @@
 	return len(a.conns)
 }
 
-// closeIdle closes those connections that have been idle longest, of one account unless that
-// is empty, and reports whether there were any.
+// closeIdle closes those connections that have been idle or lingering longest, of one account
+// unless that is empty, and reports whether there were any.
 func (a *Admitter) closeIdle(account string) bool {
 	type candidate struct {
 		conn  *conn
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -103,6 +103,19 @@
 	require.Equal(t, http.StatusOK, code)
 }
 
+// idleConns returns the number of connections that may be closed for others.
+func idleConns(a *Admitter) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	count := 0
+	for c := range a.conns {
+		if _, ok := c.idle(); ok {
+			count++
+		}
+	}
+	return count
+}
+
 // Guards against connections without a request that take the place of others, and against
 // closing those with one.
 func TestIdleConnectionsAreClosedForOthers(t *testing.T) {
@@ -118,6 +131,8 @@
 		if i > 0 {
 			code := status(t, conn)
 			require.Equal(t, http.StatusOK, code)
+			// The server notes the end of a response only after the client has received it.
+			require.Eventually(t, func() bool { return idleConns(a) == i }, 10*time.Second, time.Millisecond)
 		}
 		conns = append(conns, conn)
 	}
--- a/internal/admitter/conn.go
+++ b/internal/admitter/conn.go
@@ -44,10 +44,13 @@
 	// body is set from the start of a request to its end: what is read then is no header.
 	// http2 is set if the connection carries frames.
 	body, http2, closed bool
+	// lingers is set while the connection may linger, since it was closed at lingeringSince.
+	lingers        bool
+	lingeringSince time.Time
 	// charged is the memory taken for the header that is being read, credit the part of it
 	// for what has not arrived yet.
 	charged, credit int64
-	ended           sync.Once
+	stopped, ended  sync.Once
 }
 
 func newConn(a *Admitter, nc net.Conn) *conn {
@@ -81,10 +84,20 @@
 	return errors.ErrUnsupported
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. A connection that lingers counts until it doesn't any more.
 func (c *conn) Close() error {
-	c.end()
-	return c.Conn.Close()
+	c.halt()
+	lingerer, ok := c.Conn.(closer.Lingerer)
+	if !ok {
+		c.end()
+		return c.Conn.Close()
+	}
+	c.mu.Lock()
+	if c.lingeringSince.IsZero() {
+		c.lingers, c.lingeringSince = true, time.Now()
+	}
+	c.mu.Unlock()
+	return lingerer.CloseThen(c.end)
 }
 
 // charge charges a part of a header, and reports whether there is memory for it. The first part
@@ -167,10 +180,14 @@
 	c.idleSince = time.Now()
 }
 
-// idle returns since when no request has been handled, unless one is.
+// idle returns since when no request has been handled, unless one is, or since when a closed
+// connection lingers.
 func (c *conn) idle() (since time.Time, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.lingers {
+		return c.lingeringSince, true
+	}
 	return c.idleSince, !c.busyLocked() && !c.closed
 }
 
@@ -178,28 +195,41 @@
 func (c *conn) busyLocked() bool { return c.requests > 0 || c.body }
 
 // closeUnlessBusy closes the connection unless a request is being handled. One that is being
-// read is not handled.
+// read is not handled. The connection doesn't linger, or not any more: others wait for its place.
 func (c *conn) closeUnlessBusy() bool {
 	c.mu.Lock()
+	lingered := c.lingers
 	busy := c.busyLocked() || c.closed
-	c.closed = c.closed || !busy
+	c.closed, c.lingers = c.closed || !busy, false
 	c.mu.Unlock()
-	if !busy {
-		_ = c.Close()
+	if busy && !lingered {
+		return false
+	}
+	_ = c.Close()
+	if lingerer, ok := c.Conn.(closer.Lingerer); ok {
+		lingerer.Abort()
 	}
-	return !busy
+	return true
 }
 
-// end returns the memory of the connection.
-func (c *conn) end() {
-	c.ended.Do(func() {
+// halt wakes what waits for memory, and returns that of a header that is not complete.
+func (c *conn) halt() {
+	c.stopped.Do(func() {
 		close(c.stop)
 		c.mu.Lock()
 		c.closed = true
 		charged := c.charged
 		c.charged = 0
 		c.mu.Unlock()
-		c.share.Return(charged + connectionMemory)
+		c.share.Return(charged)
+	})
+}
+
+// end returns the memory of the connection.
+func (c *conn) end() {
+	c.halt()
+	c.ended.Do(func() {
+		c.share.Return(connectionMemory)
 		c.share.Close()
 		c.admitter.mu.Lock()
 		delete(c.admitter.conns, c)
--- a/internal/closer/listener.go
+++ b/internal/closer/listener.go
@@ -9,6 +9,15 @@
 	"time"
 )
 
+// Lingerer is a connection that lingers when it is closed.
+type Lingerer interface {
+	// CloseThen closes the connection, and calls ended once it does not linger any more. It
+	// returns at once, with an error if the connection was closed before.
+	CloseThen(ended func()) error
+	// Abort ends lingering.
+	Abort()
+}
+
 // Listener accepts connections that linger in the background when they are closed, for
 // servers that close them at once.
 type Listener struct {
@@ -98,16 +107,21 @@
 }
 
 // Close implements net.Conn. It returns at once.
-func (c *lingeringConn) Close() error {
+func (c *lingeringConn) Close() error { return c.CloseThen(func() {}) }
+
+// CloseThen implements Lingerer.
+func (c *lingeringConn) CloseThen(ended func()) error {
 	if !c.markClosed() {
 		return net.ErrClosed
 	}
 	if Undelivered(c.TCPConn) == 0 {
+		defer ended()
 		return c.TCPConn.Close()
 	}
 	c.listener.lingering.Add(1)
 	go func() {
 		defer c.listener.lingering.Add(-1)
+		defer ended()
 		defer func() { _ = c.TCPConn.Close() }()
 		// The server may be waiting for a request.
 		_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0))
@@ -117,3 +131,6 @@
 	}()
 	return nil
 }
+
+// Abort implements Lingerer.
+func (c *lingeringConn) Abort() { _ = c.TCPConn.Close() }
--- a/internal/closer/listener_test.go
+++ b/internal/closer/listener_test.go
@@ -85,3 +85,56 @@
 		}
 	}
 }
+
+// Guards against a server that counts a connection as closed while it lingers, and against one
+// that lingers on although it is aborted.
+func TestTheEndOfLingeringIsReported(t *testing.T) {
+	cases := []struct {
+		name    string
+		written int
+		abort   bool
+	}{
+		{"nothing is undelivered", 0, false},
+		{"the caller reads", 64 << 10, false},
+		{"aborted", 64 << 10, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			tcp, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			l := NewListener(tcp.(*net.TCPListener), Config{Bytes: 1 << 20, Delivery: time.Minute})
+			defer func() { _ = l.Close() }()
+			caller, err := net.Dial("tcp", l.Addr().String())
+			require.NoError(t, err)
+			defer func() { _ = caller.Close() }()
+			conn, err := l.Accept()
+			require.NoError(t, err)
+			_ = conn.SetWriteDeadline(time.Now().Add(200 * time.Millisecond))
+			for err == nil && tc.written > 0 {
+				_, err = conn.Write(make([]byte, tc.written))
+			}
+			ended := make(chan struct{})
+			lingerer := conn.(Lingerer)
+			require.NoError(t, lingerer.CloseThen(func() { close(ended) }))
+			require.ErrorIs(t, lingerer.CloseThen(func() { t.Error("reported twice") }), net.ErrClosed)
+			if tc.written > 0 {
+				select {
+				case <-ended:
+					t.Fatal("reported while the connection lingers")
+				case <-time.After(100 * time.Millisecond):
+				}
+			}
+			if tc.abort {
+				lingerer.Abort()
+			} else {
+				go func() { _, _ = io.Copy(io.Discard, caller) }()
+			}
+			select {
+			case <-ended:
+			case <-time.After(10 * time.Second):
+				t.Fatal("the end is not reported")
+			}
+		})
+	}
+}
