Serve once enough of the first list of the store is known

Cause: a gateway that starts was ready only after all pages of the store. Change: List hands over its pages as they arrive. A host serves once it knows the route table, all evacuations and 4 servers of each service in its zone; it publishes no view before, has no position and sends its parts to no peer. The first list goes on meanwhile. Readiness, lookups and delegated requests follow the same condition.

--- a/follower/batch.go
+++ b/follower/batch.go
@@ -130,13 +130,9 @@
 		f.objectsChangedLocked()
 	}
 	f.revision = max(f.revision, b.revision)
+	serviceable := f.becomesServiceableLocked()
 	f.mu.Unlock()
-	for _, e := range events {
-		f.config.OnEvent(e)
-	}
-	if changed {
-		f.publish()
-	}
+	f.finish(changed, serviceable, events)
 	return true
 }
 
@@ -185,6 +181,10 @@
 	defer f.mu.Unlock()
 	after := position.Revision
 	b := batch{era: f.era, after: after, revision: f.revision, confirmedAt: f.confirmedAt, retained: f.retainedLocked()}
+	if f.revision == 0 {
+		// Parts of a list are not all objects.
+		return b
+	}
 	if position.Era != f.era || !f.contiguousLocked(after) {
 		b.full, b.after = true, 0
 	}
--- a/follower/fake_fleet_test.go
+++ b/follower/fake_fleet_test.go
@@ -92,7 +92,7 @@
 	host  verbenastand.HostID
 }
 
-func (sc storeClient) List(context.Context, bool) (verbenastand.Snapshot, error) {
+func (sc storeClient) List(context.Context, bool, func(verbenastand.Part)) (verbenastand.Snapshot, error) {
 	s := sc.store
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -77,6 +77,11 @@
 	// provisional is set while the objects come only from a list that may be of an
 	// earlier era.
 	provisional bool
+	// routingKnown is set if the parts of a list that is not complete contain the route table
+	// and all evacuations.
+	routingKnown bool
+	// published is set once views are published: not before enough is known.
+	published bool
 	// entering is set while the first batch of an era is applied.
 	entering bool
 	// newest is the newest position that this host or a peer has seen.
@@ -93,6 +98,12 @@
 	generation uint64
 	encodings  map[encodingKey]*encodedChanges
 
+	// serviceable is closed once enough is known to serve requests and the view shows it. firstList is closed when the
+	// first list has ended; nil if there is none.
+	serviceable      chan struct{}
+	closeServiceable sync.Once
+	firstList        chan struct{}
+
 	publishMu sync.Mutex
 	// largeSends is a semaphore that bounds the large batches sent concurrently.
 	largeSends chan struct{}
@@ -103,7 +114,7 @@
 	if c.OnEvent == nil {
 		c.OnEvent = func(Event) {}
 	}
-	f := &Follower{config: c, startedAt: c.Clock.Now(), objects: make(map[string]*object), held: make(map[string]*object), evacuations: newEvacuations(), encodings: make(map[encodingKey]*encodedChanges), largeSends: make(chan struct{}, fanOut)}
+	f := &Follower{config: c, startedAt: c.Clock.Now(), objects: make(map[string]*object), held: make(map[string]*object), evacuations: newEvacuations(), encodings: make(map[encodingKey]*encodedChanges), largeSends: make(chan struct{}, fanOut), serviceable: make(chan struct{})}
 	f.view.Store(verbenastand.NewView(verbenastand.ViewConfig{}))
 	return f
 }
@@ -211,13 +222,22 @@
 	f.publishMu.Lock()
 	defer f.publishMu.Unlock()
 	v := f.build()
+	if v == nil {
+		return
+	}
 	f.view.Store(v)
 	f.config.OnView(v)
 }
 
+// build returns the view of the current state, nil while too little is known to serve requests: a
+// request must not be sent by a table without the evacuations.
 func (f *Follower) build() *verbenastand.View {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.published = f.published || f.revision != 0 || f.servesByPartsLocked()
+	if !f.published {
+		return nil
+	}
 	servers := make(map[verbenastand.ServiceName][]verbenastand.Registration)
 	evacuated := make(map[verbenastand.Zone]bool)
 	for _, o := range f.objects {
--- a/follower/read.go
+++ b/follower/read.go
@@ -91,6 +91,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	var backoff time.Duration
 	reading := false
+	f.awaitFirstList(ctx)
 	for ctx.Err() == nil {
 		shouldRead := f.shouldRead()
 		if shouldRead != reading {
@@ -142,47 +143,6 @@
 	return "readingPeers"
 }
 
-// Bootstrap requests the state from the store and from the peers in parallel. It
-// returns once a route table is known, all requests have ended, or ctx ends. The peers
-// may know more than the store, so their responses are used also after that.
-func (f *Follower) Bootstrap(ctx context.Context, peers []verbenastand.Host) {
-	listCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	finished := make(chan struct{}, len(peers)+1)
-	for _, p := range peers {
-		go func() {
-			f.pull(context.WithoutCancel(ctx), p)
-			finished <- struct{}{}
-		}()
-	}
-	go func() {
-		f.listOnce(listCtx)
-		finished <- struct{}{}
-	}()
-	for range len(peers) + 1 {
-		select {
-		case <-finished:
-		case <-ctx.Done():
-			return
-		}
-		if f.HasRouteTable() {
-			return
-		}
-	}
-}
-
-// listOnce lists all objects. It retries until a call succeeds or ctx ends.
-func (f *Follower) listOnce(ctx context.Context) {
-	for ctx.Err() == nil {
-		_, err := f.list(ctx, true)
-		if err == nil {
-			return
-		}
-		f.config.OnEvent(Event{Name: "storeCallFailed", Staleness: f.Staleness(), Err: err})
-		sleep(ctx, minBackoff)
-	}
-}
-
 // read lists all objects if none are known, and otherwise watches for changes. It
 // relays the result.
 func (f *Follower) read(ctx context.Context) (changed bool, err error) {
@@ -333,7 +293,7 @@
 	defer cancel()
 	started := f.config.Clock.Now()
 	f.countCall()
-	snapshot, err := f.config.Store.List(ctx, stale)
+	snapshot, err := f.config.Store.List(ctx, stale, f.applyPart)
 	if err != nil {
 		return false, err
 	}
--- a/launcher/evacuate_test.go
+++ b/launcher/evacuate_test.go
@@ -17,7 +17,7 @@
 type fixedStore []verbenastand.Change
 
 // List implements verbenastand.ConfigurationStore.
-func (s fixedStore) List(context.Context, bool) (verbenastand.Snapshot, error) {
+func (s fixedStore) List(context.Context, bool, func(verbenastand.Part)) (verbenastand.Snapshot, error) {
 	return verbenastand.Snapshot{Changes: s, Position: verbenastand.Position{Revision: 9}}, nil
 }
 
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -334,7 +334,7 @@
 }
 
 // ready reports whether callers may be directed to this host.
-func (g *Gateway) ready() bool { return g.follower.HasRouteTable() && !g.leaving.Load() }
+func (g *Gateway) ready() bool { return g.follower.Serviceable() && !g.leaving.Load() }
 
 func (g *Gateway) registerMetrics() {
 	g.meter.Gauge("connections", "Open connections of callers.", func() float64 { return float64(g.acceptor.Connections()) })
--- a/launcher/gateway_run.go
+++ b/launcher/gateway_run.go
@@ -162,8 +162,9 @@
 		}
 	}
 	g.follower.Bootstrap(ctx, peers)
+	position := g.follower.Position()
 	g.log.WithFields(log.Fields{
-		"known": g.follower.HasRouteTable(), "era": uint64(g.follower.Position().Era), "revision": uint64(g.follower.Position().Revision),
+		"known": g.follower.HasRouteTable(), "complete": position.Revision != 0, "era": uint64(position.Era), "revision": uint64(position.Revision),
 	}).Info("ready")
 }
 
--- a/store.go
+++ b/store.go
@@ -56,6 +56,16 @@
 	Position Position
 }
 
+// Part is a part of a list of all objects, which a host may use before it has the rest.
+type Part struct {
+	Changes []Change
+	// First is set for the first part of a list.
+	First bool
+	// Routing is set if the route table and all evacuations are in this part or an earlier one of
+	// the list, as far as they exist.
+	Routing bool
+}
+
 // Errors of a ConfigurationStore.
 var (
 	// ErrHistoryGone means that the store has discarded the requested changes.
@@ -68,8 +78,9 @@
 // registrations. Access to it is read-only.
 type ConfigurationStore interface {
 	// List returns all objects. If stale is set, the list is cheaper for the store
-	// and may be seconds old, also from an earlier era than it says.
-	List(ctx context.Context, stale bool) (Snapshot, error)
+	// and may be seconds old, also from an earlier era than it says. onPart is called with
+	// each part of the list that arrives before the last one, in order; it may be nil.
+	List(ctx context.Context, stale bool, onPart func(Part)) (Snapshot, error)
 	// NewestPosition returns the newest state. It is cheap for the store, and the
 	// result may be seconds old.
 	NewestPosition(ctx context.Context) (Position, error)
