Bound the bytes of large request bodies in flight to a server

Cause: a server crashes if the requests that it holds exceed its memory. Many hosts find the same server idle at the same moment and each stream a large body to it; nothing bounded the sum.

Change: all hosts together have at most the largest body of the route table for each slot of a server in flight to it. limiter.Bodies divides that among the hosts of the server's zone by rendezvous hashing, without messages; balancer.Server counts what this host has in flight, and starts no further large body while one is in flight to a slow server. Bodies up to a sixteenth of the largest one, or 256 kB, do not count and are served as before. Requests with large bodies wait for room in the queue, without delaying others, or are refused at once where this host has no share for their size.

TestAHostStreamsOneLargeBodyToASlowServer fails without the rule for slow servers, TestLargeBodiesStayInTheShare without the bound.

--- a/balancer/admit.go
+++ b/balancer/admit.go
@@ -29,7 +29,9 @@
 	w := &waiter{query: q, arrived: s.clock.Now(), granted: make(chan grant, 1)}
 	if s.isNext(w) {
 		choice, err := s.Choose(ctx, q)
-		excluded := errors.Is(err, ErrLimited) || errors.Is(err, ErrPaused)
+		s.recordShortage(q, err)
+		w.blocked = errors.Is(err, ErrBodyLimited)
+		excluded := errors.Is(err, ErrLimited) || errors.Is(err, ErrPaused) || w.blocked
 		allowedSoon := excluded && s.clock.Now().Add(s.Wait()).Before(q.StartBy)
 		if !allowedSoon && (err != nil || s.take(w, choice)) {
 			return choice, err
@@ -105,7 +107,7 @@
 	}
 	q.waiters = append(q.waiters, w)
 	if len(q.waiters) > maxQueue {
-		last := q.line(s.workOf, now).entries[maxQueue].waiter
+		last := s.lastLocked(now)
 		s.refuseLocked(last, &NoCapacityError{Wait: q.backlog(last.class(now)).expected(len(q.waiters), s.assumedInterval(last))})
 	}
 	if !q.checking {
@@ -115,6 +117,18 @@
 	return nil
 }
 
+// lastLocked returns the waiting request that is to be sent last. Those that can't be sent now are
+// last of all.
+func (s *Service) lastLocked(now time.Time) *waiter {
+	for _, w := range slices.Backward(s.queue.waiters) {
+		if w.blocked {
+			return w
+		}
+	}
+	entries := s.queue.line(s.workOf, now).entries
+	return entries[len(entries)-1].waiter
+}
+
 // expectLocked returns a NoCapacityError if a request is not expected to be sent by the time
 // by which it has to be.
 func (s *Service) expectLocked(w *waiter, l *line, a allowance) error {
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -55,6 +55,11 @@
 	// Unreached reports whether no server of a service responds to this host; nil if that is
 	// not known.
 	Unreached func(verbenastand.ServiceName) bool
+	// BodyLimiter divides the bytes of large bodies in flight to a server among the hosts; nil if
+	// there are no others.
+	BodyLimiter verbenastand.BodyLimiter
+	// OnBodyShortage is called when a request waits for room for its large body, or is refused.
+	OnBodyShortage func(BodyShortage)
 	// OnServerChange is called when a server is added or removed; change is
 	// "joined" or "left". A server that starts draining is removed.
 	OnServerChange func(server verbenastand.Registration, change string)
@@ -66,6 +71,9 @@
 	services atomic.Pointer[map[verbenastand.ServiceName]*Service]
 	// previous is the view that was applied before.
 	previous *verbenastand.View
+	// largestBody is the size of the largest request body, zero while there is no route table.
+	largestBody atomic.Int64
+	bodies      bodyCounts
 }
 
 // NewBalancer returns a balancer without servers.
@@ -73,6 +81,12 @@
 	if c.OnServerChange == nil {
 		c.OnServerChange = func(verbenastand.Registration, string) {}
 	}
+	if c.OnBodyShortage == nil {
+		c.OnBodyShortage = func(BodyShortage) {}
+	}
+	if c.BodyLimiter == nil {
+		c.BodyLimiter = wholeBodies{}
+	}
 	if c.Unreached == nil {
 		c.Unreached = func(verbenastand.ServiceName) bool { return false }
 	}
@@ -107,6 +121,7 @@
 		services[n] = s
 	}
 	if t := v.Table(); t != nil {
+		b.largestBody.Store(t.Limits().BodyBytes)
 		for n := range t.Services() {
 			add(n)
 		}
@@ -128,6 +143,8 @@
 	servers  atomic.Pointer[[]*Server]
 	// usableServers are those whose zones are not evacuated.
 	usableServers atomic.Pointer[[]*Server]
+	// zones are the availability zones of usableServers, in order.
+	zones atomic.Pointer[[]verbenastand.Zone]
 	// missingReports counts consecutive checks that returned no load report.
 	missingReports atomic.Int64
 
--- a/balancer/candidate.go
+++ b/balancer/candidate.go
@@ -39,17 +39,16 @@
 // the error tells why.
 func (s *Service) candidates(q Query) (list []candidate, err error) {
 	now := s.clock.Now()
+	charge := s.balancer.bodyCharge(q)
 	list = make([]candidate, 0, len(s.usable()))
 	err = ErrNoServer
 	for _, server := range s.usable() {
 		if slices.Contains(q.Tried, server) {
 			continue
 		}
-		c, candidateErr := server.candidate(now)
+		c, candidateErr := server.candidate(charge, now)
 		if candidateErr != nil {
-			if errors.Is(candidateErr, ErrLimited) || errors.Is(candidateErr, ErrPaused) {
-				err = candidateErr
-			}
+			err = decisive(err, candidateErr)
 			continue
 		}
 		if q.avoids(server) {
@@ -163,8 +162,30 @@
 	return 1
 }
 
-// candidate returns an error if the server must not get a request.
-func (s *Server) candidate(now time.Time) (candidate, error) {
+// errorRank orders the errors of servers: a higher one decides what becomes of the request if there
+// is no candidate.
+func errorRank(err error) int {
+	switch {
+	case errors.Is(err, ErrLimited), errors.Is(err, ErrPaused):
+		return 3
+	case errors.Is(err, ErrBodyLimited):
+		return 2
+	case errors.Is(err, ErrNoBodyShare):
+		return 1
+	}
+	return 0
+}
+
+// decisive returns the error that decides: that of another server, unless the known one ranks higher.
+func decisive(known, other error) error {
+	if rank := errorRank(other); rank > 0 && rank >= errorRank(known) {
+		return other
+	}
+	return known
+}
+
+// candidate returns an error if the server must not get a request whose body counts charge bytes.
+func (s *Server) candidate(charge int64, now time.Time) (candidate, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.replaced {
@@ -182,6 +203,9 @@
 	if !s.limiter().Available(s.registration.Process()) {
 		return candidate{}, ErrLimited
 	}
+	if err := s.bodyRoomLocked(charge, now); err != nil {
+		return candidate{}, err
+	}
 	s.decayLocked(now)
 	c := candidate{server: s, tiebreak: rand.Uint64(), lastReport: s.reportedAt, crossZone: s.registration.Zone() != s.service.balancer.config.Zone}
 	c.refusing = now.Before(s.refusingUntil)
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -75,6 +75,8 @@
 	// availability zone that is expected to respond within this time then goes before
 	// any server elsewhere, even if it is not lightly loaded.
 	LocalWithin time.Duration
+	// BodyBytes is the size of the body, negative if it is unknown.
+	BodyBytes int64
 }
 
 // avoids reports whether a server is chosen only if there are no others.
@@ -112,6 +114,8 @@
 	// reserved is set if the request is already counted in Server.reserved, counted if
 	// it is counted against the limit that the server names.
 	reserved, counted bool
+	// bodyBytes is what the body of the request counts in Server.bodyBytes.
+	bodyBytes int64
 }
 
 // Choose returns the first lightly loaded server, starting with the local
@@ -127,6 +131,7 @@
 	}
 	limit := cmp.Or(q.CheckLimit, MaxChecks)
 	var best Choice
+	none := ErrNoServer
 	checks := 0
 	for _, c := range candidates {
 		if checks >= limit || ctx.Err() != nil {
@@ -143,7 +148,11 @@
 		if checked {
 			checks++
 		}
-		if !ok || !choice.count() {
+		if !ok {
+			continue
+		}
+		if !choice.count(q) {
+			none = decisive(none, c.server.bodyShortage(q))
 			continue
 		}
 		if choice.LightlyLoaded || (choice.Cold && choice.inTime(q, s.clock.Now())) {
@@ -159,7 +168,7 @@
 		choice.Release()
 	}
 	if best.Server == nil {
-		return Choice{}, ErrNoServer
+		return Choice{}, none
 	}
 	best.Checks = checks
 	return best, nil
@@ -175,7 +184,15 @@
 
 // count counts the request against the limit that the server names, and releases the
 // choice if there is no room or the server has just said that it wants no requests, or its zone is evacuated.
-func (c *Choice) count() bool {
+// A large body is counted against the bytes in flight.
+func (c *Choice) count(q Query) bool {
+	if charge := c.Server.service.balancer.bodyCharge(q); charge > 0 {
+		if !c.Server.takeBody(charge) {
+			c.Release()
+			return false
+		}
+		c.bodyBytes = charge
+	}
 	_, excluded := c.Server.exclusion()
 	c.counted = !excluded && !c.Server.Evacuated() && c.Server.limiter().Take(c.Server.Registration().Process())
 	if !c.counted {
@@ -295,7 +312,7 @@
 			best = choice
 		}
 	}
-	if !best.count() {
+	if !best.count(q) {
 		return Choice{}, ErrLimited
 	}
 	return best, nil
--- a/balancer/evacuate.go
+++ b/balancer/evacuate.go
@@ -86,6 +86,8 @@
 func (s *Service) storeServers(servers []*Server) {
 	usable := slices.DeleteFunc(slices.Clone(servers), (*Server).Evacuated)
 	s.usableServers.Store(&usable)
+	zones := zonesOf(usable)
+	s.zones.Store(&zones)
 	s.servers.Store(&servers)
 	if s.Evacuated() {
 		s.refuseExcluded(ErrNoServer)
--- a/balancer/explain.go
+++ b/balancer/explain.go
@@ -95,7 +95,7 @@
 		}
 		state := server.explain(q)
 		state.CrossZone = state.Server.Zone() != s.balancer.config.Zone
-		_, state.Excluded = server.candidate(now)
+		_, state.Excluded = server.candidate(s.balancer.bodyCharge(q), now)
 		exclusion, _ := server.exclusion()
 		state.Wait = max(exclusion.Wait, server.limiter().Wait(state.Server.Process()))
 		e.Candidates = append(e.Candidates, state)
@@ -150,6 +150,10 @@
 		return "limited"
 	case errors.Is(err, ErrPaused):
 		return "paused"
+	case errors.Is(err, ErrBodyLimited):
+		return "bodiesInFlight"
+	case errors.Is(err, ErrNoBodyShare):
+		return "noBodyShare"
 	case errors.Is(err, errLeaving):
 		return "leaving"
 	case errors.Is(err, errEvacuated):
--- a/balancer/grant.go
+++ b/balancer/grant.go
@@ -37,6 +37,7 @@
 func (s *Service) grantCapacity(server *Server, conn Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.blockLocked(server)
 	for {
 		now := s.clock.Now()
 		w := s.queue.first(now)
@@ -44,6 +45,10 @@
 			break
 		}
 		choice, ok := server.reserve(w.query, Choice.lightlyLoaded)
+		if !ok && !server.hasBodyRoom(s.balancer.bodyCharge(w.query)) {
+			w.blocked = true
+			continue
+		}
 		if !ok {
 			break
 		}
@@ -95,14 +100,22 @@
 	for {
 		s.refuseHopeless()
 		s.mu.Lock()
-		first := s.queue.first(s.clock.Now())
-		if first == nil {
+		s.refuseUnsharedLocked()
+		s.blockLocked(s.usable()...)
+		if len(s.queue.waiters) == 0 {
 			s.queue.checking = false
 			s.mu.Unlock()
 			return
 		}
+		first := s.queue.first(s.clock.Now())
+		var query Query
+		if first != nil {
+			query = s.withoutBodyLocked(first.query)
+		}
 		s.mu.Unlock()
-		s.findCapacity(first.query)
+		if first != nil {
+			s.findCapacity(query)
+		}
 		time.Sleep(checkInterval)
 	}
 }
@@ -184,7 +197,7 @@
 	if s.service.reportsNoLoad() {
 		choice, ok = s.estimateWithoutReport(s.service.Expected(q.Route)), true
 	}
-	if !ok || !accept(choice) || !choice.count() {
+	if !ok || !accept(choice) || !choice.count(q) {
 		return Choice{}, false
 	}
 	s.mu.Lock()
@@ -199,6 +212,9 @@
 	if c.Conn != nil {
 		c.Conn.Release()
 	}
+	if c.bodyBytes > 0 {
+		c.Server.returnBody(c.bodyBytes)
+	}
 	if c.counted {
 		c.Server.limiter().Refund(c.Server.Registration().Process())
 	}
--- a/balancer/line.go
+++ b/balancer/line.go
@@ -57,11 +57,14 @@
 	return lineEntry{waiter: w, class: class, startBy: w.startByIn(class), usage: q.usage.of(w.query.Caller, now)}
 }
 
-// line returns the order of the requests that wait, given the server time that each takes.
+// line returns the order of the requests that wait and can be sent, given the server time that each takes.
 func (q *queue) line(work func(*waiter) time.Duration, now time.Time) *line {
 	l := &line{now: now, queue: q, work: work, entries: make([]lineEntry, 0, len(q.waiters))}
 	order := make([]*lineEntry, 0, len(q.waiters))
 	for _, w := range q.waiters {
+		if w.blocked {
+			continue
+		}
 		e := q.entry(w, w.class(now), now)
 		order = append(order, &e)
 	}
--- a/balancer/queue.go
+++ b/balancer/queue.go
@@ -9,6 +9,9 @@
 type waiter struct {
 	query   Query
 	arrived time.Time
+	// blocked is set while no server has room for the body of the request. The others do not wait
+	// for it.
+	blocked bool
 	// granted receives the result.
 	granted chan grant
 }
@@ -95,12 +98,13 @@
 	return true
 }
 
-// first returns the request that is to be sent next, nil if none waits.
+// first returns the request that is to be sent next, nil if none waits that can be sent.
 func (q *queue) first(now time.Time) *waiter {
-	if len(q.waiters) == 0 {
+	i := slices.IndexFunc(q.waiters, func(w *waiter) bool { return !w.blocked })
+	if i < 0 {
 		return nil
 	}
-	return q.firstOf(q.waiters[0], now)
+	return q.firstOf(q.waiters[i], now)
 }
 
 // firstOf returns the request that is to be sent next if the given one waits, too. No other request
@@ -109,6 +113,9 @@
 	first := q.entry(w, w.class(now), now)
 	for _, other := range q.waiters {
 		class := other.class(now)
+		if other.blocked {
+			continue
+		}
 		if class.compare(first.class) > 0 {
 			continue
 		}
--- a/balancer/server.go
+++ b/balancer/server.go
@@ -83,6 +83,8 @@
 	// reserved counts requests that are about to be sent.
 	reserved int
 	inFlight map[*Attempt]struct{}
+	// bodyBytes counts the large bodies of requests that are in flight or about to be sent.
+	bodyBytes int64
 
 	failureRate       float64
 	latencyRatio      float64
@@ -190,6 +192,8 @@
 	// level is the server's concurrency including this request.
 	level    int
 	slowdown float64
+	// bodyBytes is what the body of the request counts in Server.bodyBytes.
+	bodyBytes int64
 }
 
 // Begin records that a request is sent to the chosen server.
@@ -203,7 +207,7 @@
 	}
 	a := &Attempt{
 		server: s, route: route, sentAt: now, expected: max(c.Estimate, 1),
-		level: s.report.Running + s.sentSinceReport + 1, slowdown: slowdownOf(s.report),
+		level: s.report.Running + s.sentSinceReport + 1, slowdown: slowdownOf(s.report), bodyBytes: c.bodyBytes,
 	}
 	s.sentSinceReport++
 	s.inFlight[a] = struct{}{}
@@ -219,6 +223,7 @@
 	s.mu.Lock()
 	delete(s.inFlight, a)
 	s.sentSinceReport--
+	s.addBodyLocked(-a.bodyBytes)
 	if report != nil {
 		s.setReportLocked(*report, now)
 	}
--- a/carrier/admit.go
+++ b/carrier/admit.go
@@ -41,7 +41,7 @@
 		return balancer.Choice{}, c.noServer(nil)
 	}
 	query := c.firstQuery()
-	query.Caller, query.Avoided = c.callerAddress(), c.avoided()
+	query.Caller, query.Avoided, query.BodyBytes = c.callerAddress(), c.avoided(), c.bodyBytes()
 	if c.largeBody() {
 		query.LocalWithin = c.targetTime.Add(-linkTime).Sub(c.carrier.config.Clock.Now())
 	}
@@ -88,6 +88,10 @@
 		return c.noServer(err)
 	case errors.Is(err, balancer.ErrLimited):
 		return overload.WithRetryAfter(c.retryAfter(c.service.Wait()))
+	case errors.Is(err, balancer.ErrBodyLimited):
+		return overload.WithRetryAfter(c.retryAfter(0))
+	case errors.Is(err, balancer.ErrNoBodyShare):
+		return overload.WithRetryAfter(elsewhereRetryAfter)
 	case errors.Is(err, balancer.ErrPaused):
 		return overload.WithRetryAfter(c.retryAfterPause())
 	case noCapacity != nil && c.beforeStop(c.deadline).Before(c.deadline):
@@ -134,6 +138,14 @@
 	return !c.request.Buffered() || len(c.request.Bytes()) > largeBodyBytes
 }
 
+// bodyBytes returns the size of the body, negative if it is unknown.
+func (c *call) bodyBytes() int64 {
+	if c.request.Buffered() {
+		return int64(len(c.request.Bytes()))
+	}
+	return c.request.ContentLength
+}
+
 func (c *call) noServer(cause error) error {
 	refusal := verbenastand.NewRequestError(verbenastand.NotRun, verbenastand.ReasonNoServer, cause)
 	return refusal.WithRetryAfter(c.retryAfter(noServerRetryAfter))
--- a/carrier/run.go
+++ b/carrier/run.go
@@ -234,7 +234,7 @@
 	if r.cut() {
 		return r.retryByDelegate()
 	}
-	choice, err := r.service.Choose(r.ctx, balancer.Query{Route: r.route, Tried: r.tried, Avoided: r.avoided()})
+	choice, err := r.service.Choose(r.ctx, balancer.Query{Route: r.route, Tried: r.tried, Avoided: r.avoided(), BodyBytes: r.bodyBytes()})
 	if errors.Is(err, balancer.ErrNoServer) && r.mayDelegate(r.ctx) {
 		return r.retryByDelegate()
 	}
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -98,6 +98,7 @@
 	quarantiner   *quarantiner.Quarantiner
 	limiter       *limiter.Limiter
 	warmup        *limiter.Warmup
+	bodies        *limiter.Bodies
 	excluder      *excluder.Excluder
 	follower      *follower.Follower
 	router        *router.Router
@@ -154,6 +155,7 @@
 		Clock: g.timer, Self: g.self.ID(), Hosts: g.warmupHosts, Overage: s.WarmupOverage, Slack: s.WarmupSlack,
 		OnChange: g.recorder.WarmupChanged,
 	})
+	g.bodies = g.buildBodies()
 	g.excluder = excluder.NewExcluder(excluder.Config{Clock: g.timer, OnChange: g.onExclusionChange})
 	g.buildGossip(certificates)
 	g.requestTracer, g.stopTracer, err = tracer.NewTracer(ctx, tracer.Config{Endpoint: s.TraceEndpoint, SampleRatio: s.TraceShare, Instance: instance})
@@ -214,8 +216,8 @@
 	}
 	g.balancer = balancer.NewBalancer(balancer.Config{
 		Clock: g.timer, Zone: g.self.Zone(), Limiter: limiter.Combined{g.limiter, g.warmup}, Excluder: g.excluder, OnServerChange: g.recorder.ServerChanged,
-		FairQueueing: s.FairQueueing,
-		Unreached:    g.reach.detector.Cut, HealthChecker: g.healthChecker,
+		FairQueueing: s.FairQueueing, BodyLimiter: g.bodies, OnBodyShortage: g.recorder.BodyLimited,
+		Unreached: g.reach.detector.Cut, HealthChecker: g.healthChecker,
 	})
 	g.carrier = carrier.NewCarrier(carrier.Config{
 		Clock: g.timer, Names: g.config.HeaderFormat.Names(), HeaderFormat: g.config.HeaderFormat, Router: g.router,
@@ -339,6 +341,7 @@
 func (g *Gateway) registerMetrics() {
 	g.meter.Gauge("connections", "Open connections of callers.", func() float64 { return float64(g.acceptor.Connections()) })
 	registerMemory(g.meter, g.memory, func() int64 { return g.acceptor.Closed() + g.portConnectionsClosed() })
+	g.registerBodies()
 	g.meter.Gauge("server_connections_idle", "Kept connections to servers.", func() float64 { return float64(g.sender.Idle()) })
 	g.meter.Gauge("requests_in_flight", "Requests on this host.", func() float64 { return float64(g.carrier.InFlight()) })
 	g.meter.Gauge("view_age_seconds", "Age of the proof that routes and servers are current.", func() float64 { return g.follower.Staleness().Seconds() })
--- a/launcher/gateway_run.go
+++ b/launcher/gateway_run.go
@@ -118,6 +118,7 @@
 		g.gossiper.ResetTimeouts()
 		g.follower.Invalidate()
 		g.limiter.Pause(gap)
+		g.bodies.Pause()
 		g.reach.detector.Forget()
 		if gap > longPause {
 			g.sender.CloseIdle()
--- a/ports.go
+++ b/ports.go
@@ -114,6 +114,26 @@
 // Remaining implements RateLimiter.
 func (Unlimited) Remaining(ServerProcess) time.Duration { return 0 }
 
+// BodyLimit describes the bound of the bytes of large request bodies that all hosts together have
+// in flight to a server.
+type BodyLimit struct {
+	Process ServerProcess
+	// Slots is the number of requests that the server runs concurrently.
+	Slots int
+	// Largest is the size of the largest request body that callers may send.
+	Largest int64
+	// Zones are the availability zones with servers of the service that are not evacuated, in
+	// order. The receiver may keep the slice.
+	Zones []Zone
+}
+
+// BodyLimiter divides the bounds of bytes of large request bodies among the hosts.
+type BodyLimiter interface {
+	// BodyShare returns the bytes that this host may have in flight to a server. It is unknown
+	// while the other hosts are.
+	BodyShare(l BodyLimit) (bytes int64, known bool)
+}
+
 // ConfigurationSource returns the configuration in effect.
 type ConfigurationSource interface {
 	Configuration() *Configuration
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -1,6 +1,7 @@
 package recorder
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -37,6 +38,7 @@
 	eventExclusion   = "serverExcluded"
 	eventMessage     = "messageRefused"
 	eventMemory      = "memoryExhausted"
+	eventBody        = "bodyLimited"
 	eventCut         = "connectionCut"
 	eventPanic       = "panic"
 	eventEvacuation  = "evacuation"
@@ -113,6 +115,13 @@
 	r.config.Log.WithFields(log.Fields{"caller": s.Caller, "heldBytes": s.Held, "leftBytes": s.Left}).Warn(eventMemory)
 }
 
+// BodyLimited logs that a request finds no room for its large body.
+func (r *Recorder) BodyLimited(s balancer.BodyShortage) {
+	r.config.Log.WithFields(log.Fields{
+		"service": string(s.Service), "bodyBytes": s.Bytes, "refused": errors.Is(s.Err, balancer.ErrNoBodyShare), "error": errorText(s.Err),
+	}).Info(eventBody)
+}
+
 // ConnectionCut implements acceptor.Observer.
 func (r *Recorder) ConnectionCut(c acceptor.Cut) {
 	r.config.Meter.RequestsCut(c.Reason.String(), c.Pending)
