--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -56,7 +56,7 @@
 	// not known.
 	Unreached func(verbenastand.ServiceName) bool
 	// BodyLimiter divides the bytes of large bodies in flight to a server among the hosts; nil if
-	// there are no others.
+	// they are not limited.
 	BodyLimiter verbenastand.BodyLimiter
 	// OnBodyShortage is called when a request waits for room for its large body, or is refused.
 	OnBodyShortage func(BodyShortage)
@@ -86,9 +86,6 @@
 	if c.OnBodyShortage == nil {
 		c.OnBodyShortage = func(BodyShortage) {}
 	}
-	if c.BodyLimiter == nil {
-		c.BodyLimiter = wholeBodies{}
-	}
 	if c.Unreached == nil {
 		c.Unreached = func(verbenastand.ServiceName) bool { return false }
 	}
--- a/balancer/body.go
+++ b/balancer/body.go
@@ -52,8 +52,11 @@
 func (b *Balancer) BodiesRefused() int64 { return b.bodies.refused.Load() }
 
 // bodyCharge returns the bytes that a body counts, zero if it is not large. A body of unknown
-// length counts as the largest one.
+// length counts as the largest one. Without a limiter, none counts.
 func (b *Balancer) bodyCharge(q Query) int64 {
+	if b.config.BodyLimiter == nil {
+		return 0
+	}
 	largest := b.largestBody.Load()
 	if q.BodyBytes == 0 || largest <= 0 {
 		return 0
@@ -68,11 +71,11 @@
 	return n
 }
 
-// wholeBodies is the BodyLimiter of a host without others.
-type wholeBodies struct{}
+// OwnBodies is the BodyLimiter of a host without others.
+type OwnBodies struct{}
 
 // BodyShare implements verbenastand.BodyLimiter.
-func (wholeBodies) BodyShare(l verbenastand.BodyLimit) (int64, bool) {
+func (OwnBodies) BodyShare(l verbenastand.BodyLimit) (int64, bool) {
 	return int64(l.Slots) * l.Largest, true
 }
 
--- a/balancer/body_test.go
+++ b/balancer/body_test.go
@@ -296,13 +296,29 @@
 			require.Equal(t, verbenastand.BodyLimit{
 				Process: server.Registration().Process(), Slots: tc.want, Largest: testLargest, Zones: []verbenastand.Zone{"here"},
 			}, *h.shares.last.Load())
-			share, known := wholeBodies{}.BodyShare(*h.shares.last.Load())
+			share, known := OwnBodies{}.BodyShare(*h.shares.last.Load())
 			require.True(t, known)
 			require.Positive(t, share)
 		})
 	}
 }
 
+// TestBodiesAreNotLimitedUnlessAskedFor guards against uploads that wait or are refused where the
+// settings do not limit them.
+func TestBodiesAreNotLimitedUnlessAskedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newBodyHarness(testLargest, registration("a", func(c *verbenastand.RegistrationConfig) { c.Slots = 4 }))
+		h.balancer.config.BodyLimiter = nil
+		for range 4 {
+			choice, err := h.service.Choose(t.Context(), bodyQuery(testLargest))
+			require.NoError(t, err)
+			choice.Begin("r")
+		}
+		require.Zero(t, h.balancer.BodyBytes())
+		require.Nil(t, h.shares.last.Load())
+	})
+}
+
 // TestBodiesAreReturned guards against bytes that stay counted after their request, whatever becomes of
 // it, and against a sum beyond the share.
 func TestBodiesAreReturned(t *testing.T) {
--- a/carrier/body_test.go
+++ b/carrier/body_test.go
@@ -78,7 +78,7 @@
 	var fleet []*harness
 	for _, host := range list {
 		h := newHarness(t, func(c *verbenastand.RouteConfig) { c.RetrySafety = verbenastand.AtMostOnce }, servers...)
-		config := balancer.Config{Clock: wallClock{}, Zone: "z", HealthChecker: h.checker, Limiter: h.limiter, Excluder: h.excluder}
+		config := balancer.Config{Clock: wallClock{}, Zone: "z", HealthChecker: h.checker, Limiter: h.limiter, Excluder: h.excluder, BodyLimiter: balancer.OwnBodies{}}
 		if shared {
 			config.BodyLimiter = limiter.NewBodies(limiter.BodiesConfig{
 				Clock: wallClock{}, Self: host.ID(), Hosts: func(verbenastand.ServerProcess) []verbenastand.Host { return list },
--- a/configurer/gateway.go
+++ b/configurer/gateway.go
@@ -40,6 +40,8 @@
 
 	FairQueueing bool `long:"fair-queueing" env:"VERBENASTAND_FAIR_QUEUEING" description:"Order waiting requests of equal urgency by what their callers were assigned recently, so that callers that return often get no larger share"`
 
+	LimitBodies bool `long:"limit-bodies" env:"VERBENASTAND_LIMIT_BODIES" description:"Limit the bytes of large request bodies that all hosts together have in flight to a server, to the largest body for each of its slots"`
+
 	MemoryMB       float64 `long:"memory-mb" env:"VERBENASTAND_MEMORY_MB" default:"0" description:"Memory of this host in MB, 0 if unknown"`
 	MaxDescriptors int     `long:"max-descriptors" env:"VERBENASTAND_MAX_DESCRIPTORS" default:"0" description:"Maximum number of file descriptors of the process, 0 if unknown"`
 
--- a/launcher/bodies.go
+++ b/launcher/bodies.go
@@ -12,6 +12,14 @@
 	return limiter.NewBodies(limiter.BodiesConfig{Clock: g.timer, Self: g.self.ID(), Hosts: g.bodyHosts})
 }
 
+// bodyLimiter returns the limiter of large bodies, nil unless the settings ask for it.
+func (g *Gateway) bodyLimiter() verbenastand.BodyLimiter {
+	if !g.config.Settings.LimitBodies {
+		return nil
+	}
+	return g.bodies
+}
+
 // bodyHosts returns the hosts that share the bytes of large bodies, none during the discovery
 // period. A host that joins later changes few shares, so the others do not wait for it to settle.
 func (g *Gateway) bodyHosts(verbenastand.ServerProcess) []verbenastand.Host {
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -219,7 +219,7 @@
 	}
 	g.balancer = balancer.NewBalancer(balancer.Config{
 		Clock: g.timer, Zone: g.self.Zone(), Limiter: limiter.Combined{g.limiter, g.warmup}, Excluder: g.excluder, OnServerChange: g.recorder.ServerChanged,
-		FairQueueing: s.FairQueueing, BodyLimiter: g.bodies, OnBodyShortage: g.recorder.BodyLimited,
+		FairQueueing: s.FairQueueing, BodyLimiter: g.bodyLimiter(), OnBodyShortage: g.recorder.BodyLimited,
 		Unreached: g.reach.detector.Cut, HealthChecker: g.healthChecker,
 	})
 	g.carrier = carrier.NewCarrier(carrier.Config{
