Test headers that arrive byte by byte on each port, and unread last responses

Cause: headers byte by byte on 900 connections, of which 512 descriptors allow about half, were tested on three ports and from four addresses only; nothing tested connections that linger.

Change: cases for the readiness, metrics and API ports, for 90 addresses with names that differ, one byte each 2 ms, and for 2,000 connections whose response of 256 KB is the last and stays unread. The cases that exist and the bounds are unchanged.

--- a/internal/saturator/crowd_test.go
+++ b/internal/saturator/crowd_test.go
@@ -149,7 +149,7 @@
 
 // services holds the service of the requests below a path. That of requests that are held is
 // another one, whose slots they may use up.
-var services = map[string]string{"read": "reads", "held": "held", "long": "held", "many": "held"}
+var services = map[string]string{"read": "reads", "held": "held", "long": "held", "many": "held", "last": "held"}
 
 // Guards against a gateway that runs out of memory for requests of legal size, whose headers
 // take up to 20 times their bytes: 1,600 of them are held in handlers.
@@ -217,7 +217,7 @@
 }
 
 // Guards against hosts that open more descriptors than they have, or more memory, for callers
-// that send nothing, or headers byte by byte.
+// that send nothing, or headers byte by byte, or leave their last response unread.
 func TestManyConnections(t *testing.T) {
 	cases := []struct {
 		name  string
@@ -233,6 +233,13 @@
 		{"idle, entry host", newEntryHost, -1, crowd{addresses: 4, connections: 900}},
 		{"byte by byte, entry host", newEntryHost, -1, crowd{addresses: 4, connections: 900, times: 1, message: request("/read/a", lines(headerBytes, sameName)), pace: 20 * time.Millisecond}},
 		{"idle, API port of an entry host", newEntryHost, 0, crowd{addresses: 4, connections: 900}},
+		{"byte by byte, readiness port", newGateway, 0, crowd{addresses: 4, connections: 900, times: 1, message: request("/read/a", lines(headerBytes, sameName)), pace: 20 * time.Millisecond}},
+		{"byte by byte, metrics port", newGateway, 2, crowd{addresses: 4, connections: 900, times: 1, message: request("/read/a", lines(headerBytes, sameName)), pace: 20 * time.Millisecond}},
+		{"byte by byte, API port of an entry host", newEntryHost, 0, crowd{addresses: 4, connections: 900, times: 1, message: request("/read/a", lines(headerBytes, sameName)), pace: 20 * time.Millisecond}},
+		{"byte by byte, from many addresses", newGateway, -1, crowd{addresses: 90, connections: 900, times: 1, message: request("/read/a", lines(headerBytes, differentNames())), pace: 2 * time.Millisecond}},
+		{"byte by byte, from many addresses, entry host", newEntryHost, -1, crowd{addresses: 90, connections: 900, times: 1, message: request("/read/a", lines(headerBytes, differentNames())), pace: 2 * time.Millisecond}},
+		{"lingering", newGateway, -1, crowd{addresses: 40, connections: 2000, times: 1, message: request("/last/a", "Connection: close\r\n"), unread: true}},
+		{"lingering, entry host", newEntryHost, -1, crowd{addresses: 40, connections: 2000, times: 1, message: request("/last/a", "Connection: close\r\n"), unread: true}},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -262,7 +269,7 @@
 }
 
 // respondUnusually writes the response of a server: one with very many header lines below
-// /many/, and a body of 2 MB below /long/.
+// /many/, a body of 2 MB below /long/, and one of 256 KB below /last/.
 func respondUnusually(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
 	case "/many/a":
@@ -271,5 +278,7 @@
 		}
 	case "/long/a":
 		_, _ = w.Write(make([]byte, 2<<20))
+	case "/last/a":
+		_, _ = w.Write(make([]byte, 256<<10))
 	}
 }
