Bound handshakes and requests on the peer port

Cause: a client without a certificate of the deployment could begin any number of QUIC handshakes, 71 KB each, from forged addresses too, and was passed to http3 before its certificate was verified. A host with a certificate could send 10,000 requests at the same time on each connection; their streams and headers were not charged.

Where memoryMb is known, an eighth of it bounds the streams of a connection, and is shared by the streams and headers of requests of other hosts; their messages have a share of their own. Refusals are logged (peerRefused) and counted (peer_handshakes, peer_refused_total).

--- a/launcher/event.go
+++ b/launcher/event.go
@@ -47,6 +47,7 @@
 }
 
 func (h *Host) registerMetrics() {
+	registerPeerPort(h.meter, h.peerServer)
 	registerMemory(h.meter, h.memory, func() int64 { return h.callAdmitter.Closed() + h.apiAdmitter.Closed() })
 	h.meter.Counter("invariant_failures_total", "Assertions that failed.", func() float64 { return float64(verifier.Failures()) })
 	h.meter.Counter("lines_left_out_total", "Log lines that were not written.", func() float64 { return float64(h.droppedLines()) })
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -187,7 +187,7 @@
 	})
 	g.peerServer = forwarder.NewServer(forwarder.ServerConfig{
 		Certifier: certificates, CloseIdle: true, Exchange: g.gossiper.HandleMessage, Relay: g.follower.HandleMessage,
-		Tunnel: g.serveDelegated,
+		Tunnel: g.serveDelegated, Memory: peerMemory(g.config.Settings.MemoryMB), OnRefusal: logPeerRefusal(g.log),
 	})
 }
 
@@ -338,6 +338,7 @@
 
 func (g *Gateway) registerMetrics() {
 	g.meter.Gauge("connections", "Open connections of callers.", func() float64 { return float64(g.acceptor.Connections()) })
+	registerPeerPort(g.meter, g.peerServer)
 	registerMemory(g.meter, g.memory, func() int64 { return g.acceptor.Closed() + g.portConnectionsClosed() })
 	g.meter.Gauge("server_connections_idle", "Kept connections to servers.", func() float64 { return float64(g.sender.Idle()) })
 	g.meter.Gauge("requests_in_flight", "Requests on this host.", func() float64 { return float64(g.carrier.InFlight()) })
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -242,6 +242,7 @@
 	h.peerServer = forwarder.NewServer(forwarder.ServerConfig{
 		Certifier: h.certifier, Exchange: h.gossiper.HandleMessage, Merger: h.merger,
 		Handover: h.importKeys, ForwardHandler: h.dispatcher.ForwardHandler(),
+		Memory: peerMemory(h.settings.MemoryMB), Refuse: h.dispatcher.RefuseForMemory, OnRefusal: logPeerRefusal(h.log),
 	})
 	return nil
 }
--- a/launcher/memory.go
+++ b/launcher/memory.go
@@ -6,6 +6,7 @@
 	"github.com/apex/log"
 
 	"github.com/verbenastand/verbenastand/deduplicator"
+	"github.com/verbenastand/verbenastand/forwarder"
 	"github.com/verbenastand/verbenastand/internal/admitter"
 	"github.com/verbenastand/verbenastand/internal/bounder"
 	"github.com/verbenastand/verbenastand/meter"
@@ -23,6 +24,8 @@
 	responsePart = 2
 	// keyShare is the part of a host's memory for outcomes of requests with idempotency keys.
 	keyShare = 0.125
+	// peerShare is the part of a host's memory for the requests of other hosts.
+	peerShare = 0.125
 	// collectorShare is the part of a host's memory from which on the collector runs more
 	// often. It bounds no use of memory, only what is no longer used.
 	collectorShare = 0.65
@@ -52,6 +55,29 @@
 	return min(deduplicator.DefaultMaxBytes, int(memoryMB*keyShare*(1<<20)))
 }
 
+// peerMemory returns the shares of the memory for requests of other hosts on a host with the
+// memory given in MB, nil if that is unknown: they aren't bounded then.
+func peerMemory(memoryMB float64) *bounder.Shares {
+	if memoryMB == 0 {
+		return nil
+	}
+	return bounder.NewShares(int64(memoryMB * peerShare * (1 << 20)))
+}
+
+// registerPeerPort registers the metrics of the port for other hosts.
+func registerPeerPort(m *meter.Meter, s *forwarder.Server) {
+	m.Gauge("peer_handshakes", "Handshakes in progress on the peer port.", func() float64 { return float64(s.Handshakes()) })
+	m.Counter("peer_refused_total", "Handshakes and requests refused on the peer port.", func() float64 { return float64(s.Refused()) })
+}
+
+// logPeerRefusal returns a function that logs that a client of the peer port is refused. The rate
+// of lines is limited by the recorder.
+func logPeerRefusal(l log.Interface) func(string, forwarder.Refusal) {
+	return func(client string, reason forwarder.Refusal) {
+		l.WithFields(log.Fields{"peer": client, "reason": reason.String()}).Warn("peerRefused")
+	}
+}
+
 // boundedRequests returns the number of requests that a host handles at the same time, given
 // its settings and its descriptors, zero for no other limit than that of the settings.
 func boundedRequests(maxConcurrent, descriptors int) int {
