--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -192,7 +192,7 @@
 	})
 	g.peerServer = forwarder.NewServer(forwarder.ServerConfig{
 		Certifier: certificates, CloseIdle: true, Exchange: g.gossiper.HandleMessage, Relay: g.follower.HandleMessage,
-		Tunnel: g.serveDelegated,
+		Tunnel: g.serveDelegated, Memory: peerMemory(g.config.Settings.MemoryMB), OnRefusal: logPeerRefusal(g.log),
 	})
 }
 
@@ -341,6 +341,7 @@
 
 func (g *Gateway) registerMetrics() {
 	g.meter.Gauge("connections", "Open connections of callers.", func() float64 { return float64(g.acceptor.Connections()) })
+	registerPeerPort(g.meter, g.peerServer)
 	registerMemory(g.meter, g.memory, func() int64 { return g.acceptor.Closed() + g.portConnectionsClosed() })
 	g.registerBodies()
 	g.meter.Gauge("server_connections_idle", "Kept connections to servers.", func() float64 { return float64(g.sender.Idle()) })
