Keep requests in the regions that their route allows

Cause: the table may say in which regions the requests of a route may run (allowedRegions), and hosts ignored it. Only servers in the regions are candidates; a free server goes to the first waiting request that may use it; a body is delegated only to hosts in the regions or in that of this host; without a server left the request is refused at once. Lookups list hosts in the caller's region first. Without the field everything is as before, also the messages. Changed test code: fakes and calls get the new parameters of Select and Resolve, two harnesses the regions of zones; what they check is the same.

--- a/balancer/admit.go
+++ b/balancer/admit.go
@@ -5,6 +5,8 @@
 	"errors"
 	"slices"
 	"time"
+
+	verbenastand "github.com/verbenastand/verbenastand"
 )
 
 // ErrNoCapacity means that no server is expected to respond before the deadline.
@@ -30,7 +32,7 @@
 	if s.isNext(w) {
 		choice, err := s.Choose(ctx, q)
 		excluded := errors.Is(err, ErrLimited) || errors.Is(err, ErrPaused)
-		allowedSoon := excluded && s.clock.Now().Add(s.Wait()).Before(q.StartBy)
+		allowedSoon := excluded && s.clock.Now().Add(s.WaitFor(q.Route)).Before(q.StartBy)
 		if !allowedSoon && (err != nil || s.take(w, choice)) {
 			return choice, err
 		}
@@ -100,7 +102,7 @@
 	if len(q.waiters) == 0 {
 		q.begin(now)
 	}
-	if err := s.expectLocked(w, q.line(s.workOf, now), s.allowance()); err != nil {
+	if err := s.expectLocked(w, q.line(s.workOf, now), allowanceOf(s.usableFor(w.query.Route))); err != nil {
 		return err
 	}
 	q.waiters = append(q.waiters, w)
@@ -141,7 +143,7 @@
 // assumedInterval returns the time between grants for a request until some have been observed: that
 // in which the servers complete one request each.
 func (s *Service) assumedInterval(w *waiter) time.Duration {
-	return s.Expected(w.query.Route) / time.Duration(max(1, len(s.usable())))
+	return s.Expected(w.query.Route) / time.Duration(max(1, len(s.usableFor(w.query.Route))))
 }
 
 func (s *Service) dequeue(w *waiter) bool {
@@ -160,11 +162,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
-	allowance := s.allowance()
+	allowances := make(map[verbenastand.Regions]allowance)
 	ahead := make(map[backlogClass]int)
 	l := s.queue.line(s.workOf, now)
 	for i, e := range slices.Clone(l.entries) {
 		w, class := e.waiter, e.class
+		allowance, known := allowances[w.query.Route.Regions()]
+		if !known {
+			allowance = allowanceOf(s.usableFor(w.query.Route))
+			allowances[w.query.Route.Regions()] = allowance
+		}
 		wait := max(allowance.after(i), s.queue.backlog(class).least(ahead[class], s.assumedInterval(w)))
 		ahead[class]++
 		if !now.Add(wait).After(w.startBy(now)) {
@@ -183,8 +190,25 @@
 func (s *Service) refuseExcluded(reason error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	possible := s.clock.Now().Add(s.Wait())
+	s.refuseExcludedLocked(reason, s.Wait(), func(*waiter) bool { return true })
+}
+
+// refuseExcludedLike refuses the requests that may run in the same regions as one for which no
+// server is found.
+func (s *Service) refuseExcludedLike(q Query, reason error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refuseExcludedLocked(reason, s.WaitFor(q.Route), func(w *waiter) bool {
+		return w.query.Route.Regions() == q.Route.Regions()
+	})
+}
+
+func (s *Service) refuseExcludedLocked(reason error, wait time.Duration, matches func(*waiter) bool) {
+	possible := s.clock.Now().Add(wait)
 	for _, w := range slices.Clone(s.queue.waiters) {
+		if !matches(w) {
+			continue
+		}
 		if errors.Is(reason, ErrNoServer) || possible.After(w.query.StartBy) {
 			s.refuseLocked(w, reason)
 		}
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -45,6 +45,8 @@
 	// Zone is the availability zone of this host.
 	Zone          verbenastand.Zone
 	HealthChecker HealthChecker
+	// Regions are the regions of availability zones.
+	Regions verbenastand.ZoneRegions
 	// Limiter keeps the limits that servers name; nil for none.
 	Limiter verbenastand.RateLimiter
 	// Excluder keeps which servers get no requests; nil for none.
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -76,7 +76,7 @@
 	for _, r := range list {
 		h.fakeServers[r.Server()] = &fakeServer{report: lightLoad()}
 	}
-	h.balancer = NewBalancer(Config{Clock: h.clock, Zone: "here", HealthChecker: h, FairQueueing: true})
+	h.balancer = NewBalancer(Config{Clock: h.clock, Zone: "here", HealthChecker: h, FairQueueing: true, Regions: testRegions})
 	h.update(list...)
 	h.learnSaturation()
 	return h
--- a/balancer/candidate.go
+++ b/balancer/candidate.go
@@ -39,9 +39,10 @@
 // the error tells why.
 func (s *Service) candidates(q Query) (list []candidate, err error) {
 	now := s.clock.Now()
-	list = make([]candidate, 0, len(s.usable()))
+	usable := s.usableFor(q.Route)
+	list = make([]candidate, 0, len(usable))
 	err = ErrNoServer
-	for _, server := range s.usable() {
+	for _, server := range usable {
 		if slices.Contains(q.Tried, server) {
 			continue
 		}
@@ -92,10 +93,15 @@
 
 // Wait returns the time until one of the servers may get a request, zero if one may now or
 // none ever will.
-func (s *Service) Wait() time.Duration {
+func (s *Service) Wait() time.Duration { return waitOf(s.usable()) }
+
+// WaitFor returns the same for a request of a route.
+func (s *Service) WaitFor(r verbenastand.Route) time.Duration { return waitOf(s.usableFor(r)) }
+
+func waitOf(servers []*Server) time.Duration {
 	var shortest time.Duration
 	found := false
-	for _, server := range s.usable() {
+	for _, server := range servers {
 		e, excluded := server.exclusion()
 		if excluded && e.Leaving {
 			continue
@@ -131,11 +137,13 @@
 // longestLimitInterval bounds the time between two requests while all servers name limits.
 const longestLimitInterval = time.Minute
 
-func (s *Service) allowance() allowance {
-	a := allowance{wait: s.Wait()}
+func (s *Service) allowance() allowance { return allowanceOf(s.usable()) }
+
+func allowanceOf(servers []*Server) allowance {
+	a := allowance{wait: waitOf(servers)}
 	var rate verbenastand.RequestRate
 	var warmIn time.Duration
-	for _, server := range s.usable() {
+	for _, server := range servers {
 		if e, excluded := server.exclusion(); excluded && e.Leaving {
 			continue
 		}
--- a/balancer/cold.go
+++ b/balancer/cold.go
@@ -76,7 +76,7 @@
 		return
 	}
 	s.mu.Lock()
-	first := s.queue.first(s.clock.Now())
+	first := s.queue.firstFor(server, s.clock.Now())
 	s.mu.Unlock()
 	if first != nil {
 		go s.checkAndGrant(first.query, server)
--- a/balancer/explain.go
+++ b/balancer/explain.go
@@ -96,6 +96,9 @@
 		state := server.explain(q)
 		state.CrossZone = state.Server.Zone() != s.balancer.config.Zone
 		_, state.Excluded = server.candidate(now)
+		if state.Excluded == nil && !server.Allowed(q.Route) {
+			state.Excluded = errRegion
+		}
 		exclusion, _ := server.exclusion()
 		state.Wait = max(exclusion.Wait, server.limiter().Wait(state.Server.Process()))
 		e.Candidates = append(e.Candidates, state)
@@ -111,7 +114,7 @@
 	if s.isNext(w) {
 		return false, nil
 	}
-	allowance := s.allowance()
+	allowance := allowanceOf(s.usableFor(q.Route))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	class := w.class(now)
@@ -154,6 +157,8 @@
 		return "leaving"
 	case errors.Is(err, errEvacuated):
 		return "evacuated"
+	case errors.Is(err, errRegion):
+		return "region"
 	case errors.Is(err, ErrServerReplaced):
 		return "replaced"
 	}
--- a/balancer/grant.go
+++ b/balancer/grant.go
@@ -39,7 +39,7 @@
 	defer s.mu.Unlock()
 	for {
 		now := s.clock.Now()
-		w := s.queue.first(now)
+		w := s.queue.firstFor(server, now)
 		if w == nil {
 			break
 		}
@@ -65,6 +65,9 @@
 	now := s.clock.Now()
 	for _, e := range s.queue.line(s.workOf, now).entries {
 		w := e.waiter
+		if !server.Allowed(w.query.Route) {
+			continue
+		}
 		choice, ok := server.reserve(w.query, func(c Choice) bool { return s.takesSlowLocked(w, c, now) })
 		if ok {
 			choice.Conn = conn
@@ -95,14 +98,16 @@
 	for {
 		s.refuseHopeless()
 		s.mu.Lock()
-		first := s.queue.first(s.clock.Now())
-		if first == nil {
+		queries := s.queue.firstQueries(s.clock.Now())
+		if len(queries) == 0 {
 			s.queue.checking = false
 			s.mu.Unlock()
 			return
 		}
 		s.mu.Unlock()
-		s.findCapacity(first.query)
+		for _, q := range queries {
+			s.findCapacity(q)
+		}
 		time.Sleep(checkInterval)
 	}
 }
@@ -112,7 +117,7 @@
 	candidates, err := s.candidates(q)
 	switch {
 	case len(candidates) == 0:
-		s.refuseExcluded(err)
+		s.refuseExcludedLike(q, err)
 	case s.balancer.config.Unreached(s.name):
 		s.refuseExcluded(ErrNoServer)
 	case s.choosesUnchecked():
@@ -136,7 +141,7 @@
 func (s *Service) findReachable(q Query) {
 	choice, err := s.Choose(context.Background(), q)
 	if err != nil {
-		s.refuseExcluded(err)
+		s.refuseExcludedLike(q, err)
 		return
 	}
 	conn := choice.Conn
--- a/balancer/line.go
+++ b/balancer/line.go
@@ -107,7 +107,7 @@
 	place := l.place(w, class)
 	for i := range l.entries {
 		e := &l.entries[i]
-		if e.waiter == w || e.compare(&place) >= 0 {
+		if e.waiter == w || !w.competes(e.waiter) || e.compare(&place) >= 0 {
 			continue
 		}
 		total++
--- a/carrier/admit.go
+++ b/carrier/admit.go
@@ -87,7 +87,7 @@
 	case errors.Is(err, balancer.ErrNoServer):
 		return c.noServer(err)
 	case errors.Is(err, balancer.ErrLimited):
-		return overload.WithRetryAfter(c.retryAfter(c.service.Wait()))
+		return overload.WithRetryAfter(c.retryAfter(c.service.WaitFor(c.route)))
 	case errors.Is(err, balancer.ErrPaused):
 		return overload.WithRetryAfter(c.retryAfterPause())
 	case noCapacity != nil && c.beforeStop(c.deadline).Before(c.deadline):
@@ -142,7 +142,7 @@
 // retryAfterPause returns the Retry-After delay of a request that no server takes before the
 // end of its pause, even if the caller can't wait that long.
 func (c *call) retryAfterPause() time.Duration {
-	if wait := c.service.Wait(); wait > 0 {
+	if wait := c.service.WaitFor(c.route); wait > 0 {
 		return max(wait, c.retryAfter(wait))
 	}
 	return refusedRetryAfter
--- a/carrier/attempt.go
+++ b/carrier/attempt.go
@@ -103,7 +103,7 @@
 		c.carrier.config.Reachability.Failed(registration)
 		return &outcome{server: choice.Server, err: err}
 	}
-	if choice.Server.Evacuated() {
+	if choice.Server.Evacuated() || !choice.Server.Allowed(c.route) {
 		c.carrier.config.Sender.PutIdle(connection)
 		choice.Conn = nil
 		choice.Release()
--- a/carrier/delegate.go
+++ b/carrier/delegate.go
@@ -46,7 +46,9 @@
 
 // Delegator selects and connects to hosts that handle requests on behalf of this one.
 type Delegator interface {
-	Select(tried []verbenastand.HostID) (verbenastand.Host, error)
+	// Select returns a host that has not been tried, and to which a request may be sent that
+	// may run in the given regions.
+	Select(tried []verbenastand.HostID, regions verbenastand.Regions) (verbenastand.Host, error)
 	Release(host verbenastand.Host)
 	Connect(ctx context.Context, host verbenastand.Host, origin verbenastand.Origin) (net.Conn, error)
 }
@@ -76,7 +78,7 @@
 // can connect to none, received the request from its caller, and has not just learnt that
 // the others reach none either.
 func (c *call) mayDelegate(ctx context.Context) bool {
-	return c.carrier.config.Delegator != nil && c.request.Origin() == nil && !c.evacuated() &&
+	return c.carrier.config.Delegator != nil && c.request.Origin() == nil && c.excludedEverywhere() == nil &&
 		!c.carrier.unserved.includes(c.serviceName, c.carrier.config.Clock.Now()) &&
 		c.carrier.config.Reachability.Unreached(ctx, c.serviceName)
 }
@@ -106,10 +108,13 @@
 // delegate lets another host send the request, and reports whether there is one.
 func (r *runner) delegate() bool {
 	if len(r.delegates) >= maxDelegations {
-		r.carrier.unserved.record(r.serviceName, r.carrier.config.Clock.Now())
+		if !r.route.Regions().Restricted() {
+			// Hosts may reach servers of the service in other regions.
+			r.carrier.unserved.record(r.serviceName, r.carrier.config.Clock.Now())
+		}
 		return false
 	}
-	host, err := r.carrier.config.Delegator.Select(r.delegates)
+	host, err := r.carrier.config.Delegator.Select(r.delegates, r.route.Regions())
 	if err != nil {
 		return false
 	}
--- a/carrier/evacuate_test.go
+++ b/carrier/evacuate_test.go
@@ -189,7 +189,7 @@
 // noDelegator fails the test if a request is delegated.
 type noDelegator struct{ t *testing.T }
 
-func (d noDelegator) Select([]verbenastand.HostID) (verbenastand.Host, error) {
+func (d noDelegator) Select([]verbenastand.HostID, verbenastand.Regions) (verbenastand.Host, error) {
 	d.t.Error("delegated")
 	return verbenastand.Host{}, errors.New("no host")
 }
--- a/carrier/explain.go
+++ b/carrier/explain.go
@@ -103,7 +103,7 @@
 	case errors.Is(e.Err, balancer.ErrNoServer):
 		return RefusedStep, verbenastand.ReasonNoServer
 	case e.Err != nil:
-		allowedSoon := c.carrier.config.Clock.Now().Add(c.service.Wait()).Before(c.firstQuery().StartBy)
+		allowedSoon := c.carrier.config.Clock.Now().Add(c.service.WaitFor(c.route)).Before(c.firstQuery().StartBy)
 		if allowedSoon {
 			return WaitingStep, 0
 		}
--- a/carrier/harness_test.go
+++ b/carrier/harness_test.go
@@ -236,7 +236,7 @@
 	h.limiter = limiter.NewLimiter(limiter.Config{Clock: wallClock{}, Self: self.ID(), Hosts: func(verbenastand.ServerProcess) []verbenastand.Host {
 		return []verbenastand.Host{self}
 	}})
-	h.balancer = balancer.NewBalancer(balancer.Config{Clock: wallClock{}, Zone: "z", HealthChecker: checker, Limiter: h.limiter, Excluder: h.excluder, FairQueueing: true})
+	h.balancer = balancer.NewBalancer(balancer.Config{Clock: wallClock{}, Zone: "z", HealthChecker: checker, Limiter: h.limiter, Excluder: h.excluder, FairQueueing: true, Regions: testRegions})
 	h.view = verbenastand.NewView(verbenastand.ViewConfig{
 		Table: table, Servers: map[verbenastand.ServiceName][]verbenastand.Registration{"svc": registrations},
 	})
--- a/carrier/run.go
+++ b/carrier/run.go
@@ -92,8 +92,8 @@
 // begin sends the request to the first server, or delegates it if this host reaches none.
 // A delegated request is counted by the host that sends it.
 func (r *runner) begin() error {
-	if r.evacuated() {
-		return r.noServer(errEvacuated)
+	if err := r.excludedEverywhere(); err != nil {
+		return r.noServer(err)
 	}
 	if r.cut() {
 		if r.mayDelegate(r.ctx) && r.delegate() {
--- a/configurer/gateway.go
+++ b/configurer/gateway.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	verbenastand "github.com/verbenastand/verbenastand"
 )
 
 // Gateway holds the settings of a gateway host. Each can be set by a flag or an
@@ -10,6 +12,10 @@
 	Host string `long:"host" env:"VERBENASTAND_HOST" description:"Name of this host: lower-case letters, digits and hyphens"`
 	Zone string `long:"zone" env:"VERBENASTAND_ZONE" description:"Availability zone of this host"`
 
+	Regions map[string]string `long:"zone-region" env:"VERBENASTAND_ZONE_REGIONS" env-delim:"," description:"Region of an availability zone, as ZONE:REGION; may be repeated"`
+	// MalformedRegions is the number of regions in the settings that were not understood.
+	MalformedRegions int `no-flag:"true"`
+
 	CallAddress      string `long:"call-address" env:"VERBENASTAND_CALL_ADDRESS" description:"IP address and TCP port for requests of callers"`
 	DirectoryAddress string `long:"directory-address" env:"VERBENASTAND_DIRECTORY_ADDRESS" description:"IP address and TCP port of the directory, which returns the hosts that callers should use"`
 	ReadinessAddress string `long:"readiness-address" env:"VERBENASTAND_READINESS_ADDRESS" description:"IP address and TCP port for readiness checks"`
@@ -51,6 +57,15 @@
 	LogShare      float64 `long:"log-share" env:"VERBENASTAND_LOG_SHARE" default:"0.02" description:"Fraction of the requests answered in time that are logged, from 0 to 1"`
 }
 
+// ZoneRegions returns the regions of availability zones.
+func (g Gateway) ZoneRegions() verbenastand.ZoneRegions {
+	regions := make(verbenastand.ZoneRegions, len(g.Regions))
+	for zone, region := range g.Regions {
+		regions[verbenastand.Zone(zone)] = verbenastand.Region(region)
+	}
+	return regions
+}
+
 // Validate returns the errors of all invalid settings as one error.
 func (g Gateway) Validate() error {
 	var errs validationErrors
--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -26,6 +26,8 @@
 type Config struct {
 	Self       verbenastand.Host
 	Membership interface{ Hosts() []verbenastand.Host }
+	// Regions are the regions of availability zones.
+	Regions verbenastand.ZoneRegions
 	// Tunnel opens a connection to the acceptor of a host on behalf of a caller.
 	Tunnel func(ctx context.Context, host verbenastand.Host, origin verbenastand.Origin) (net.Conn, error)
 }
@@ -47,11 +49,16 @@
 
 // Select returns a host that reaches servers and is not among those already tried: the
 // one of two random ones to which fewer requests are delegated (power of two choices,
-// Mitzenmacher 2001). The host must be released.
-func (d *Delegator) Select(tried []verbenastand.HostID) (verbenastand.Host, error) {
+// Mitzenmacher 2001). The host is in one of the regions or in that of this host, which has the
+// request already. It must be released.
+func (d *Delegator) Select(tried []verbenastand.HostID, regions verbenastand.Regions) (verbenastand.Host, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	untried := slices.DeleteFunc(slices.Clone(d.delegatesLocked()), func(h verbenastand.Host) bool {
+	delegates := d.delegatesLocked()
+	if regions.Restricted() {
+		delegates = d.delegatesIn(regions)
+	}
+	untried := slices.DeleteFunc(slices.Clone(delegates), func(h verbenastand.Host) bool {
 		return slices.Contains(tried, h.ID())
 	})
 	if len(untried) == 0 {
@@ -73,15 +80,34 @@
 	if len(hosts) > 0 && len(d.members) == len(hosts) && &d.members[0] == &hosts[0] {
 		return d.delegates
 	}
+	d.members = hosts
+	d.delegates = d.spread(d.reaching(hosts))
+	return d.delegates
+}
+
+// reaching returns the other hosts that reach servers.
+func (d *Delegator) reaching(hosts []verbenastand.Host) []verbenastand.Host {
 	var reaching []verbenastand.Host
 	for _, h := range hosts {
 		if h.ID() != d.config.Self.ID() && !h.Leaving() && !h.Detached() {
 			reaching = append(reaching, h)
 		}
 	}
-	d.members = hosts
-	d.delegates = placer.Homes(verbenastand.ServiceName(d.config.Self.ID()), maxDelegates, reaching)
-	return d.delegates
+	return reaching
+}
+
+func (d *Delegator) spread(hosts []verbenastand.Host) []verbenastand.Host {
+	return placer.Homes(verbenastand.ServiceName(d.config.Self.ID()), maxDelegates, hosts)
+}
+
+// delegatesIn returns the hosts to which a request may be sent that may run in some regions only.
+func (d *Delegator) delegatesIn(regions verbenastand.Regions) []verbenastand.Host {
+	own := d.config.Self.Zone()
+	return d.spread(slices.DeleteFunc(d.reaching(d.config.Membership.Hosts()), func(h verbenastand.Host) bool {
+		region := d.config.Regions.Of(h.Zone())
+		sameRegion := h.Zone() == own || (region != "" && region == d.config.Regions.Of(own))
+		return !sameRegion && !regions.Allows(region)
+	}))
 }
 
 // Release records that a request delegated to the host has ended.
--- a/delegator/delegator_test.go
+++ b/delegator/delegator_test.go
@@ -32,15 +32,15 @@
 	d := NewDelegator(Config{Self: self, Membership: m})
 	var tried []verbenastand.HostID
 	for range 2 {
-		h, err := d.Select(tried)
+		h, err := d.Select(tried, verbenastand.Regions{})
 		require.NoError(t, err)
 		tried = append(tried, h.ID())
 	}
 	require.ElementsMatch(t, []verbenastand.HostID{"a", "b"}, tried)
-	_, err := d.Select(tried)
+	_, err := d.Select(tried, verbenastand.Regions{})
 	require.ErrorIs(t, err, ErrNoDelegate)
 	m.hosts = []verbenastand.Host{self, newHost("c", nil)}
-	h, err := d.Select(tried)
+	h, err := d.Select(tried, verbenastand.Regions{})
 	require.NoError(t, err)
 	require.EqualValues(t, "c", h.ID(), "the membership has changed")
 }
@@ -57,7 +57,7 @@
 	const requests = 800
 	counts := make(map[verbenastand.HostID]int)
 	for range requests {
-		h, err := d.Select(nil)
+		h, err := d.Select(nil, verbenastand.Regions{})
 		require.NoError(t, err)
 		counts[h.ID()]++
 	}
@@ -70,3 +70,43 @@
 	}
 	require.Empty(t, d.inFlight)
 }
+
+// Guards against a request that is sent to a host in a region that its route does not allow, and
+// against hosts that are not found among many others.
+func TestDelegatesOfRestrictedRequests(t *testing.T) {
+	zone := func(z verbenastand.Zone) func(*verbenastand.HostConfig) {
+		return func(c *verbenastand.HostConfig) { c.Zone = z }
+	}
+	self := newHost("self", nil)
+	m := &fakeMembership{[]verbenastand.Host{
+		self, newHost("same-zone", nil), newHost("same-region", zone("z2")), newHost("allowed", zone("north")), newHost("unknown", zone("nowhere")),
+	}}
+	for i := range 100 {
+		m.hosts = append(m.hosts, newHost(fmt.Sprint("h", i), zone("south")))
+	}
+	regions := verbenastand.ZoneRegions{"z": "own", "z2": "own", "north": "north", "south": "south"}
+	cases := []struct {
+		name    string
+		allowed verbenastand.Regions
+		regions verbenastand.ZoneRegions
+		want    []verbenastand.HostID
+	}{
+		{"another region", verbenastand.NewRegions([]verbenastand.Region{"north"}), regions, []verbenastand.HostID{"same-zone", "same-region", "allowed"}},
+		{"none", verbenastand.NewRegions(nil), regions, []verbenastand.HostID{"same-zone", "same-region"}},
+		{"no region is known", verbenastand.NewRegions([]verbenastand.Region{"north"}), nil, []verbenastand.HostID{"same-zone"}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			d := NewDelegator(Config{Self: self, Membership: m, Regions: tc.regions})
+			var selected []verbenastand.HostID
+			for range tc.want {
+				h, err := d.Select(selected, tc.allowed)
+				require.NoError(t, err)
+				selected = append(selected, h.ID())
+			}
+			require.ElementsMatch(t, tc.want, selected)
+			_, err := d.Select(selected, tc.allowed)
+			require.ErrorIs(t, err, ErrNoDelegate)
+		})
+	}
+}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -32,6 +32,8 @@
 	// Membership lists the hosts of the deployment.
 	Membership interface{ Hosts() []verbenastand.Host }
 	Self       verbenastand.Host
+	// Regions are the regions of availability zones.
+	Regions verbenastand.ZoneRegions
 	// RegistrationLifetime is how long the store keeps a registration that its server
 	// does not renew.
 	RegistrationLifetime time.Duration
--- a/follower/message.go
+++ b/follower/message.go
@@ -97,6 +97,10 @@
 	MaxAttempts   int                     `cbor:"7,keyasint"`
 	PriorityLevel int                     `cbor:"8,keyasint,omitempty"`
 	Split         []weightedServiceRecord `cbor:"9,keyasint"`
+	// Restricted is set if the requests may run in Regions only. Hosts of earlier versions drop
+	// both from the tables that they forward.
+	Restricted bool                  `cbor:"10,keyasint,omitempty"`
+	Regions    []verbenastand.Region `cbor:"11,keyasint,omitempty"`
 }
 
 type weightedServiceRecord struct {
@@ -297,6 +301,7 @@
 			Name: string(route.Name()), HostName: route.HostName(), PathPrefix: route.PathPrefix(),
 			RetrySafety: int(route.RetrySafety()), Timeout: route.Timeout(), Target: route.Target(),
 			MaxAttempts: route.MaxAttempts(), PriorityLevel: route.PriorityLevel(),
+			Restricted: route.Regions().Restricted(), Regions: route.Regions().Names(),
 		}
 		for _, w := range route.Split() {
 			record.Split = append(record.Split, weightedServiceRecord{Service: string(w.Service()), Weight: w.Weight()})
@@ -378,6 +383,9 @@
 		RetrySafety: verbenastand.RetrySafety(r.RetrySafety), Timeout: r.Timeout, Target: r.Target,
 		MaxAttempts: r.MaxAttempts, PriorityLevel: r.PriorityLevel,
 	}
+	if r.Restricted {
+		c.Regions = verbenastand.NewRegions(r.Regions)
+	}
 	for _, w := range r.Split {
 		c.Split = append(c.Split, verbenastand.NewWeightedService(verbenastand.ServiceName(w.Service), w.Weight))
 	}
--- a/follower/start.go
+++ b/follower/start.go
@@ -120,7 +120,7 @@
 }
 
 // knowsServersLocked reports whether some servers in the availability zone of this host are known
-// of each service that a route names.
+// of each service that a route names. Routes that do not allow its region need others.
 func (f *Follower) knowsServersLocked() bool {
 	for _, o := range f.evacuations.objects {
 		if o.zone() == f.config.Self.Zone() {
@@ -134,6 +134,9 @@
 		}
 	}
 	for _, r := range f.table.Routes() {
+		if !r.Regions().Allows(f.config.Regions.Of(f.config.Self.Zone())) {
+			return false
+		}
 		for _, w := range r.Split() {
 			if w.Weight() > 0 && known[w.Service()] < startServers {
 				return false
--- a/forwarder/route.go
+++ b/forwarder/route.go
@@ -24,12 +24,17 @@
 	Target        time.Duration             `cbor:"g,omitempty"`
 	MaxAttempts   int                       `cbor:"a"`
 	PriorityLevel int                       `cbor:"l,omitempty"`
+	// Restricted is set if the request may run in Regions only. Hosts of earlier versions
+	// ignore both.
+	Restricted bool                  `cbor:"x,omitempty"`
+	Regions    []verbenastand.Region `cbor:"r,omitempty"`
 }
 
 func encodeRoute(r verbenastand.Route, table verbenastand.TableVersion) (string, error) {
 	data, err := cbor.Marshal(routeObject{
 		Table: table, Name: r.Name(), HostName: r.HostName(), PathPrefix: r.PathPrefix(), RetrySafety: r.RetrySafety(),
 		Timeout: r.Timeout(), Target: r.Target(), MaxAttempts: r.MaxAttempts(), PriorityLevel: r.PriorityLevel(),
+		Restricted: r.Regions().Restricted(), Regions: r.Regions().Names(),
 	})
 	if err != nil {
 		return "", fmt.Errorf("forwarder: route: %w", err)
@@ -53,9 +58,13 @@
 	if o.RetrySafety < verbenastand.AtMostOnce || o.RetrySafety > verbenastand.Bulk || o.Timeout <= 0 || o.Target < 0 || o.MaxAttempts <= 0 {
 		return nil, 0, errMalformedOrigin
 	}
-	route := verbenastand.NewRoute(verbenastand.RouteConfig{
+	c := verbenastand.RouteConfig{
 		Name: o.Name, HostName: o.HostName, PathPrefix: o.PathPrefix, RetrySafety: o.RetrySafety,
 		Timeout: o.Timeout, Target: o.Target, MaxAttempts: o.MaxAttempts, PriorityLevel: o.PriorityLevel,
-	})
+	}
+	if o.Restricted {
+		c.Regions = verbenastand.NewRegions(o.Regions)
+	}
+	route := verbenastand.NewRoute(c)
 	return &route, o.Table, nil
 }
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -181,7 +181,7 @@
 		OnNewerTickets:     func(verbenastand.Host, verbenastand.TicketNumber) {},
 	})
 	g.follower = follower.NewFollower(follower.Config{
-		Clock: g.timer, Store: g.config.Store, Relay: g.forwarder, Membership: g.gossiper, Self: g.self,
+		Clock: g.timer, Store: g.config.Store, Relay: g.forwarder, Membership: g.gossiper, Self: g.self, Regions: g.config.Settings.ZoneRegions(),
 		RegistrationLifetime: g.config.Settings.RegistrationLifetime,
 		OnView:               g.onView, OnEvent: g.recorder.Store,
 	})
@@ -213,7 +213,7 @@
 		Names: g.config.HeaderFormat.Names(), Excluder: g.excluder, Warmup: g.warmup,
 	}
 	g.balancer = balancer.NewBalancer(balancer.Config{
-		Clock: g.timer, Zone: g.self.Zone(), Limiter: limiter.Combined{g.limiter, g.warmup}, Excluder: g.excluder, OnServerChange: g.recorder.ServerChanged,
+		Clock: g.timer, Zone: g.self.Zone(), Regions: s.ZoneRegions(), Limiter: limiter.Combined{g.limiter, g.warmup}, Excluder: g.excluder, OnServerChange: g.recorder.ServerChanged,
 		FairQueueing: s.FairQueueing,
 		Unreached:    g.reach.detector.Cut, HealthChecker: g.healthChecker,
 	})
@@ -224,7 +224,7 @@
 		Observer:        g.recorder,
 		RegistrationAge: g.follower.Staleness, RegistrationTime: g.registrationTime(),
 		Self: g.self.ID(), Reachability: g.reach.detector, Delegator: delegator.NewDelegator(delegator.Config{
-			Self: g.self, Membership: g.gossiper, Tunnel: g.forwarder.Tunnel,
+			Self: g.self, Membership: g.gossiper, Regions: s.ZoneRegions(), Tunnel: g.forwarder.Tunnel,
 		}),
 		Tracer: g.requestTracer, OnCrashSuspected: g.onCrashSuspected, OnConnectionLost: g.onConnectionLost, MaxConcurrent: s.MaxConcurrent, ResponseMemory: g.responseMemory(),
 		NewBudget: func(verbenastand.ServiceName) *retrier.WindowBudget {
@@ -239,7 +239,7 @@
 		MaxConnections: s.MaxDescriptors / connectionsPart, OnShortage: g.recorder.MemoryExhausted,
 	})
 	g.resolver = resolver.NewResolver(resolver.Config{
-		Membership: g.gossiper, Self: g.self, Serving: g.ready, Validity: s.AnswerValidity,
+		Membership: g.gossiper, Self: g.self, Serving: g.ready, Validity: s.AnswerValidity, Regions: s.ZoneRegions(),
 		Evacuated: func(z verbenastand.Zone) bool { return g.follower.View().Evacuated(z) },
 	})
 }
@@ -360,6 +360,9 @@
 	g.meter.Gauge("evacuated_zones", "Availability zones whose servers get no requests.", func() float64 {
 		return float64(g.follower.View().EvacuatedZones())
 	})
+	g.meter.Gauge("restricted_routes", "Routes whose requests may run in some regions only.", func() float64 {
+		return float64(g.router.Table().Restricted())
+	})
 	g.meter.Gauge("detached", "1 while no server is reached.", func() float64 {
 		if g.reach.detector.Detached() {
 			return 1
--- a/launcher/gateway_run.go
+++ b/launcher/gateway_run.go
@@ -60,6 +60,9 @@
 	g.log.WithFields(log.Fields{
 		"version": g.config.Version, "instance": g.self.Instance().String(), "fairQueueing": g.config.Settings.FairQueueing,
 	}).Info("started")
+	if n := g.config.Settings.MalformedRegions; n > 0 {
+		g.log.WithField("count", n).Warn("regionsUnreadable")
+	}
 	g.start(ctx)
 	go func() { _ = g.acceptor.Serve(l.calls) }()
 	g.background.Go(func() { g.follower.Run(runCtx) })
--- a/resolver/resolver.go
+++ b/resolver/resolver.go
@@ -1,9 +1,12 @@
 // Package resolver selects the hosts that a caller is to use: those of its
-// availability zone, supplemented by hosts of other zones if there are too few.
+// availability zone, supplemented by hosts of other zones if there are too few, those of its
+// region first.
 package resolver
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	verbenastand "github.com/verbenastand/verbenastand"
@@ -26,6 +29,8 @@
 	// Evacuated reports whether the servers of an availability zone get no requests; nil if
 	// that is never so.
 	Evacuated func(verbenastand.Zone) bool
+	// Regions are the regions of availability zones.
+	Regions verbenastand.ZoneRegions
 	// Validity is how long a caller may use a response.
 	Validity time.Duration
 }
@@ -42,45 +47,61 @@
 }
 
 // Resolve returns the addresses of hosts for a caller in an availability zone, and
-// how long they are valid. Callers of an evacuated zone are directed to hosts of other zones:
+// how long they are valid. The region that the caller names counts if that of its zone is not
+// known. Callers of an evacuated zone are directed to hosts of other zones:
 // each of their requests and its health checks would cross zones otherwise.
-func (r *Resolver) Resolve(zone verbenastand.Zone) (addresses []string, validity time.Duration) {
-	var selected, others, detached, evacuated []string
+func (r *Resolver) Resolve(zone verbenastand.Zone, named verbenastand.Region) (addresses []string, validity time.Duration) {
+	region := cmp.Or(r.config.Regions.Of(zone), named)
+	var selected, others, detached, evacuated []verbenastand.Host
 	leavesZone := r.config.Evacuated(zone)
 	for _, h := range r.config.Membership.Hosts() {
 		if h.Leaving() || (h.ID() == r.config.Self.ID() && !r.config.Serving()) {
 			continue
 		}
 		if h.Detached() {
-			detached = append(detached, h.CallAddress())
+			detached = append(detached, h)
 			continue
 		}
 		if r.config.Evacuated(h.Zone()) {
-			evacuated = append(evacuated, h.CallAddress())
+			evacuated = append(evacuated, h)
 			continue
 		}
 		if h.Zone() == zone || leavesZone {
-			selected = append(selected, h.CallAddress())
+			selected = append(selected, h)
 			continue
 		}
-		others = append(others, h.CallAddress())
+		others = append(others, h)
 	}
-	shuffle(selected)
-	shuffle(others)
-	shuffle(evacuated)
+	r.order(selected, region)
+	r.order(others, region)
+	r.order(evacuated, region)
 	others = append(others, evacuated...)
 	if missing := minHosts - len(selected); missing > 0 {
 		selected = append(selected, others[:min(missing, len(others))]...)
 	}
 	if len(selected) == 0 {
 		// Hosts that reach no server refuse at once, with a time to come back.
-		shuffle(detached)
+		r.order(detached, region)
 		selected = detached
 	}
+	for _, h := range selected {
+		addresses = append(addresses, h.CallAddress())
+	}
 	jitter := 1 - validityJitter*rand.Float64()
-	return selected, time.Duration(jitter * float64(r.config.Validity)).Round(time.Millisecond)
+	return addresses, time.Duration(jitter * float64(r.config.Validity)).Round(time.Millisecond)
 }
 
-func shuffle(list []string) {
+// order puts hosts in random order, those of a region first.
+func (r *Resolver) order(list []verbenastand.Host, region verbenastand.Region) {
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	if region == "" {
+		return
+	}
+	rank := func(h verbenastand.Host) int {
+		if r.config.Regions.Of(h.Zone()) == region {
+			return 0
+		}
+		return 1
+	}
+	slices.SortStableFunc(list, func(a, b verbenastand.Host) int { return rank(a) - rank(b) })
 }
--- a/resolver/resolver_test.go
+++ b/resolver/resolver_test.go
@@ -48,7 +48,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			r := NewResolver(Config{Membership: tc.hosts, Self: host("self", "a", false), Serving: func() bool { return tc.serving }, Validity: 2 * time.Second})
 			for range 10 {
-				addresses, validity := r.Resolve("a")
+				addresses, validity := r.Resolve("a", "")
 				require.ElementsMatch(t, tc.sameZone, addresses[:len(tc.sameZone)])
 				require.Len(t, addresses, len(tc.sameZone)+tc.otherZones)
 				require.LessOrEqual(t, validity, 2*time.Second)
@@ -66,7 +66,7 @@
 	r := NewResolver(Config{Membership: hosts, Self: hosts[0], Serving: func() bool { return true }, Validity: time.Second})
 	counts := make(map[string]int)
 	for range 2000 {
-		addresses, _ := r.Resolve("a")
+		addresses, _ := r.Resolve("a", "")
 		for _, a := range addresses {
 			counts[a]++
 		}
@@ -98,9 +98,46 @@
 				Membership: hosts, Self: hosts[0], Serving: func() bool { return true }, Validity: time.Second,
 				Evacuated: func(z verbenastand.Zone) bool { return slices.Contains(tc.evacuated, z) },
 			})
-			addresses, _ := r.Resolve("a")
+			addresses, _ := r.Resolve("a", "")
 			require.Len(t, addresses, minHosts)
 			require.ElementsMatch(t, tc.first, addresses[:len(tc.first)])
 		})
 	}
 }
+
+// Guards against callers that are directed to hosts in other regions before those in their own.
+func TestHostsOfTheCallersRegionGoFirst(t *testing.T) {
+	hosts := fakeMembership{
+		host("a1", "a", false), host("b1", "b", false), host("c1", "c", false), host("c2", "c", false), host("d1", "d", false), host("d2", "d", false),
+	}
+	regions := verbenastand.ZoneRegions{"a": "north", "b": "south", "c": "north", "d": "east"}
+	cases := []struct {
+		name      string
+		zone      verbenastand.Zone
+		named     verbenastand.Region
+		regions   verbenastand.ZoneRegions
+		evacuated verbenastand.Zone
+		// first are the hosts that go before the others.
+		first []string
+	}{
+		{"by the zone", "a", "", regions, "", []string{"a1", "c1", "c2"}},
+		{"the zone counts", "a", "south", regions, "", []string{"a1", "c1", "c2"}},
+		{"by what the caller names", "elsewhere", "south", regions, "", []string{"b1"}},
+		{"an evacuated zone", "a", "", regions, "a", []string{"c1", "c2"}},
+		{"a region that is not known", "elsewhere", "west", regions, "", nil},
+		{"no regions", "a", "north", nil, "", []string{"a1"}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			r := NewResolver(Config{
+				Membership: hosts, Self: hosts[0], Serving: func() bool { return true }, Validity: time.Second, Regions: tc.regions,
+				Evacuated: func(z verbenastand.Zone) bool { return z == tc.evacuated },
+			})
+			for range 20 {
+				addresses, _ := r.Resolve(tc.zone, tc.named)
+				require.GreaterOrEqual(t, len(addresses), minHosts)
+				require.ElementsMatch(t, tc.first, addresses[:len(tc.first)])
+			}
+		})
+	}
+}
--- a/route.go
+++ b/route.go
@@ -64,6 +64,8 @@
 	PriorityLevel int
 	// Split holds the services among which requests are split, at least one.
 	Split []WeightedService
+	// Regions are the regions in which the requests may run.
+	Regions Regions
 }
 
 // NewRoute returns a route.
@@ -100,6 +102,9 @@
 // change the slice.
 func (r Route) Split() []WeightedService { return r.c.Split }
 
+// Regions returns the regions in which the requests may run.
+func (r Route) Regions() Regions { return r.c.Regions }
+
 // CallerLimits holds limits on the requests and connections of callers.
 type CallerLimits struct {
 	// HeaderBytes limits the size of a request header.
@@ -152,6 +157,19 @@
 // Routes returns all routes. The caller must not change the slice.
 func (t *RouteTable) Routes() []Route { return t.routes }
 
+// Restricted returns the number of routes whose requests may run in some regions only.
+func (t *RouteTable) Restricted() (n int) {
+	if t == nil {
+		return 0
+	}
+	for _, r := range t.routes {
+		if r.Regions().Restricted() {
+			n++
+		}
+	}
+	return n
+}
+
 // Service returns the settings of a service, and whether the table contains it.
 func (t *RouteTable) Service(n ServiceName) (ServiceSettings, bool) {
 	s, ok := t.services[n]
