--- a/balancer/grant.go
+++ b/balancer/grant.go
@@ -40,7 +40,7 @@
 	s.blockLocked(server)
 	for {
 		now := s.clock.Now()
-		w := s.queue.first(now)
+		w := s.queue.firstFor(server, now)
 		if w == nil {
 			break
 		}
@@ -70,6 +70,9 @@
 	now := s.clock.Now()
 	for _, e := range s.queue.line(s.workOf, now).entries {
 		w := e.waiter
+		if !server.Allowed(w.query.Route) {
+			continue
+		}
 		choice, ok := server.reserve(w.query, func(c Choice) bool { return s.takesSlowLocked(w, c, now) })
 		if ok {
 			choice.Conn = conn
@@ -107,14 +110,13 @@
 			s.mu.Unlock()
 			return
 		}
-		first := s.queue.first(s.clock.Now())
-		var query Query
-		if first != nil {
-			query = s.withoutBodyLocked(first.query)
+		queries := s.queue.firstQueries(s.clock.Now())
+		for i, q := range queries {
+			queries[i] = s.withoutBodyLocked(q)
 		}
 		s.mu.Unlock()
-		if first != nil {
-			s.findCapacity(query)
+		for _, q := range queries {
+			s.findCapacity(q)
 		}
 		time.Sleep(checkInterval)
 	}
@@ -125,7 +127,7 @@
 	candidates, err := s.candidates(q)
 	switch {
 	case len(candidates) == 0:
-		s.refuseExcluded(err)
+		s.refuseExcludedLike(q, err)
 	case s.balancer.config.Unreached(s.name):
 		s.refuseExcluded(ErrNoServer)
 	case s.choosesUnchecked():
@@ -149,7 +151,7 @@
 func (s *Service) findReachable(q Query) {
 	choice, err := s.Choose(context.Background(), q)
 	if err != nil {
-		s.refuseExcluded(err)
+		s.refuseExcludedLike(q, err)
 		return
 	}
 	conn := choice.Conn
--- a/carrier/run.go
+++ b/carrier/run.go
@@ -93,8 +93,8 @@
 // no share of their limits.
 // A delegated request is counted by the host that sends it.
 func (r *runner) begin() error {
-	if r.evacuated() {
-		return r.noServer(errEvacuated)
+	if err := r.excludedEverywhere(); err != nil {
+		return r.noServer(err)
 	}
 	if r.cut() {
 		if r.mayDelegate(r.ctx) && r.delegate() {
--- a/gossiper/silence_test.go
+++ b/gossiper/silence_test.go
@@ -111,7 +111,7 @@
 			missing, lookups := 0, 0
 			f.run(2*time.Second, func() {
 				for _, n := range f.nodes {
-					addresses, _ := resolvers[n].Resolve("zone-0")
+					addresses, _ := resolvers[n].Resolve("zone-0", "")
 					lookups += len(f.nodes) - tc.zones[0]
 					missing += len(f.nodes) - tc.zones[0] - len(addresses)
 				}
@@ -131,7 +131,7 @@
 					if n.failed {
 						continue
 					}
-					addresses, _ := resolvers[n].Resolve("zone-0")
+					addresses, _ := resolvers[n].Resolve("zone-0", "")
 					for _, a := range addresses {
 						if dead[a] {
 							named = since
