Test body shares while the hosts change

Cause: bodies sent by the earlier division are still in flight when a host joins or leaves; the excess was stated without a test.

--- a/limiter/bodies_test.go
+++ b/limiter/bodies_test.go
@@ -137,3 +137,30 @@
 	b.Pause()
 	check(l, 0, false)
 }
+
+// TestBodySharesBesideAChangeOfHosts guards against many hosts that get another share of a server when one
+// joins or leaves, while the bodies that were sent by the earlier division are still in flight.
+func TestBodySharesBesideAChangeOfHosts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := fake.NewClock()
+		hosts := zonedHosts(rapid.IntRange(2, 40).Draw(t, "hosts"), 1)
+		slots := rapid.IntRange(1, 12).Draw(t, "slots")
+		l := bodyLimit(0, slots, zoneName(0), zoneName(1))
+		most := make(map[verbenastand.HostID]int64)
+		largest := int64(0)
+		// The first host joins, or leaves.
+		for _, list := range [][]verbenastand.Host{hosts, hosts[1:]} {
+			for i, b := range allBodies(clock, list) {
+				share, known := b.BodyShare(l)
+				require.True(t, known)
+				id := list[i].ID()
+				most[id], largest = max(most[id], share), max(largest, share)
+			}
+		}
+		sum := int64(0)
+		for _, share := range most {
+			sum += share
+		}
+		require.LessOrEqual(t, sum, int64(slots)*l.Largest+largest)
+	})
+}
