--- a/internal/saturator/crowd_test.go
+++ b/internal/saturator/clients_test.go
@@ -20,7 +20,7 @@
 // entryHeaderBytes is the same for entry hosts, whose default limit is 32 KB.
 const entryHeaderBytes = 32_000
 
-// sendTime is how long a crowd sends, unless everything is sent before.
+// sendTime is how long a set of clients sends, unless everything is sent before.
 const sendTime = 8 * time.Second
 
 // dialerFrom returns a dialer that connects from a loopback address.
@@ -28,8 +28,8 @@
 	return &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}, Timeout: 5 * time.Second}
 }
 
-// crowd is a set of callers that send the same bytes and read everything that is sent back.
-type crowd struct {
+// clientSet is a set of callers that send the same bytes and read everything that is sent back.
+type clientSet struct {
 	// addresses is the number of network addresses over which the connections are spread.
 	addresses, connections int
 	// message is sent times times on each connection.
@@ -41,8 +41,8 @@
 	unread bool
 }
 
-// press lets a crowd send, then runs whileHeld before it closes the crowd's connections.
-func (h *host) press(address string, c crowd, whileHeld func()) {
+// saturate lets a set of clients send, then runs whileHeld before it closes the clients' connections.
+func (h *host) saturate(address string, c clientSet, whileHeld func()) {
 	ctx, cancel := context.WithTimeout(context.Background(), sendTime)
 	var sending, reading sync.WaitGroup
 	var mu sync.Mutex
@@ -89,7 +89,7 @@
 	reading.Wait()
 }
 
-func (c crowd) send(ctx context.Context, conn net.Conn) {
+func (c clientSet) send(ctx context.Context, conn net.Conn) {
 	deadline, _ := ctx.Deadline()
 	_ = conn.SetWriteDeadline(deadline)
 	for range c.times {
@@ -156,16 +156,16 @@
 func TestManyHeaderLines(t *testing.T) {
 	cases := []struct {
 		name  string
-		crowd crowd
+		clients clientSet
 	}{
-		{"lines of one name", crowd{addresses: 1, connections: 50, times: 32, message: request("/held/a", lines(headerBytes, sameName))}},
-		{"names that differ", crowd{addresses: 1, connections: 50, times: 32, message: request("/held/a", lines(headerBytes, differentNames()))}},
-		{"from many addresses", crowd{addresses: 25, connections: 50, times: 32, message: request("/held/a", lines(headerBytes, differentNames()))}},
+		{"lines of one name", clientSet{addresses: 1, connections: 50, times: 32, message: request("/held/a", lines(headerBytes, sameName))}},
+		{"names that differ", clientSet{addresses: 1, connections: 50, times: 32, message: request("/held/a", lines(headerBytes, differentNames()))}},
+		{"from many addresses", clientSet{addresses: 25, connections: 50, times: 32, message: request("/held/a", lines(headerBytes, differentNames()))}},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			h := newGateway(t)
-			h.press(h.address, tc.crowd, func() { h.requireResponse("/read/during") })
+			h.saturate(h.address, tc.clients, func() { h.requireResponse("/read/during") })
 			h.requireResponse("/read/after")
 			h.check()
 		})
@@ -176,7 +176,7 @@
 func TestManyHeaderLinesAtAnEntryHost(t *testing.T) {
 	h := newEntryHost(t)
 	message := request("/held/a", lines(entryHeaderBytes, differentNames()))
-	h.press(h.address, crowd{addresses: 4, connections: 300, times: 1, message: message}, func() { h.requireResponse("/read/during") })
+	h.saturate(h.address, clientSet{addresses: 4, connections: 300, times: 1, message: message}, func() { h.requireResponse("/read/during") })
 	h.requireResponse("/read/after")
 	h.check()
 }
@@ -223,23 +223,23 @@
 		name  string
 		start func(*testing.T) *host
 		port  int
-		crowd crowd
+		clients clientSet
 	}{
-		{"idle", newGateway, -1, crowd{addresses: 4, connections: 900}},
-		{"byte by byte", newGateway, -1, crowd{addresses: 4, connections: 900, times: 1, message: request("/read/a", lines(headerBytes, sameName)), pace: 20 * time.Millisecond}},
-		{"idle, readiness port", newGateway, 0, crowd{addresses: 4, connections: 900}},
-		{"byte by byte, directory port", newGateway, 1, crowd{addresses: 4, connections: 900, times: 1, message: request("/read/a", lines(headerBytes, sameName)), pace: 20 * time.Millisecond}},
-		{"idle, metrics port", newGateway, 2, crowd{addresses: 4, connections: 900}},
-		{"idle, entry host", newEntryHost, -1, crowd{addresses: 4, connections: 900}},
-		{"byte by byte, entry host", newEntryHost, -1, crowd{addresses: 4, connections: 900, times: 1, message: request("/read/a", lines(headerBytes, sameName)), pace: 20 * time.Millisecond}},
-		{"idle, API port of an entry host", newEntryHost, 0, crowd{addresses: 4, connections: 900}},
-		{"byte by byte, readiness port", newGateway, 0, crowd{addresses: 4, connections: 900, times: 1, message: request("/read/a", lines(headerBytes, sameName)), pace: 20 * time.Millisecond}},
-		{"byte by byte, metrics port", newGateway, 2, crowd{addresses: 4, connections: 900, times: 1, message: request("/read/a", lines(headerBytes, sameName)), pace: 20 * time.Millisecond}},
-		{"byte by byte, API port of an entry host", newEntryHost, 0, crowd{addresses: 4, connections: 900, times: 1, message: request("/read/a", lines(headerBytes, sameName)), pace: 20 * time.Millisecond}},
-		{"byte by byte, from many addresses", newGateway, -1, crowd{addresses: 90, connections: 900, times: 1, message: request("/read/a", lines(headerBytes, differentNames())), pace: 2 * time.Millisecond}},
-		{"byte by byte, from many addresses, entry host", newEntryHost, -1, crowd{addresses: 90, connections: 900, times: 1, message: request("/read/a", lines(headerBytes, differentNames())), pace: 2 * time.Millisecond}},
-		{"lingering", newGateway, -1, crowd{addresses: 40, connections: 2000, times: 1, message: request("/last/a", "Connection: close\r\n"), unread: true}},
-		{"lingering, entry host", newEntryHost, -1, crowd{addresses: 40, connections: 2000, times: 1, message: request("/last/a", "Connection: close\r\n"), unread: true}},
+		{"idle", newGateway, -1, clientSet{addresses: 4, connections: 900}},
+		{"byte by byte", newGateway, -1, clientSet{addresses: 4, connections: 900, times: 1, message: request("/read/a", lines(headerBytes, sameName)), pace: 20 * time.Millisecond}},
+		{"idle, readiness port", newGateway, 0, clientSet{addresses: 4, connections: 900}},
+		{"byte by byte, directory port", newGateway, 1, clientSet{addresses: 4, connections: 900, times: 1, message: request("/read/a", lines(headerBytes, sameName)), pace: 20 * time.Millisecond}},
+		{"idle, metrics port", newGateway, 2, clientSet{addresses: 4, connections: 900}},
+		{"idle, entry host", newEntryHost, -1, clientSet{addresses: 4, connections: 900}},
+		{"byte by byte, entry host", newEntryHost, -1, clientSet{addresses: 4, connections: 900, times: 1, message: request("/read/a", lines(headerBytes, sameName)), pace: 20 * time.Millisecond}},
+		{"idle, API port of an entry host", newEntryHost, 0, clientSet{addresses: 4, connections: 900}},
+		{"byte by byte, readiness port", newGateway, 0, clientSet{addresses: 4, connections: 900, times: 1, message: request("/read/a", lines(headerBytes, sameName)), pace: 20 * time.Millisecond}},
+		{"byte by byte, metrics port", newGateway, 2, clientSet{addresses: 4, connections: 900, times: 1, message: request("/read/a", lines(headerBytes, sameName)), pace: 20 * time.Millisecond}},
+		{"byte by byte, API port of an entry host", newEntryHost, 0, clientSet{addresses: 4, connections: 900, times: 1, message: request("/read/a", lines(headerBytes, sameName)), pace: 20 * time.Millisecond}},
+		{"byte by byte, from many addresses", newGateway, -1, clientSet{addresses: 90, connections: 900, times: 1, message: request("/read/a", lines(headerBytes, differentNames())), pace: 2 * time.Millisecond}},
+		{"byte by byte, from many addresses, entry host", newEntryHost, -1, clientSet{addresses: 90, connections: 900, times: 1, message: request("/read/a", lines(headerBytes, differentNames())), pace: 2 * time.Millisecond}},
+		{"lingering", newGateway, -1, clientSet{addresses: 40, connections: 2000, times: 1, message: request("/last/a", "Connection: close\r\n"), unread: true}},
+		{"lingering, entry host", newEntryHost, -1, clientSet{addresses: 40, connections: 2000, times: 1, message: request("/last/a", "Connection: close\r\n"), unread: true}},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -248,7 +248,7 @@
 			if tc.port >= 0 {
 				address = h.others[tc.port]
 			}
-			h.press(address, tc.crowd, func() { h.requireResponse("/read/during") })
+			h.saturate(address, tc.clients, func() { h.requireResponse("/read/during") })
 			h.requireResponse("/read/after")
 			h.check()
 		})
@@ -261,7 +261,7 @@
 		t.Run(kind.name, func(t *testing.T) {
 			h := kind.start(t)
 			message := request("/many/a", "")
-			h.press(h.address, crowd{addresses: 4, connections: 100, times: 32, message: message, unread: true}, func() { h.requireResponse("/read/during") })
+			h.saturate(h.address, clientSet{addresses: 4, connections: 100, times: 32, message: message, unread: true}, func() { h.requireResponse("/read/during") })
 			h.requireResponse("/read/after")
 			h.check()
 		})
--- a/internal/saturator/unusual_test.go
+++ b/internal/saturator/unusual_test.go
@@ -41,7 +41,7 @@
 			t.Run(kind.name+"/"+tc.name, func(t *testing.T) {
 				h := kind.start(t)
 				for _, address := range append([]string{h.address}, h.others...) {
-					h.press(address, crowd{addresses: 4, connections: 40, times: 8, message: tc.message}, func() {})
+					h.saturate(address, clientSet{addresses: 4, connections: 40, times: 8, message: tc.message}, func() {})
 				}
 				h.requireResponse("/read/after")
 				h.check()
@@ -78,8 +78,8 @@
 	for _, kind := range kinds {
 		t.Run(kind.name, func(t *testing.T) {
 			h := kind.start(t)
-			c := crowd{addresses: 4, connections: 100, times: 4, message: request("/long/a", ""), unread: true}
-			h.press(h.address, c, func() { h.requireResponse("/read/during") })
+			c := clientSet{addresses: 4, connections: 100, times: 4, message: request("/long/a", ""), unread: true}
+			h.saturate(h.address, c, func() { h.requireResponse("/read/during") })
 			h.requireResponse("/read/after")
 			h.check()
 		})
