--- a/carrier/hedge.go
+++ b/carrier/hedge.go
@@ -252,7 +252,7 @@
 	}
 	if !r.hedging.wanted {
 		r.hedging.wanted = true
-		r.carrier.config.Hedger.Want(attempt)
+		r.carrier.config.Hedger.CountWorthwhile(attempt)
 	}
 	return true
 }
--- a/dispatcher/hedge.go
+++ b/dispatcher/hedge.go
@@ -168,7 +168,7 @@
 	}
 	if !h.wanted {
 		h.wanted = true
-		config.Want(attempt)
+		config.CountWorthwhile(attempt)
 	}
 	return true
 }
--- a/gossiper/sharing.go
+++ b/gossiper/sharing.go
@@ -61,9 +61,9 @@
 	return 2*len(unknown) <= seeds
 }
 
-// Silent returns the known hosts, alive or not, of which this one has heard nothing for the given
-// time before it last heard of any host. A host that hears of nobody, since it was paused or is cut off,
-// knows nothing of the others.
+// Silent returns the known hosts, alive or not, of which no heartbeat has arrived for the given time before
+// the latest heartbeat of any host. To a host that receives no heartbeats, since it was paused or is cut
+// off, the others do not become silent.
 func (g *Gossiper) Silent(d time.Duration) map[verbenastand.HostID]bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/hedger/policy.go
+++ b/hedger/policy.go
@@ -203,12 +203,12 @@
 	natural := time.Duration(float64(a.Elapsed) / max(1, a.Slowdown))
 	rest, all := d.remaining(natural), d.remaining(0)
 	g := gainOf(rest, natural, max(1, a.SlowdownNow), condense(all), max(1, slowdownOfSecond))
-	return g.worthwhile() || h.planLocked(d).tail.rescues(a, natural, rest, all, max(1, slowdownOfSecond))
+	return g.worthwhile() || h.planLocked(d).tail.shortensTail(a, natural, rest, all, max(1, slowdownOfSecond))
 }
 
-// Want records that a hedge of an attempt is worthwhile. It is called once for each attempt, whether or
+// CountWorthwhile records that a hedge of an attempt is worthwhile. It is called once for each attempt, whether or
 // not the hedge is then sent.
-func (h *Hedger) Want(a Attempt) {
+func (h *Hedger) CountWorthwhile(a Attempt) {
 	if h.mode != Limited {
 		return
 	}
--- a/hedger/tail.go
+++ b/hedger/tail.go
@@ -14,9 +14,9 @@
 	// maxHedgedShare is the largest share of the requests that is hedged for the sake of the
 	// quantile: a retry budget of a fifth of the requests leaves some for failed ones.
 	maxHedgedShare = 0.125
-	// minRescues is the least probability with which a hedge responds before the quantile and the first
+	// minTailWins is the least probability with which a hedge responds before the quantile and the first
 	// attempt does not.
-	minRescues = 0.25
+	minTailWins = 0.25
 )
 
 // tailQuantiles are the quantiles of the durations that hedges are to shorten. If long durations are
@@ -112,19 +112,19 @@
 // tailPlans are the plans for each of tailQuantiles.
 type tailPlans [len(tailQuantiles)]tailPlan
 
-// rescues reports whether a hedge helps with any of the quantiles.
-func (t tailPlans) rescues(a Attempt, natural time.Duration, rest, second []point, slowdownOfSecond float64) bool {
+// shortensTail reports whether a hedge helps with any of the quantiles.
+func (t tailPlans) shortensTail(a Attempt, natural time.Duration, rest, second []point, slowdownOfSecond float64) bool {
 	for _, p := range t {
-		if p.rescues(a, natural, rest, second, slowdownOfSecond) {
+		if p.shortensTail(a, natural, rest, second, slowdownOfSecond) {
 			return true
 		}
 	}
 	return false
 }
 
-// rescues reports whether a hedge is likely enough to respond before the quantile and the first attempt
+// shortensTail reports whether a hedge is likely enough to respond before the quantile and the first attempt
 // to respond after it.
-func (p tailPlan) rescues(a Attempt, natural time.Duration, rest, second []point, slowdownOfSecond float64) bool {
+func (p tailPlan) shortensTail(a Attempt, natural time.Duration, rest, second []point, slowdownOfSecond float64) bool {
 	left := float64(p.quantile - a.Elapsed)
 	if p.quantile == 0 || natural < p.after || left <= 0 {
 		return false
@@ -135,5 +135,5 @@
 			misses += r.probability
 		}
 	}
-	return misses*(1-survivalAfter(second, left/slowdownOfSecond)) >= minRescues
+	return misses*(1-survivalAfter(second, left/slowdownOfSecond)) >= minTailWins
 }
--- a/hedger/tail_test.go
+++ b/hedger/tail_test.go
@@ -63,7 +63,7 @@
 			after, ok := h.Delay(tenantsAttempt(0, 1))
 			require.True(t, ok)
 			if wanted && took >= after {
-				h.Want(tenantsAttempt(took, 5))
+				h.CountWorthwhile(tenantsAttempt(took, 5))
 			}
 		}
 		after, _ := h.Delay(tenantsAttempt(0, 1))
--- a/internal/saturator/clients_test.go
+++ b/internal/saturator/clients_test.go
@@ -155,7 +155,7 @@
 // take up to 20 times their bytes: 1,600 of them are held in handlers.
 func TestManyHeaderLines(t *testing.T) {
 	cases := []struct {
-		name  string
+		name    string
 		clients clientSet
 	}{
 		{"lines of one name", clientSet{addresses: 1, connections: 50, times: 32, message: request("/held/a", lines(headerBytes, sameName))}},
@@ -220,9 +220,9 @@
 // that send nothing, or headers byte by byte, or leave their last response unread.
 func TestManyConnections(t *testing.T) {
 	cases := []struct {
-		name  string
-		start func(*testing.T) *host
-		port  int
+		name    string
+		start   func(*testing.T) *host
+		port    int
 		clients clientSet
 	}{
 		{"idle", newGateway, -1, clientSet{addresses: 4, connections: 900}},
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -47,7 +47,7 @@
 	gossipLifetimePerHost = 20 * time.Millisecond
 	// gossipNeighbours limits the hosts with which a host exchanges gossip messages.
 	gossipNeighbours = 8
-	// lookupSilence is the time without news of a host after which callers of an evacuated zone are
+	// lookupSilence is the time without a heartbeat of a host after which callers of an evacuated zone are
 	// directed to others. Within 123 hosts the last heartbeat of a host takes up to 3 s to the
 	// others, and a dead host may be named for 6 s.
 	lookupSilence = 2 * time.Second
--- a/resolver/resolver.go
+++ b/resolver/resolver.go
@@ -29,8 +29,8 @@
 	// Evacuated reports whether the servers of an availability zone get no requests; nil if
 	// that is never so.
 	Evacuated func(verbenastand.Zone) bool
-	// Silent returns the hosts considered alive that have not been heard of for so long that they
-	// may be dead; nil if that is never so.
+	// Silent returns the hosts without a heartbeat for so long that they may have failed, although they are
+	// still considered alive; nil if that is never so.
 	Silent func() map[verbenastand.HostID]bool
 	// Regions are the regions of availability zones.
 	Regions verbenastand.ZoneRegions
@@ -56,7 +56,7 @@
 // how long they are valid. The region that the caller names counts if that of its zone is not
 // known. Callers of an evacuated zone are directed to hosts of other zones:
 // each of their requests and its health checks would cross zones otherwise. Silent hosts are only their last alternatives,
-// since news of a death take longer between zones.
+// since failures are detected later between zones.
 func (r *Resolver) Resolve(zone verbenastand.Zone, named verbenastand.Region) (addresses []string, validity time.Duration) {
 	region := cmp.Or(r.config.Regions.Of(zone), named)
 	var selected, others, detached, evacuated, silent []verbenastand.Host
