Read responses ahead at an entry host only where its memory is known

Entry hosts whose memory is not known read up to 32 MB ahead, and each 16 KB of a response left a buffer for the garbage collector. The buffer that needs no memory of the budget is used again, also at gateways.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -48,6 +48,8 @@
 	// Memory returns what provides the memory for the body of a request and its response, given
 	// its context; nil, or if it returns nil, the memory isn't bounded.
 	Memory func(context.Context) bounder.Source
+	// ReadAhead is set if responses are read ahead of callers that read slowly, as far as Memory allows.
+	ReadAhead bool
 	// StallTimeout is how long a caller may take to send a small body or to
 	// accept one write of a response body.
 	StallTimeout time.Duration
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -133,6 +133,7 @@
 		Peers: p, Servers: p, Meter: meter.NewMeter(), Tracer: noop.NewTracerProvider().Tracer(""),
 		MaxBody: 1 << 20, MaxConcurrent: 1000, StallTimeout: time.Second,
 		Memory:           func(context.Context) bounder.Source { return p.memory },
+		ReadAhead:        true,
 		OnDrainNotice:    func(verbenastand.ServiceName, scheduler.DrainNotice) {},
 		OnCrashSuspected: func([]verbenastand.Host, quarantiner.Suspect) { p.notified.Add(1) },
 		Hedger:           hedger.NewHedger(hedger.Config{Clock: p.clock, Limit: hedgeLimit}),
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -15,9 +15,12 @@
 // the most that a caller has to accept within the stall timeout.
 const streamBufferSize = 32 << 10
 
-// readAhead reads the body of a response into the memory of the request.
+// readAhead reads the body of a response into the memory of the request, or through two buffers if
+// nothing is to be read ahead.
 func (d *Dispatcher) readAhead(req *proxiedRequest, c prefetcher.Config) *prefetcher.Reader {
-	c.Memory, c.Charged = req.memory, req.memory != nil
+	if d.config.ReadAhead {
+		c.Memory, c.Charged = req.memory, req.memory != nil
+	}
 	c.ReportPanic = func(value any) error { return fmt.Errorf("dispatcher: panic while a response was read: %v", value) }
 	return prefetcher.NewReader(c)
 }
--- a/internal/prefetcher/prefetcher.go
+++ b/internal/prefetcher/prefetcher.go
@@ -50,6 +50,9 @@
 	mu      sync.Mutex
 	changed *sync.Cond
 	chunks  []chunk
+	// spare is the buffer of the last chunk for which no memory was taken, nil while one is in use. It is
+	// used again: otherwise a long response leaves one for the garbage collector every 16 KB.
+	spare []byte
 	// taken is the number of bytes of the first chunk that Next has returned.
 	taken int
 	// err is the error behind the last chunk, io.EOF at the end of the response.
@@ -59,10 +62,11 @@
 	ended, closed bool
 }
 
-// chunk is a part of a response. What has been delivered is cut off its data.
+// chunk is a part of a response. What has been delivered is cut off its data, which begins as a part of
+// the buffer.
 type chunk struct {
-	data    []byte
-	charged bool
+	data, buffer []byte
+	charged      bool
 }
 
 // NewReader starts to read. The reader must be closed.
@@ -110,22 +114,31 @@
 			part = part[n:]
 			continue
 		}
-		size := r.size
 		charged := last >= 0 && r.config.Memory != nil && r.config.Memory.Take(chunkSize)
-		if charged {
-			size = chunkSize
-		}
 		if last >= 0 && !charged {
 			// The caller gets everything that is held before more is read.
 			r.changed.Wait()
 			continue
 		}
-		r.chunks = append(r.chunks, chunk{data: make([]byte, 0, size), charged: charged})
+		buffer := r.newBufferLocked(charged)
+		r.chunks = append(r.chunks, chunk{data: buffer[:0], buffer: buffer, charged: charged})
 	}
 	r.changed.Broadcast()
 	return !r.closed
 }
 
+func (r *Reader) newBufferLocked(charged bool) []byte {
+	if charged {
+		return make([]byte, chunkSize)
+	}
+	buffer := r.spare
+	r.spare = nil
+	if buffer == nil {
+		buffer = make([]byte, r.size)
+	}
+	return buffer
+}
+
 // end ends reading the body. Its connection is usable again only if nobody interrupts it any
 // more.
 func (r *Reader) end(err error) {
@@ -203,8 +216,10 @@
 func (r *Reader) dropFirstLocked() {
 	if r.chunks[0].charged {
 		r.config.Memory.Return(chunkSize)
+	} else {
+		r.spare = r.chunks[0].buffer
 	}
-	r.chunks[0].data = nil
+	r.chunks[0] = chunk{}
 	r.chunks = r.chunks[1:]
 	r.changed.Broadcast()
 }
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -204,7 +204,7 @@
 	h.dispatcher = dispatcher.NewDispatcher(dispatcher.Config{
 		Timer: h.timer, Self: h.self, Membership: h.gossiper, Registrar: h.registrar,
 		Deduplicator: h.deduplicator, Quarantiner: h.quarantiner, Limiter: h.limiter, Excluder: h.excluder, Peers: h.forwarder, Reachability: h,
-		Servers: h.connector, Memory: admitter.Memory, Meter: h.meter, Tracer: requestTracer, MaxBody: h.settings.MaxBody,
+		Servers: h.connector, Memory: admitter.Memory, ReadAhead: h.settings.MemoryMB > 0, Meter: h.meter, Tracer: requestTracer, MaxBody: h.settings.MaxBody,
 		MaxConcurrent: h.settings.MaxConcurrent, StallTimeout: h.settings.StallTimeout,
 		OnDrainNotice: h.onDrainNotice, OnCrashSuspected: h.onCrashSuspected,
 		OnConnectionLost: h.onConnectionLost,
