Choose the first waiting request in one place

Without a limit on bodies, each round of health checks still copied the queue to look for large ones.

--- a/balancer/body.go
+++ b/balancer/body.go
@@ -28,7 +28,7 @@
 // ErrNoBodyShare means that this host may send no body of that size to any of the servers.
 var ErrNoBodyShare = errors.New("balancer: this host may not send a body of that size to the servers")
 
-// BodyShortage tells that a request with a large body has to wait or is refused.
+// BodyShortage is reported when a request with a large body has to wait or is refused.
 type BodyShortage struct {
 	Service verbenastand.ServiceName
 	// Bytes is the size of the body, that of the largest one if it is unknown.
@@ -160,6 +160,9 @@
 // blockLocked marks the waiting requests with large bodies for which none of the servers has room.
 // The other requests don't wait for them.
 func (s *Service) blockLocked(servers ...*Server) {
+	if s.balancer.config.BodyLimiter == nil {
+		return
+	}
 	for _, w := range s.queue.waiters {
 		charge := s.balancer.bodyCharge(w.query)
 		w.blocked = charge > 0 && !slices.ContainsFunc(servers, func(server *Server) bool { return server.hasBodyRoom(charge) })
@@ -205,6 +208,9 @@
 // refuseUnsharedLocked refuses the waiting requests with large bodies that this host may no longer
 // send to any of the servers, for example since other hosts have joined.
 func (s *Service) refuseUnsharedLocked() {
+	if s.balancer.config.BodyLimiter == nil {
+		return
+	}
 	now := s.clock.Now()
 	for _, w := range slices.Clone(s.queue.waiters) {
 		charge := s.balancer.bodyCharge(w.query)
--- a/balancer/queue.go
+++ b/balancer/queue.go
@@ -58,7 +58,7 @@
 	usage usageTable
 }
 
-// newQueue returns an empty queue. fair tells whether requests are ordered by the usage of their
+// newQueue returns an empty queue. fair is set if requests are ordered by the usage of their
 // callers.
 func newQueue(fair bool) queue {
 	q := queue{backlogs: make(map[backlogClass]*backlog)}
@@ -98,25 +98,29 @@
 	return true
 }
 
-// first returns the request that is to be sent next, nil if none waits that can be sent.
-func (q *queue) first(now time.Time) *waiter {
-	i := slices.IndexFunc(q.waiters, func(w *waiter) bool { return !w.blocked })
+// firstOf returns the request that is to be sent next if the given one waits, too. No other request
+// of its caller goes before it.
+func (q *queue) firstOf(w *waiter, now time.Time) *waiter {
+	return q.firstAmong(w, func(*waiter) bool { return true }, now)
+}
+
+// firstWhere returns the request that is to be sent next of those that match and can be sent, nil if there
+// are none.
+func (q *queue) firstWhere(matches func(*waiter) bool, now time.Time) *waiter {
+	i := slices.IndexFunc(q.waiters, func(w *waiter) bool { return !w.blocked && matches(w) })
 	if i < 0 {
 		return nil
 	}
-	return q.firstOf(q.waiters[i], now)
+	return q.firstAmong(q.waiters[i], matches, now)
 }
 
-// firstOf returns the request that is to be sent next if the given one waits, too. No other request
-// of its caller goes before it.
-func (q *queue) firstOf(w *waiter, now time.Time) *waiter {
+// firstAmong returns the request that is to be sent next of the given one and those that match and can be
+// sent.
+func (q *queue) firstAmong(w *waiter, matches func(*waiter) bool, now time.Time) *waiter {
 	first := q.entry(w, w.class(now), now)
 	for _, other := range q.waiters {
 		class := other.class(now)
-		if other.blocked {
-			continue
-		}
-		if class.compare(first.class) > 0 {
+		if other.blocked || class.compare(first.class) > 0 || !matches(other) {
 			continue
 		}
 		if e := q.entry(other, class, now); e.compare(&first) < 0 {
--- a/balancer/queue_test.go
+++ b/balancer/queue_test.go
@@ -15,6 +15,11 @@
 	"github.com/verbenastand/verbenastand/internal/fake"
 )
 
+// first returns the request that is to be sent next, nil if none waits that can be sent.
+func (q *queue) first(now time.Time) *waiter {
+	return q.firstWhere(func(*waiter) bool { return true }, now)
+}
+
 func init() { _ = flag.Set("rapid.seed", "20261206") }
 
 // drawWaiter draws a request that arrived some time before now.
@@ -124,9 +129,9 @@
 	})
 }
 
-// TestUsageIsForgotten guards against callers that are put behind others for long, and against a table
+// TestUsageDecays guards against callers that are ranked after others for long, and against a table
 // that grows with the number of callers.
-func TestUsageIsForgotten(t *testing.T) {
+func TestUsageDecays(t *testing.T) {
 	clock := fake.NewClock()
 	usage := make(usageTable)
 	usage.record("a", time.Second, clock.Now())
--- a/balancer/region.go
+++ b/balancer/region.go
@@ -39,26 +39,7 @@
 
 // firstFor returns the request that is to be sent next to a server, nil if there is none that can be sent.
 func (q *queue) firstFor(server *Server, now time.Time) *waiter {
-	return q.firstWhere(func(w *waiter) bool { return !w.blocked && server.Allowed(w.query.Route) }, now)
-}
-
-// firstWhere returns the request that is to be sent next of those that match.
-func (q *queue) firstWhere(matches func(*waiter) bool, now time.Time) *waiter {
-	i := slices.IndexFunc(q.waiters, matches)
-	if i < 0 {
-		return nil
-	}
-	first := q.entry(q.waiters[i], q.waiters[i].class(now), now)
-	for _, other := range q.waiters[i+1:] {
-		class := other.class(now)
-		if class.compare(first.class) > 0 || !matches(other) {
-			continue
-		}
-		if e := q.entry(other, class, now); e.compare(&first) < 0 {
-			first = e
-		}
-	}
-	return first.waiter
+	return q.firstWhere(func(w *waiter) bool { return server.Allowed(w.query.Route) }, now)
 }
 
 // firstQueries returns the requests that are to be sent next, one of those of each set of regions, as far as
@@ -71,7 +52,7 @@
 			continue
 		}
 		known[regions] = true
-		first := q.firstWhere(func(other *waiter) bool { return !other.blocked && other.query.Route.Regions() == regions }, now)
+		first := q.firstWhere(func(other *waiter) bool { return other.query.Route.Regions() == regions }, now)
 		queries = append(queries, first.query)
 	}
 	return queries
