--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -48,7 +48,7 @@
 	// the connections; if zero, they are not bounded.
 	MaxRequests, MaxConnections int
 	// OnShortage is called when a connection is not read because its caller's share of the
-	// memory, or of MaxRequests, is exhausted; nil if nobody is interested.
+	// memory, or of MaxRequests, is exhausted; may be nil.
 	OnShortage func(Shortage)
 	// Observer receives what ends connections; nil if nobody does.
 	Observer Observer
--- a/acceptor/memory.go
+++ b/acceptor/memory.go
@@ -107,7 +107,7 @@
 	}
 }
 
-// memoryPoll is the time between two looks at the pending requests of a connection that waits
+// memoryPoll is the time between two checks of the pending requests of a connection that waits
 // for memory.
 const memoryPoll = 100 * time.Millisecond
 
@@ -206,7 +206,7 @@
 	admitTimeout = 20 * time.Millisecond
 	admitPoll    = time.Millisecond
 	// closedShare is the part of the idle connections that are closed at once, so that
-	// not each new connection has to look for the one that has been idle longest.
+	// not each new connection has to find the one that has been idle longest.
 	closedShare = 64
 )
 
--- a/acceptor/refuse.go
+++ b/acceptor/refuse.go
@@ -10,7 +10,7 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// readError returns the error with which reading a message ends. Only the connection tells
+// readError returns the error with which reading a message ends. Only the connection shows
 // whether the caller has left: callers choose the bytes that errors of the parsers depend on.
 func (c *connection) readError(err error) error {
 	cause := c.limited.Err()
--- a/balancer/body_test.go
+++ b/balancer/body_test.go
@@ -21,7 +21,7 @@
 type fakeShares struct {
 	// share is negative while it is unknown.
 	share atomic.Int64
-	// last is what the share was last asked for.
+	// last is the last request for a share.
 	last atomic.Pointer[verbenastand.BodyLimit]
 }
 
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -232,7 +232,7 @@
 	return choice, true, true
 }
 
-// check makes a health check of a server and stores what it says. If ok is set, the server is healthy,
+// check makes a health check of a server and stores the report. If ok is set, the server is healthy,
 // and the caller must use or release the connection of the result.
 func (s *Service) check(ctx context.Context, server *Server) (result CheckResult, ok bool) {
 	began := s.clock.Now()
--- a/balancer/cold_test.go
+++ b/balancer/cold_test.go
@@ -13,7 +13,7 @@
 	"github.com/verbenastand/verbenastand/limiter"
 )
 
-// coldHarness is a harness whose servers say in health checks how long they stay cold.
+// coldHarness is a harness whose servers state in health checks how long they stay cold.
 type coldHarness struct {
 	*harness
 	warmup    *limiter.Warmup
@@ -65,7 +65,7 @@
 func warming(c *verbenastand.RegistrationConfig) { c.Warmup = 3 * time.Second }
 func there(c *verbenastand.RegistrationConfig)   { c.Zone = "there" }
 
-// Guards against cold servers that starve while the warm ones of their zone are saturated, and
+// Guards against cold servers that get no requests while the warm ones of their zone are saturated, and
 // against slow responses where a warm one is free or the cold one can't be in time.
 func TestColdServersAreUsedInTheirZone(t *testing.T) {
 	saturated := verbenastand.LoadReport{Running: 5, Slots: 6, Slowdown: 1}
--- a/balancer/evacuate.go
+++ b/balancer/evacuate.go
@@ -16,7 +16,7 @@
 	// inForce is set while the server must get nothing.
 	inForce bool
 	// endedAt is when the last evacuation ended. It is zero again once a health check or a
-	// registration from after that tells whether the server is cold.
+	// registration from after that shows whether the server is cold.
 	endedAt time.Time
 	// ended is the registration that was known at that time.
 	ended verbenastand.Registration
@@ -43,7 +43,7 @@
 	return s.warmingLocked(now) || !s.evacuation.endedAt.IsZero()
 }
 
-// setEvacuated stores whether the zone of the server is evacuated. was tells whether it was in
+// setEvacuated stores whether the zone of the server is evacuated. was reports whether it was in
 // the previous view, which a server that has just been registered does not know.
 func (s *Server) setEvacuated(evacuated, was bool, now time.Time) {
 	s.mu.Lock()
@@ -61,7 +61,7 @@
 }
 
 // confirmWarmth records that a health check which began at the given time has succeeded. What
-// its response says of the server replaces the assumption that the server is cold.
+// its response states about the server replaces the assumption that the server is cold.
 func (s *Server) confirmWarmth(began time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/balancer/evacuate_test.go
+++ b/balancer/evacuate_test.go
@@ -113,7 +113,7 @@
 	})
 }
 
-// Guards against a limit of a server or a pause in an evacuated zone that tells how long requests
+// Guards against a limit of a server or a pause in an evacuated zone that determines how long requests
 // wait for the others.
 func TestEvacuatedServersDoNotCountForTheWait(t *testing.T) {
 	list := []verbenastand.Registration{registration("a", nil), registration("c", elsewhere)}
@@ -128,7 +128,7 @@
 	require.ErrorIs(t, err, ErrPaused)
 }
 
-// pauses holds the pauses that servers have asked for.
+// pauses holds the pauses that servers have requested.
 type pauses map[verbenastand.ServerID]time.Duration
 
 // Exclusion implements verbenastand.ServerExcluder.
--- a/balancer/refresh_test.go
+++ b/balancer/refresh_test.go
@@ -11,7 +11,7 @@
 )
 
 // Guards against hedges that are decided on by how fast a server was when the request was sent, and
-// against health checks of servers that must get nothing or do not tell their load.
+// against health checks of servers that must get nothing or do not report their load.
 func TestRefresh(t *testing.T) {
 	cases := []struct {
 		name     string
--- a/balancer/server.go
+++ b/balancer/server.go
@@ -142,7 +142,7 @@
 }
 
 // warmingLocked reports whether the server is still warming up. Where cold servers have a
-// limit, health checks tell of it as well as registrations.
+// limit, both health checks and registrations state it.
 func (s *Server) warmingLocked(now time.Time) bool {
 	if s.service.limitsCold() {
 		return s.limiter().Remaining(s.registration.Process()) > 0
--- a/carrier/attempt.go
+++ b/carrier/attempt.go
@@ -227,7 +227,7 @@
 	return verbenastand.NewRequestError(verbenastand.MayHaveRun, verbenastand.ReasonInvalidResponse, sender.ErrUnexpectedResponse)
 }
 
-// observeServer passes on what the response says of its server, unless it is that of
+// observeServer passes on what the response states about its server, unless it is that of
 // another process at the server's address.
 func (c *call) observeServer(server verbenastand.Registration, r *sender.Response, sentAt time.Time) {
 	if r.Status == http.StatusMisdirectedRequest {
--- a/carrier/callers_test.go
+++ b/carrier/callers_test.go
@@ -14,31 +14,31 @@
 	"github.com/stretchr/testify/require"
 )
 
-// callerKind tells how a caller behaves when it is refused.
+// callerKind is how a caller behaves when it is refused.
 type callerKind int
 
 const (
 	// waitingCaller returns once, after the Retry-After delay.
 	waitingCaller callerKind = iota
-	// insistentCaller returns at once, and three times as often.
-	insistentCaller
+	// aggressiveCaller returns at once, and three times as often.
+	aggressiveCaller
 	// burstCaller sends bursts of one kind of request, and behaves as a waitingCaller otherwise.
 	burstCaller
 	callerKinds
 )
 
 const (
-	// insistence is how many times as often an insistent caller returns.
-	insistence = 3
-	// callerRoundTrip is the time that an insistent caller takes to open a new connection.
+	// retryFactor is how many times as often an aggressive caller returns.
+	retryFactor = 3
+	// callerRoundTrip is the time that an aggressive caller takes to open a new connection.
 	callerRoundTrip = 6 * time.Millisecond
 )
 
 // callerConfig describes the callers of a load pattern. Each has a network address and sends the same
 // share of the requests. A caller that returns chooses another host.
 type callerConfig struct {
-	count     int
-	insistent int
+	count      int
+	aggressive int
 	// burst is the number of requests of a burst, all of burstPath and one further caller.
 	burst      int
 	burstEvery time.Duration
@@ -81,11 +81,11 @@
 	}
 	random := rand.New(rand.NewPCG(uint64(number), 3+2*c.seed))
 	index := random.IntN(c.callers.count)
-	if index < c.callers.insistent {
-		caller.kind = insistentCaller
+	if index < c.callers.aggressive {
+		caller.kind = aggressiveCaller
 	}
 	caller.address = &net.TCPAddr{IP: net.IPv4(10, 2, 0, byte(index)), Port: 40000}
-	for range insistence * c.retries {
+	for range retryFactor * c.retries {
 		caller.hosts = append(caller.hosts, random.IntN(c.hosts))
 	}
 	return caller
@@ -96,7 +96,7 @@
 
 // delay returns after which time the caller returns, given the Retry-After delay.
 func (c modelCaller) delay(retryAfter time.Duration) time.Duration {
-	if c.kind == insistentCaller {
+	if c.kind == aggressiveCaller {
 		return callerRoundTrip
 	}
 	return retryAfter
@@ -104,8 +104,8 @@
 
 // retries returns how many times the caller returns.
 func (c modelCaller) retries(config modelConfig) int {
-	if c.kind == insistentCaller {
-		return insistence * config.retries
+	if c.kind == aggressiveCaller {
+		return retryFactor * config.retries
 	}
 	return config.retries
 }
@@ -166,22 +166,22 @@
 		for _, load := range []float64{0.7, 1.3, 2} {
 			t.Run(fmt.Sprintf("%g-%d", load, callers), func(t *testing.T) {
 				var alone *modelCounts
-				insistents := []int{0}
+				aggressiveCounts := []int{0}
 				for _, divisor := range divisors {
-					insistents = append(insistents, callers/divisor)
+					aggressiveCounts = append(aggressiveCounts, callers/divisor)
 				}
-				for _, insistent := range insistents {
+				for _, aggressive := range aggressiveCounts {
 					counts := runCallers(t, func(c *modelConfig) {
-						c.load, c.length, c.callers = load, length, callerConfig{count: callers, insistent: insistent}
+						c.load, c.length, c.callers = load, length, callerConfig{count: callers, aggressive: aggressive}
 					})
 					var all modelCounts
 					for kind := range counts {
 						all.add(&counts[kind])
 					}
 					waiting := &counts[waitingCaller]
-					t.Logf("load %g, %d of %d insistent: all %v; waiting %v; insistent %v",
-						load, insistent, callers, &all, waiting, &counts[insistentCaller])
-					if insistent == 0 {
+					t.Logf("load %g, %d of %d aggressive: all %v; waiting %v; aggressive %v",
+						load, aggressive, callers, &all, waiting, &counts[aggressiveCaller])
+					if aggressive == 0 {
 						alone = waiting
 					}
 					assert.GreaterOrEqual(t, all.served(), requiredShare*min(1, 1/load))
--- a/carrier/check.go
+++ b/carrier/check.go
@@ -27,7 +27,7 @@
 	// server; nil for none.
 	Names    verbenastand.HeaderNames
 	Excluder *excluder.Excluder
-	// Warmup learns which servers are cold; nil for none.
+	// Warmup is notified of cold servers; nil for none.
 	Warmup *limiter.Warmup
 	// OnCheck is called after each health check.
 	OnCheck func(service verbenastand.ServiceName, ok bool)
@@ -44,7 +44,7 @@
 	}
 }
 
-// checkOver makes a health check over a connection and passes on what the response says of its
+// checkOver makes a health check over a connection and passes on what the response states about its
 // server.
 func (h *HealthChecker) checkOver(ctx context.Context, c *sender.Connection, server verbenastand.Registration, healthPath string) (sender.Health, error) {
 	sentAt := time.Now()
--- a/carrier/cold_test.go
+++ b/carrier/cold_test.go
@@ -131,7 +131,7 @@
 func coldZone(i int) verbenastand.Zone { return verbenastand.Zone(fmt.Sprint("zone-", i%coldZones)) }
 
 // runCold runs the pattern; all servers of a zone become cold a second after the start, which
-// only health checks tell.
+// only health checks show.
 func (m *model) runCold(t *testing.T, servers []*coldModelServer) {
 	ctx, cancel := context.WithCancel(t.Context())
 	for _, s := range m.servers {
--- a/carrier/delegate.go
+++ b/carrier/delegate.go
@@ -81,7 +81,7 @@
 }
 
 // hasDelegates reports whether other hosts may send the request: this host received it from its
-// caller, and has not just learnt that the others reach no server either.
+// caller, and has not just found out that the others reach no server either.
 func (c *call) hasDelegates() bool {
 	return c.carrier.config.Delegator != nil && c.request.Origin() == nil && c.excludedEverywhere() == nil &&
 		!c.carrier.unserved.includes(c.serviceName, c.carrier.config.Clock.Now())
--- a/carrier/demand_test.go
+++ b/carrier/demand_test.go
@@ -280,7 +280,7 @@
 
 // TestDemandThatShifts: pattern: a zone has 1.6 times the demand that its servers can handle and the others
 // 0.7 times, then another zone. It guards against requests that wait for servers of their zone while others
-// have free slots, and against requests that leave their zone in calm.
+// have free slots, and against requests that leave their zone at low load.
 func TestDemandThatShifts(t *testing.T) {
 	leaveToRunWithoutRaceDetector(t)
 	t.Parallel()
--- a/carrier/explain.go
+++ b/carrier/explain.go
@@ -15,7 +15,7 @@
 const (
 	// RefusedStep means that the request would be refused.
 	RefusedStep Step = iota // refused
-	// DelegatedStep means that another host would be asked to send the request.
+	// DelegatedStep means that another host would send the request.
 	DelegatedStep // delegated
 	// WaitingStep means that the request would wait for others.
 	WaitingStep // waiting
--- a/carrier/explain_test.go
+++ b/carrier/explain_test.go
@@ -24,7 +24,7 @@
 	})
 }
 
-// pause makes a server ask for a pause.
+// pause makes a server request a pause.
 func (h *harness) pause(server int) {
 	h.excluder.Observe(excluder.Response{
 		Process: h.currentView().Servers("svc")[server].Process(), Status: http.StatusServiceUnavailable, RetryAfter: []string{"5"},
--- a/carrier/harness_test.go
+++ b/carrier/harness_test.go
@@ -68,8 +68,8 @@
 	serve func(conn net.Conn, r *http.Request)
 	// report returns the load report, by default that of a lightly loaded server.
 	report func() string
-	// remaining returns how long the server says it stays cold, in milliseconds; nil if it
-	// does not say.
+	// remaining returns how long the server states that it stays cold, in milliseconds; nil if it
+	// does not state it.
 	remaining func() string
 	down      bool
 	// lost has the effect of down for a backend that several harnesses share.
--- a/carrier/hedge.go
+++ b/carrier/hedge.go
@@ -22,10 +22,10 @@
 	// server time: of servers of 3 slots that are slow for 30% of the time, a third is idle and fast.
 	hedgeChecks        = 2
 	limitedHedgeChecks = 4
-	// slowdownAge is the age up to which a reported slowdown tells how fast a server runs a
+	// slowdownAge is the age up to which a reported slowdown indicates how fast a server runs a
 	// request. The load of other tenants comes in phases of 150 ms.
 	slowdownAge = 150 * time.Millisecond
-	// refreshAge is the age of a load report above which a health check tells how fast the server of a
+	// refreshAge is the age of a load report above which a health check determines how fast the server of a
 	// running attempt is before a hedge is decided on.
 	refreshAge = 20 * time.Millisecond
 	// unresponsiveSlowdown is the slowdown that is assumed of a server that does not respond to that
--- a/connector/memory_test.go
+++ b/connector/memory_test.go
@@ -46,7 +46,7 @@
 	}
 }
 
-// Guards against headers of responses that take memory which nobody counts, requests that are
+// Guards against headers of responses that take memory that is not counted, requests that are
 // sent twice for lack of it, and a server that is taken for one that failed.
 func TestHeadersOfResponsesAreCharged(t *testing.T) {
 	cases := []struct {
--- a/dispatcher/ahead_test.go
+++ b/dispatcher/ahead_test.go
@@ -168,7 +168,7 @@
 	}
 }
 
-// Guards against headers of responses of other hosts that take memory which nobody counts, and
+// Guards against headers of responses of other hosts that take memory that is not counted, and
 // against a refusal that says that their requests have not run.
 func TestHeadersOfOtherHostsAreCharged(t *testing.T) {
 	for _, memory := range []int64{8 << 20, 256 << 10} {
--- a/dispatcher/execute.go
+++ b/dispatcher/execute.go
@@ -155,7 +155,7 @@
 	return resp, nil
 }
 
-// observeServer passes on what the response says of its server.
+// observeServer passes on what the response states about its server.
 func (d *Dispatcher) observeServer(g scheduler.Grant, r *http.Response, succeeded bool) {
 	process := g.Server().Process()
 	process.Instance = r.Header.Get(verbenastand.HeaderServerInstance)
--- a/follower/evacuate.go
+++ b/follower/evacuate.go
@@ -29,7 +29,7 @@
 	return o.change.Evacuated
 }
 
-// evacuations are what a follower knows of the objects that request evacuations.
+// evacuations are the state of the objects that request evacuations.
 type evacuations struct {
 	// objects are these objects, those that have ended included, and retained the ones that
 	// hold although the store does not have them.
@@ -106,7 +106,7 @@
 	f.evacuations.retained[o.change.Key] = o
 }
 
-// expireEvacuationsLocked ends the evacuations that nobody has written again after the return of
+// expireEvacuationsLocked ends the evacuations that have not been written again after the return of
 // the store from an older copy, and reports whether there were any.
 func (f *Follower) expireEvacuationsLocked(now time.Time) (expired bool) {
 	for _, o := range f.evacuations.retained {
@@ -145,17 +145,17 @@
 		// A host behind this end gets all objects. A change from before the ends that are
 		// still known is not applied: it may be that of an object which has ended since.
 		f.historyFrom = max(f.historyFrom, ended.change.Revision)
-		f.forgetEvacuationLocked(ended)
+		f.deleteEvacuationLocked(ended)
 		return true
 	case unused != nil && populated:
-		f.forgetEvacuationLocked(unused)
+		f.deleteEvacuationLocked(unused)
 		return true
 	}
 	e.full = true
 	return false
 }
 
-func (f *Follower) forgetEvacuationLocked(o *object) {
+func (f *Follower) deleteEvacuationLocked(o *object) {
 	delete(f.objects, o.change.Key)
 	delete(f.evacuations.objects, o.change.Key)
 	delete(f.evacuations.retained, o.change.Key)
@@ -190,7 +190,7 @@
 	return ordered
 }
 
-// retainedRecord is an evacuation that holds although the store does not have it, as hosts tell
+// retainedRecord is an evacuation that holds although the store does not have it, as hosts inform
 // each other: one that was cut off in the seconds that the store has lost, or has just started,
 // learns it from another one.
 type retainedRecord struct {
--- a/follower/evacuate_test.go
+++ b/follower/evacuate_test.go
@@ -68,7 +68,7 @@
 	return time.Since(began)
 }
 
-// Guards against hosts that learn of an evacuation, or of its end, later than of a route table.
+// Guards against hosts that apply an evacuation, or of its end, later than of a route table.
 func TestEvacuationsReachAllHosts(t *testing.T) {
 	for _, size := range []int{38, 123} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
@@ -134,7 +134,7 @@
 		// before and lost are what happens before the copy and in the lost seconds, and
 		// after is written a second after the return.
 		before, lost, after func(f *fleet)
-		// retained and holds tell whether the zone is evacuated two seconds after the return,
+		// retained and holds are set if the zone is evacuated two seconds after the return,
 		// and later.
 		retained, holds bool
 	}{
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -360,7 +360,7 @@
 }
 
 // Guards against a delegated request that waits for the idle timeout of the connection after its
-// peer has gone silent, instead of being sent elsewhere.
+// peer does not respond any more, instead of being sent elsewhere.
 func TestATunnelEndsOnceItsPeerIsSilent(t *testing.T) {
 	t.Parallel()
 	f, peer, _, socket := newSilencedTunnelServer(t, func(net.Conn, verbenastand.Origin) bool { return true })
--- a/forwarder/memory.go
+++ b/forwarder/memory.go
@@ -69,7 +69,7 @@
 	return purpose == purposeForward || purpose == purposeTunnel
 }
 
-// refuse refuses a request for which no memory is left, in a way that tells its host whether it
+// refuse refuses a request for which no memory is left, with a response from which its host can determine whether it
 // may have run.
 func (s *Server) refuse(w http.ResponseWriter, r *http.Request) {
 	if r.Header.Get(purposeHeader) == purposeForward && s.config.Refuse != nil {
--- a/forwarder/server.go
+++ b/forwarder/server.go
@@ -44,7 +44,7 @@
 	// Refuse responds to a forwarded request for which no memory is left.
 	Refuse http.HandlerFunc
 	// OnRefusal is called with the address of a client whose handshake is refused, or of a peer
-	// for whose request no memory is left; nil if nobody is interested.
+	// for whose request no memory is left; may be nil.
 	OnRefusal func(client string, reason Refusal)
 }
 
--- a/gossiper/cold_test.go
+++ b/gossiper/cold_test.go
@@ -79,7 +79,7 @@
 	f.warmups[n] = l
 }
 
-// restart replaces a host by one with the same name that knows nothing of the others.
+// restart replaces a host by one with the same name that has no record of the others.
 func (f *coldFleet) restart(i int) {
 	fresh := f.net.addInstance(i, 3, 2)
 	fresh.config.Neighbours, fresh.config.LifetimePerHost = 8, 20*time.Millisecond
--- a/gossiper/peer.go
+++ b/gossiper/peer.go
@@ -113,7 +113,7 @@
 
 // ApplyHostList applies the platform's host list: unknown hosts are contacted, and
 // hosts listed as leaving are treated as leaving until they restart. The list
-// lags behind, so it does not decide whether a host is alive.
+// is delayed, so it does not decide whether a host is alive.
 func (g *Gossiper) ApplyHostList(hosts []verbenastand.Host) {
 	g.mu.Lock()
 	g.seeds = append(slices.Clone(g.config.Seeds), hosts...)
--- a/gossiper/sharing.go
+++ b/gossiper/sharing.go
@@ -35,7 +35,7 @@
 		hosts = append(hosts, g.self.host())
 	}
 	for _, p := range g.peers {
-		// The platform's host list lags behind. Of an unreachable host, it does not tell that
+		// The platform's host list is delayed. Of an unreachable host, it does not follow that
 		// the host has stopped to use its shares.
 		alive := now.Sub(p.lastSeen) < g.lifetimeLocked()
 		if !p.record.Leaving && (!alive || !p.listedLeaving) {
@@ -46,7 +46,7 @@
 }
 
 // knowsSeedsLocked reports whether this host knows at least half of the seed hosts, itself among
-// them. The process of a host that starts in a partition, or was alone for long, does not know the
+// them. The process of a host that starts in a partition, or had no peers for long, does not know the
 // others. Both sides of a partition may know a half.
 func (g *Gossiper) knowsSeedsLocked() bool {
 	unknown := make(map[string]bool, len(g.seeds))
@@ -61,10 +61,10 @@
 	return 2*len(unknown) <= seeds
 }
 
-// Silent returns the known hosts, alive or not, of which no heartbeat has arrived for the given time before
+// Stale returns the known hosts, alive or not, of which no heartbeat has arrived for the given time before
 // the latest heartbeat of any host. To a host that receives no heartbeats, since it was paused or is cut
-// off, the others do not become silent.
-func (g *Gossiper) Silent(d time.Duration) map[verbenastand.HostID]bool {
+// off, the others do not become stale.
+func (g *Gossiper) Stale(d time.Duration) map[verbenastand.HostID]bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var latest time.Time
@@ -73,11 +73,11 @@
 			latest = p.lastSeen
 		}
 	}
-	silent := make(map[verbenastand.HostID]bool)
+	stale := make(map[verbenastand.HostID]bool)
 	for id, p := range g.peers {
 		if latest.Sub(p.lastSeen) >= d {
-			silent[id] = true
+			stale[id] = true
 		}
 	}
-	return silent
+	return stale
 }
--- a/gossiper/silence_test.go
+++ b/gossiper/stale_test.go
@@ -13,10 +13,10 @@
 )
 
 const (
-	// namedFor is how long a dead host may be named to callers.
+	// namedFor is how long a failed host may be named to callers.
 	namedFor = 6 * time.Second
-	// lookupSilence, and the times of gossip messages, are those of gateway hosts.
-	lookupSilence  = 2 * time.Second
+	// staleHostAge, and the times of gossip messages, are those of gateway hosts.
+	staleHostAge   = 2 * time.Second
 	gatewayPeriod  = 300 * time.Millisecond
 	gatewayLife    = 3 * time.Second
 	gatewayPerHost = 20 * time.Millisecond
@@ -81,17 +81,17 @@
 	return resolver.NewResolver(resolver.Config{
 		Membership: n, Self: n.config.Self, Serving: func() bool { return true }, Validity: time.Second,
 		Evacuated: func(z verbenastand.Zone) bool { return z == "zone-0" },
-		Silent:    func() map[verbenastand.HostID]bool { return n.Silent(lookupSilence) },
+		Stale:     func() map[verbenastand.HostID]bool { return n.Stale(staleHostAge) },
 	})
 }
 
-// Guards against callers of an evacuated zone that are directed to dead hosts of other zones for
+// Guards against callers of an evacuated zone that are directed to failed hosts of other zones for
 // longer than allowed, and against live hosts that are left out.
-func TestDeadHostsAreNotNamedToCallersOfAnEvacuatedZone(t *testing.T) {
+func TestFailedHostsAreNotNamedToCallersOfAnEvacuatedZone(t *testing.T) {
 	cases := []struct {
 		name  string
 		zones []int
-		dies  func(i int) bool
+		fails func(i int) bool
 		loss  float64
 	}{
 		{"single hosts of 123, 10% loss", []int{38, 37, 48}, func(i int) bool { return i >= 38 && i%15 == 0 }, 0.1},
@@ -116,50 +116,50 @@
 					missing += len(f.nodes) - tc.zones[0] - len(addresses)
 				}
 			})
-			dead := make(map[string]bool)
+			failed := make(map[string]bool)
 			for i, n := range f.nodes {
-				if tc.dies(i) {
+				if tc.fails(i) {
 					n.failed = true
-					dead[string(n.config.Self.ID())] = true
+					failed[string(n.config.Self.ID())] = true
 				}
 			}
-			died := f.net.clock.Now()
+			failedAt := f.net.clock.Now()
 			var named, alive time.Duration
 			f.run(namedFor+4*time.Second, func() {
-				since := f.net.clock.Now().Sub(died)
+				since := f.net.clock.Now().Sub(failedAt)
 				for _, n := range f.nodes {
 					if n.failed {
 						continue
 					}
 					addresses, _ := resolvers[n].Resolve("zone-0", "")
 					for _, a := range addresses {
-						if dead[a] {
+						if failed[a] {
 							named = since
 						}
 					}
 					for _, h := range n.Hosts() {
-						if dead[string(h.ID())] {
+						if failed[string(h.ID())] {
 							alive = since
 						}
 					}
 				}
 			})
 			left := float64(missing) / float64(lookups)
-			t.Logf("%d dead hosts named for %v, considered alive for %v; live hosts left out %.5f", len(dead), named, alive, left)
+			t.Logf("%d failed hosts named for %v, considered alive for %v; live hosts left out %.5f", len(failed), named, alive, left)
 			require.LessOrEqual(t, named, namedFor)
 			require.Less(t, left, 0.01)
 		})
 	}
 }
 
-// Guards against hosts that count as silent because this one was paused or is cut off.
-func TestAHostThatHearsOfNobodyKnowsOfNoSilence(t *testing.T) {
+// Guards against hosts that count as stale because this one was paused or is cut off.
+func TestNoHostIsStaleToAHostWithoutHeartbeats(t *testing.T) {
 	net, nodes := newNetwork(3)
 	introduce(nodes)
-	net.clock.Advance(lookupSilence)
-	require.Empty(t, nodes[0].Silent(lookupSilence))
+	net.clock.Advance(staleHostAge)
+	require.Empty(t, nodes[0].Stale(staleHostAge))
 	nodes[1].advanceHeartbeat()
 	nodes[1].exchange(t.Context(), nodes[0].config.Self)
-	require.Equal(t, map[verbenastand.HostID]bool{"host-2": true}, nodes[0].Silent(lookupSilence))
-	require.Empty(t, nodes[0].Silent(lookupSilence+time.Millisecond))
+	require.Equal(t, map[verbenastand.HostID]bool{"host-2": true}, nodes[0].Stale(staleHostAge))
+	require.Empty(t, nodes[0].Stale(staleHostAge+time.Millisecond))
 }
--- a/hedger/hedger.go
+++ b/hedger/hedger.go
@@ -62,12 +62,12 @@
 	// RetryReserve is the number of retries that must be left in the retry budget for a
 	// hedge, so that requests whose server failed can still be retried.
 	RetryReserve = 2
-	// quietTime is how long no request has waited for the service before a hedge is sent.
-	quietTime = 300 * time.Millisecond
+	// noWaitTime is how long no request has waited for the service before a hedge is sent.
+	noWaitTime = 300 * time.Millisecond
 	// maxWaitShare is the largest share of the latest requests that waited for the service with
 	// which hedges are sent. In the model of 6 and 30 hosts the share is 0.001 at 0.3 of the
 	// capacity, 0.14 and 0.05 at 0.7, and 0.61 and 0.34 at 0.9. With
-	// quietTime alone the extra server time at 0.9 was 0.006 to 0.008, and fewer requests were served.
+	// noWaitTime alone the extra server time at 0.9 was 0.006 to 0.008, and fewer requests were served.
 	maxWaitShare = 0.1
 	// admissionWeight is the weight of one request in that share.
 	admissionWeight = 0.02
@@ -170,7 +170,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := h.serviceLocked(name)
-	return now.Sub(s.waitedAt) < quietTime || s.waitShare > maxWaitShare
+	return now.Sub(s.waitedAt) < noWaitTime || s.waitShare > maxWaitShare
 }
 
 // serviceLocked returns the state of a service. The hedger is locked.
--- a/hedger/policy.go
+++ b/hedger/policy.go
@@ -20,7 +20,7 @@
 	minStallCheckDelay = 15 * time.Millisecond
 	// minGain is the share of the remaining time that a hedge must save on average. One half
 	// is what it saves if durations are exponentially distributed, where the time that
-	// has passed tells nothing of the time that remains.
+	// has passed does not affect the time that remains.
 	minGain = 0.5
 	// minWins is the probability with which a hedge must respond first. Without it
 	// a few very long durations would make a hedge of any attempt worthwhile on
--- a/hedger/tail.go
+++ b/hedger/tail.go
@@ -20,7 +20,7 @@
 )
 
 // tailQuantiles are the quantiles of the durations that hedges are to shorten. If long durations are
-// rarer than one in a hundred, the first one says nothing of them.
+// rarer than one in a hundred, the first one does not depend on them.
 var tailQuantiles = [...]float64{0.99, 0.999}
 
 // survival holds the probability that an attempt lasts longer than a duration, which is distributed
--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -37,7 +37,7 @@
 	// Refuse responds to a request for which no memory is left; if nil, with 503.
 	Refuse http.HandlerFunc
 	// OnShortage is called when no memory is left for a client at once, with its address;
-	// nil if nobody is interested.
+	// may be nil.
 	OnShortage func(client string)
 }
 
@@ -84,7 +84,7 @@
 	return nil
 }
 
-// refuse tells a client that nothing was done and when to try again.
+// refuse responds that the request has not been executed, with the time of the next attempt.
 func refuse(w http.ResponseWriter, r *http.Request) {
 	if r.ProtoMajor == 1 {
 		w.Header().Set("Connection", "close")
--- a/internal/admitter/linger_test.go
+++ b/internal/admitter/linger_test.go
@@ -50,7 +50,7 @@
 		from   string
 	}{
 		{"no more connections", 100, "10.0.0.9"},
-		// A newcomer gets memory as long as it holds less than is left.
+		// A new holder gets memory as long as it holds less than is left.
 		{"no more memory for the address", 2*most - 1, "10.0.0.1"},
 	}
 	for _, tc := range cases {
--- a/internal/bounder/cost.go
+++ b/internal/bounder/cost.go
@@ -67,7 +67,7 @@
 
 const (
 	// ordinaryCost is the cost of a byte of a header with 30 bytes in a line, and minSample the
-	// length from which a part tells how long its lines are.
+	// length from which a part is used to estimate the length of lines.
 	ordinaryCost = 11
 	minSample    = 1 << 10
 )
--- a/internal/bounder/head_test.go
+++ b/internal/bounder/head_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against response headers that take memory which nobody counts, ordinary responses that
+// Guards against response headers that take memory that is not counted, ordinary responses that
 // need some, and memory that is returned twice.
 func TestHeadersOfResponsesAreCharged(t *testing.T) {
 	cases := []struct {
--- a/internal/closer/listener.go
+++ b/internal/closer/listener.go
@@ -40,7 +40,7 @@
 	return &lingeringConn{TCPConn: conn, listener: l}, nil
 }
 
-// pollPeriod is the time between two looks at the connections that linger.
+// pollPeriod is the time between two checks of the connections that linger.
 const pollPeriod = 10 * time.Millisecond
 
 // Wait waits until no connection lingers, or until ctx is done.
--- a/internal/saturator/host_test.go
+++ b/internal/saturator/host_test.go
@@ -144,7 +144,7 @@
 	h.mostDescriptors = max(h.mostDescriptors, len(entries))
 }
 
-// check fails the test unless the process lives and has stayed within its limits.
+// check fails the test unless the process runs and has stayed within its limits.
 func (h *host) check() {
 	h.t.Helper()
 	require.True(h.t, h.alive(), "the process has ended")
--- a/launcher/bodies.go
+++ b/launcher/bodies.go
@@ -12,7 +12,7 @@
 	return limiter.NewBodies(limiter.BodiesConfig{Clock: g.timer, Self: g.self.ID(), Hosts: g.bodyHosts})
 }
 
-// bodyLimiter returns the limiter of large bodies, nil unless the settings ask for it.
+// bodyLimiter returns the limiter of large bodies, nil unless the settings enable it.
 func (g *Gateway) bodyLimiter() verbenastand.BodyLimiter {
 	if !g.config.Settings.LimitBodies {
 		return nil
--- a/launcher/gateway.go
+++ b/launcher/gateway.go
@@ -47,10 +47,10 @@
 	gossipLifetimePerHost = 20 * time.Millisecond
 	// gossipNeighbours limits the hosts with which a host exchanges gossip messages.
 	gossipNeighbours = 8
-	// lookupSilence is the time without a heartbeat of a host after which callers of an evacuated zone are
+	// staleHostAge is the time without a heartbeat of a host after which callers of an evacuated zone are
 	// directed to others. Within 123 hosts the last heartbeat of a host takes up to 3 s to the
-	// others, and a dead host may be named for 6 s.
-	lookupSilence = 2 * time.Second
+	// others, and a failed host may be named for 6 s.
+	staleHostAge = 2 * time.Second
 	// urgentPeriod is the time between two checks for urgent changes to pass on.
 	urgentPeriod   = 200 * time.Millisecond
 	followerPeriod = 100 * time.Millisecond
@@ -246,7 +246,7 @@
 	g.resolver = resolver.NewResolver(resolver.Config{
 		Membership: g.gossiper, Self: g.self, Serving: g.ready, Validity: s.AnswerValidity, Regions: s.ZoneRegions(),
 		Evacuated: g.evacuated,
-		Silent:    func() map[verbenastand.HostID]bool { return g.gossiper.Silent(lookupSilence) },
+		Stale:     func() map[verbenastand.HostID]bool { return g.gossiper.Stale(staleHostAge) },
 	})
 }
 
--- a/launcher/reach.go
+++ b/launcher/reach.go
@@ -14,7 +14,7 @@
 	"github.com/verbenastand/verbenastand/sender"
 )
 
-// reachPeriod is the time between two looks at which services are reached.
+// reachPeriod is the time between two checks of which services are reached.
 const reachPeriod = 100 * time.Millisecond
 
 // acceptTimeout bounds the time in which a server accepts a connection, also in another
--- a/limiter/change.go
+++ b/limiter/change.go
@@ -33,6 +33,6 @@
 	// Learned is set if another host reported the change, whose response is Age old.
 	Learned bool
 	Age     time.Duration
-	// Err tells why a text is malformed.
+	// Err is the reason why a text is malformed.
 	Err error
 }
--- a/limiter/share.go
+++ b/limiter/share.go
@@ -72,7 +72,7 @@
 	return 0, false
 }
 
-// Current implements verbenastand.RateLimiter. Responses tell of limits.
+// Current implements verbenastand.RateLimiter. Limits are stated in responses.
 func (l *Limiter) Current(verbenastand.ServerProcess) bool { return true }
 
 // Remaining implements verbenastand.RateLimiter. A limit holds as long as it is named.
--- a/limiter/warmup.go
+++ b/limiter/warmup.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// maxWarmup bounds the time that a server says it stays cold.
+	// maxWarmup bounds the time for which a server may state that it stays cold.
 	maxWarmup = time.Hour
 	// checkLifetime is how long a health check proves that a server is warm. It bounds the
 	// requests that a server gets which becomes cold without a new registration.
@@ -26,7 +26,7 @@
 	maxMalformed = 16
 )
 
-// HealthResponse is what the response to a health check tells of the time that the server
+// HealthResponse is what the response to a health check states about the time that the server
 // stays cold.
 type HealthResponse struct {
 	Process verbenastand.ServerProcess
--- a/limiter/warmup_change.go
+++ b/limiter/warmup_change.go
@@ -8,7 +8,7 @@
 
 //go:generate go tool stringer -type=WarmupChangeKind -linecomment -output=warmupchangekind_string.go
 
-// WarmupChangeKind tells what has become of a cold server.
+// WarmupChangeKind is the kind of change of a cold server.
 type WarmupChangeKind int
 
 // Kinds of changes of cold servers.
@@ -21,12 +21,12 @@
 	Unreadable // malformed
 )
 
-// WarmupChange describes a change of what this host knows of a server.
+// WarmupChange describes a change of the recorded state of a server.
 type WarmupChange struct {
 	Kind    WarmupChangeKind
 	Process verbenastand.ServerProcess
 	// Remaining is how long the server stays cold.
 	Remaining time.Duration
-	// Err tells why a text is malformed.
+	// Err is the reason why a text is malformed.
 	Err error
 }
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -44,7 +44,7 @@
 	// start. A process that responds for longer under the ID of one that may have ended is
 	// that process, unless a later one is registered.
 	RegistrationTime time.Duration
-	// OnChange is called after evidence has changed; nil if nobody is interested.
+	// OnChange is called after evidence has changed; may be nil.
 	OnChange func(Change)
 }
 
--- a/recorder/evacuation.go
+++ b/recorder/evacuation.go
@@ -8,7 +8,7 @@
 	verbenastand "github.com/verbenastand/verbenastand"
 )
 
-// evacuations remembers which availability zones were evacuated in the previous view.
+// evacuations records which availability zones were evacuated in the previous view.
 type evacuations struct {
 	mu    sync.Mutex
 	zones map[verbenastand.Zone]bool
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -189,7 +189,7 @@
 	}
 }
 
-// TestRefusedCallersAreNamed guards against overload whose lines do not tell which callers use the servers.
+// TestRefusedCallersAreNamed guards against overload whose lines do not show which callers use the servers.
 func TestRefusedCallersAreNamed(t *testing.T) {
 	lines := record(t, 0, func(r *Recorder) {
 		r.RequestEnded(carrier.Event{
@@ -203,7 +203,7 @@
 	require.EqualValues(t, 1500, fields["callerUsageMs"])
 }
 
-// Guards against a second attempt of which nobody can tell whether it is a retry or a hedge.
+// Guards against a second attempt whose line does not show whether it is a retry or a hedge.
 func TestAttemptLinesNameHedges(t *testing.T) {
 	for _, hedge := range []bool{false, true} {
 		lines := record(t, 0, func(r *Recorder) { r.AttemptEnded(carrier.Event{Attempt: 2, Hedge: hedge, Result: balancer.Succeeded}) })
--- a/region.go
+++ b/region.go
@@ -75,7 +75,7 @@
 	return names
 }
 
-// ZoneRegions tells the regions of availability zones.
+// ZoneRegions maps availability zones to their regions of availability zones.
 type ZoneRegions map[Zone]Region
 
 // Of returns the region of a zone, empty if it is not known.
--- a/region_test.go
+++ b/region_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against names that allow more than they say, and against lists without any valid name that
+// Guards against names that allow more than they state, and against lists without any valid name that
 // allow everything.
 func TestRegions(t *testing.T) {
 	var many []Region
--- a/resolver/resolver.go
+++ b/resolver/resolver.go
@@ -29,9 +29,9 @@
 	// Evacuated reports whether the servers of an availability zone get no requests; nil if
 	// that is never so.
 	Evacuated func(verbenastand.Zone) bool
-	// Silent returns the hosts without a heartbeat for so long that they may have failed, although they are
+	// Stale returns the hosts without a heartbeat for so long that they may have failed, although they are
 	// still considered alive; nil if that is never so.
-	Silent func() map[verbenastand.HostID]bool
+	Stale func() map[verbenastand.HostID]bool
 	// Regions are the regions of availability zones.
 	Regions verbenastand.ZoneRegions
 	// Validity is how long a caller may use a response.
@@ -46,8 +46,8 @@
 	if c.Evacuated == nil {
 		c.Evacuated = func(verbenastand.Zone) bool { return false }
 	}
-	if c.Silent == nil {
-		c.Silent = func() map[verbenastand.HostID]bool { return nil }
+	if c.Stale == nil {
+		c.Stale = func() map[verbenastand.HostID]bool { return nil }
 	}
 	return &Resolver{config: c}
 }
@@ -55,15 +55,15 @@
 // Resolve returns the addresses of hosts for a caller in an availability zone, and
 // how long they are valid. The region that the caller names counts if that of its zone is not
 // known. Callers of an evacuated zone are directed to hosts of other zones:
-// each of their requests and its health checks would cross zones otherwise. Silent hosts are only their last alternatives,
+// each of their requests and its health checks would cross zones otherwise. Stale hosts are only their last alternatives,
 // since failures are detected later between zones.
 func (r *Resolver) Resolve(zone verbenastand.Zone, named verbenastand.Region) (addresses []string, validity time.Duration) {
 	region := cmp.Or(r.config.Regions.Of(zone), named)
-	var selected, others, detached, evacuated, silent []verbenastand.Host
+	var selected, others, detached, evacuated, stale []verbenastand.Host
 	leavesZone := r.config.Evacuated(zone)
-	var isSilent map[verbenastand.HostID]bool
+	var isStale map[verbenastand.HostID]bool
 	if leavesZone {
-		isSilent = r.config.Silent()
+		isStale = r.config.Stale()
 	}
 	for _, h := range r.config.Membership.Hosts() {
 		if h.Leaving() || (h.ID() == r.config.Self.ID() && !r.config.Serving()) {
@@ -73,8 +73,8 @@
 			detached = append(detached, h)
 			continue
 		}
-		if isSilent[h.ID()] {
-			silent = append(silent, h)
+		if isStale[h.ID()] {
+			stale = append(stale, h)
 			continue
 		}
 		if r.config.Evacuated(h.Zone()) {
@@ -90,8 +90,8 @@
 	r.order(selected, region)
 	r.order(others, region)
 	r.order(evacuated, region)
-	r.order(silent, region)
-	others = slices.Concat(others, evacuated, silent)
+	r.order(stale, region)
+	others = slices.Concat(others, evacuated, stale)
 	if missing := minHosts - len(selected); missing > 0 {
 		selected = append(selected, others[:min(missing, len(others))]...)
 	}
--- a/resolver/resolver_test.go
+++ b/resolver/resolver_test.go
@@ -106,34 +106,34 @@
 	}
 }
 
-// Guards against callers of an evacuated zone that are directed to dead hosts of other zones while
+// Guards against callers of an evacuated zone that are directed to failed hosts of other zones while
 // these still count as alive, and against hosts that are left out although there are no others.
-func TestCallersOfAnEvacuatedZoneAreNotDirectedToSilentHosts(t *testing.T) {
+func TestCallersOfAnEvacuatedZoneAreNotDirectedToStaleHosts(t *testing.T) {
 	hosts := fakeMembership{host("a1", "a", false), host("b1", "b", false), host("b2", "b", false), host("b3", "b", false), host("c1", "c", false)}
 	cases := []struct {
-		name   string
-		zone   verbenastand.Zone
-		silent []verbenastand.HostID
-		want   []string
+		name  string
+		zone  verbenastand.Zone
+		stale []verbenastand.HostID
+		want  []string
 	}{
 		{"none", "a", nil, []string{"b1", "b2", "b3", "c1"}},
 		{"a host", "a", []verbenastand.HostID{"b2"}, []string{"b1", "b3", "c1"}},
 		{"a host of the evacuated zone is the alternative", "a", []verbenastand.HostID{"b1", "b2"}, []string{"b3", "c1", "a1"}},
-		{"a silent host is the last alternative", "a", []verbenastand.HostID{"b1", "b2", "b3"}, []string{"c1", "a1", "b?"}},
-		{"the only host that is not silent is in the evacuated zone", "a", []verbenastand.HostID{"b1", "b2", "b3", "c1"}, []string{"a1", "??", "??"}},
+		{"a stale host is the last alternative", "a", []verbenastand.HostID{"b1", "b2", "b3"}, []string{"c1", "a1", "b?"}},
+		{"the only host that is not stale is in the evacuated zone", "a", []verbenastand.HostID{"b1", "b2", "b3", "c1"}, []string{"a1", "??", "??"}},
 		{"callers of another zone", "b", []verbenastand.HostID{"b2"}, []string{"b1", "b2", "b3"}},
 		{"unknown names", "a", []verbenastand.HostID{"x", ""}, []string{"b1", "b2", "b3", "c1"}},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			silent := make(map[verbenastand.HostID]bool)
-			for _, id := range tc.silent {
-				silent[id] = true
+			stale := make(map[verbenastand.HostID]bool)
+			for _, id := range tc.stale {
+				stale[id] = true
 			}
 			r := NewResolver(Config{
 				Membership: hosts, Self: hosts[0], Serving: func() bool { return true }, Validity: time.Second,
 				Evacuated: func(z verbenastand.Zone) bool { return z == "a" },
-				Silent:    func() map[verbenastand.HostID]bool { return silent },
+				Stale:     func() map[verbenastand.HostID]bool { return stale },
 			})
 			for range 10 {
 				addresses, _ := r.Resolve(tc.zone, "")
