Show that unfinished bodies close the directory to all

Seen: one client that leaves the body of a look-up unfinished on 320 connections to each of three nodes keeps all others from the directories for as long as it keeps them; 0 of 140 look-ups of seven ordinary requesters were answered in 20 s. Without the client all 140 were.

Cause: net/http reads the rest of a body without a deadline after the handler, and the admitter counts the connection as busy meanwhile, so that none of the 256 connections of the port can be closed for others.

--- /dev/null
+++ b/review/standin-2/lookup.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	lookupPath = "/verbenastand/resolution?name=a.example&region=delta&zone=cairo"
+	// lookupTimeout is the time that requesters allow for one look-up at one node.
+	lookupTimeout = time.Second
+)
+
+// lookUp asks a node which addresses to use, over a new connection, and reports whether it has
+// named any.
+func lookUp(r *record, address, from string) bool {
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}
+	client := http.Client{Timeout: lookupTimeout, Transport: &http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext}}
+	began := time.Now()
+	names := func() (int, error) {
+		response, err := client.Get("http://" + address + lookupPath)
+		if err != nil {
+			return 0, err
+		}
+		defer func() { _ = response.Body.Close() }()
+		var body struct {
+			Addresses []string `json:"addresses"`
+		}
+		if err := json.NewDecoder(response.Body).Decode(&body); err != nil {
+			return 0, err
+		}
+		return len(body.Addresses), nil
+	}
+	n, err := names()
+	r.printf("look-up  at %s from %s after %.3f s: %d addresses, error %v", address, from, time.Since(began).Seconds(), n, err)
+	return n > 0
+}
+
+// unfinishedBodies lets one client open connections to the directory of each node and send a
+// look-up on each whose body it never completes. Seven ordinary requesters look up meanwhile.
+func unfinishedBodies(r *record, binary string, trouble bool) error {
+	const (
+		connections = 320
+		requesters  = 7
+		length      = 20 * time.Second
+		window      = 3 * time.Second
+	)
+	d, err := newDeployment(r, binary, 3)
+	if err != nil {
+		return err
+	}
+	defer d.stop()
+	work := func(*http.Request) time.Duration { return 50 * time.Millisecond }
+	for i := range 3 {
+		if _, err := d.addServer("catalogue", fmt.Sprintf("i-%d", i+1), d.zones[i%3], 6, work); err != nil {
+			return err
+		}
+	}
+	d.configure(map[string]route{"browse": {
+		Hostname: "a.example", PathPrefix: "/browse/", Kind: "safe", TimeoutMs: 1200, TargetLatencyMs: 250, Priority: 1, MaxAttempts: 2, Service: "catalogue",
+	}})
+	if err := d.startGateways(); err != nil {
+		return err
+	}
+	var held []net.Conn
+	defer func() {
+		for _, c := range held {
+			_ = c.Close()
+		}
+	}()
+	if trouble {
+		dialer := net.Dialer{Timeout: time.Second, LocalAddr: &net.TCPAddr{IP: net.ParseIP(d.prefix + ".230")}}
+		for _, g := range d.gateways {
+			for range connections {
+				c, err := dialer.Dial("tcp", g.address(directoryPort))
+				if err != nil {
+					continue
+				}
+				held = append(held, c)
+				_, _ = io.WriteString(c, "GET "+lookupPath+" HTTP/1.1\r\nHost: a.example\r\nContent-Length: 1000\r\n\r\nbegin")
+			}
+		}
+		r.printf("one client has opened %d connections to the directories", len(held))
+	}
+	var mu sync.Mutex
+	tried, named := 0, 0
+	var longest time.Duration
+	last := time.Now()
+	var pending sync.WaitGroup
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(time.Second) {
+		for i := range requesters {
+			pending.Go(func() {
+				ok := false
+				for _, g := range d.gateways {
+					ok = ok || lookUp(r, g.address(directoryPort), fmt.Sprintf("%s.%d", d.prefix, 200+i))
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				tried++
+				if ok {
+					named++
+					last = time.Now()
+				}
+				longest = max(longest, time.Since(last))
+			})
+		}
+	}
+	pending.Wait()
+	for _, g := range d.gateways {
+		r.summary("%s: running %v, ready %v", g.name, g.running(), g.ready())
+	}
+	r.summary("%d of %d look-ups of %d ordinary requesters at all three nodes got addresses; longest time without one %.1f s", named, tried, requesters, longest.Seconds())
+	if longest > window {
+		return fmt.Errorf("%w: no ordinary requester got an answer of the directories for %.1f s", errBroken, longest.Seconds())
+	}
+	return nil
+}
--- /dev/null
+++ b/review/standin-2/main.go
@@ -0,0 +1,73 @@
+// Standin-2 runs the cases of the second review: stand-ins of the platform, of upstreams and of
+// requesters, against processes of the system.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+)
+
+// Exit codes of a case.
+const (
+	exitHeld    = 0
+	exitBroken  = 1
+	exitNotRun  = 2
+	defaultPath = "target/verbenastand"
+)
+
+// longest bounds a case.
+const longest = 110 * time.Second
+
+// errBroken means that the rule was broken.
+var errBroken = errors.New("the rule was broken")
+
+// cases are the cases by their names. trouble is false for the control without disruption.
+var cases = map[string]func(r *record, binary string, trouble bool) error{
+	"same-request":      sameRequest,
+	"unfinished-bodies": unfinishedBodies,
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin-2 CASE RECORD")
+		return exitNotRun
+	}
+	r, err := newRecord(os.Args[2])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitNotRun
+	}
+	defer r.close()
+	binary := os.Getenv("VERBENASTAND")
+	if binary == "" {
+		binary = defaultPath
+	}
+	time.AfterFunc(longest, func() { interrupt(r, "the case takes too long") })
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() { interrupt(r, "ended by "+(<-signals).String()) }()
+	err = cases[os.Args[1]](r, binary, os.Getenv("TROUBLE") != "0")
+	switch {
+	case err == nil:
+		r.summary("held")
+		return exitHeld
+	case errors.Is(err, errBroken):
+		r.summary("broken: %v", err)
+		return exitBroken
+	}
+	r.summary("not run: %v", err)
+	return exitNotRun
+}
+
+// interrupt ends a case before its end. The processes that it has started are killed by the
+// system when this one ends.
+func interrupt(r *record, reason string) {
+	r.summary("not run: %s", reason)
+	os.Exit(exitNotRun)
+}
