Show that a long answer of the store stops a change

Seen: after another writer has put 16 unreadable entries of 1 MB into the store, a change of the desired state takes 21 s to come into force on all machines instead of 2 s: of 558 requests, the old service ran 195 and 195 of the new route got 404. Without the entries none.

Cause: an answer of more than 16 MB is cut off and taken for malformed, and the watch is repeated from the same revision until the store has dropped its history.

--- a/review/standin-2/gateway.go
+++ b/review/standin-2/gateway.go
@@ -273,11 +273,9 @@
 // serverThatRuns returns the last upstream that has begun to run a request, nil if there is none.
 func (d *deployment) serverThatRuns(id string) (last *server) {
 	for _, s := range d.servers {
-		s.mu.Lock()
-		if s.runs[id] > 0 {
+		if s.ran(id) {
 			last = s
 		}
-		s.mu.Unlock()
 	}
 	return last
 }
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -27,7 +27,9 @@
 
 // cases are the cases by their names. trouble is false for the control without disruption.
 var cases = map[string]func(r *record, binary string, trouble bool) error{
+	"odd-entries":       oddEntries,
 	"same-request":      sameRequest,
+	"stale-table":       staleTable,
 	"unfinished-bodies": unfinishedBodies,
 }
 
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -121,6 +121,13 @@
 	}
 }
 
+// ran reports whether the server has begun to run a request.
+func (s *server) ran(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[id] > 0
+}
+
 func (s *server) load() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -15,7 +15,11 @@
 const (
 	rangePath = "/verbenastand/kv-range"
 	watchPath = "/verbenastand/kv-watch"
+	// A page of a range has at most so many items or bytes.
 	pageItems = 500
+	pageBytes = 1 << 20
+	// history is how long the store keeps changes for watches.
+	history = 20 * time.Second
 )
 
 // item is one object of the platform's store.
@@ -35,8 +39,16 @@
 	mu       sync.Mutex
 	revision uint64
 	items    map[string]item
-	events   []item
-	changed  chan struct{}
+	events   []event
+	// dropped is the last revision that is no longer in the history.
+	dropped uint64
+	changed chan struct{}
+}
+
+// event is a change with its time.
+type event struct {
+	item
+	at time.Time
 }
 
 func startStore(address string) (*store, error) {
@@ -58,6 +70,11 @@
 	if err != nil {
 		panic(err)
 	}
+	s.putBytes(key, data)
+}
+
+// putBytes writes an object that may be no JSON.
+func (s *store) putBytes(key string, data []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
@@ -81,7 +98,12 @@
 }
 
 func (s *store) publishLocked(i item) {
-	s.events = append(s.events, i)
+	now := time.Now()
+	s.events = append(s.events, event{i, now})
+	for len(s.events) > 0 && now.Sub(s.events[0].at) > history {
+		s.dropped = s.events[0].Revision
+		s.events = s.events[1:]
+	}
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -97,8 +119,12 @@
 	}
 	revision := s.revision
 	s.mu.Unlock()
-	truncated := len(items) > pageItems
-	reply(w, map[string]any{"items": items[:min(len(items), pageItems)], "truncated": truncated, "currentRev": revision})
+	page, bytes := 0, 0
+	for page < min(len(items), pageItems) && (page == 0 || bytes+len(items[page].Value) <= pageBytes) {
+		bytes += len(items[page].Value)
+		page++
+	}
+	reply(w, map[string]any{"items": items[:page], "truncated": page < len(items), "currentRev": revision})
 }
 
 func (s *store) serveWatch(w http.ResponseWriter, r *http.Request) {
@@ -109,10 +135,15 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
+		if after < s.dropped || after > s.revision {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		events := []item{}
 		for _, e := range s.events {
 			if e.Revision > after && strings.HasPrefix(e.Key, q.Get("pathPrefix")) {
-				events = append(events, e)
+				events = append(events, e.item)
 			}
 		}
 		revision, changed := s.revision, s.changed
