Show that a stopping host loses downloads that it has taken

Seen: with a grace period of 6 s, downloads of 540 kB to requesters that read 125 kB a second, sent 1.5 s after the SIGTERM with a time limit of 5 s, and the requests behind them, are reset 4.2 s later: 40 of 40 in each of 2 runs. Without the SIGTERM none is lost.

Cause: the host takes requests whose time limits end after its exit, and exits with answers that are not delivered. What arrives after that resets the channel.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -29,6 +29,7 @@
 var cases = map[string]func(r *record, binary string, trouble bool) error{
 	"odd-entries":       oddEntries,
 	"same-request":      sameRequest,
+	"slow-downloads":    slowDownloads,
 	"stale-table":       staleTable,
 	"unfinished-bodies": unfinishedBodies,
 }
