--- a/review/standin-2/lookup.go
+++ b/review/standin-2/lookup.go
@@ -41,14 +41,68 @@
 	return n > 0
 }
 
+// holder is a client that begins requests and never completes them.
+type holder struct {
+	dialer net.Dialer
+
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+}
+
+func newHolder(from string) *holder {
+	return &holder{dialer: net.Dialer{Timeout: time.Second, LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}, conns: make(map[net.Conn]struct{})}
+}
+
+// hold keeps a connection with an unfinished request. One that is closed within the time given is
+// opened again.
+func (h *holder) hold(address string, within time.Duration) {
+	end := time.Now().Add(within)
+	go func() {
+		for time.Now().Before(end) {
+			c, err := h.dialer.Dial("tcp", address)
+			if err != nil {
+				time.Sleep(50 * time.Millisecond)
+				continue
+			}
+			h.mu.Lock()
+			h.conns[c] = struct{}{}
+			h.mu.Unlock()
+			_, _ = io.WriteString(c, "GET "+lookupPath+" HTTP/1.1\r\nHost: a.example\r\nContent-Length: 1000\r\n\r\nbegin")
+			_, _ = io.Copy(io.Discard, c)
+			h.mu.Lock()
+			delete(h.conns, c)
+			h.mu.Unlock()
+			_ = c.Close()
+			time.Sleep(50 * time.Millisecond)
+		}
+	}()
+}
+
+func (h *holder) count() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.conns)
+}
+
+func (h *holder) close() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for c := range h.conns {
+		_ = c.Close()
+	}
+}
+
 // unfinishedBodies lets one client open connections to the directory of each node and send a
 // look-up on each whose body it never completes. Seven ordinary requesters look up meanwhile.
 func unfinishedBodies(r *record, binary string, trouble bool) error {
 	const (
 		connections = 320
-		requesters  = 7
-		length      = 20 * time.Second
-		window      = 3 * time.Second
+		// Some connections are closed for others before their requests are read. They are opened
+		// again in this time, and left alone after that.
+		settling   = 4 * time.Second
+		requesters = 7
+		length     = 20 * time.Second
+		window     = 3 * time.Second
 	)
 	d, err := newDeployment(r, binary, 3)
 	if err != nil {
@@ -67,25 +121,16 @@
 	if err := d.startGateways(); err != nil {
 		return err
 	}
-	var held []net.Conn
-	defer func() {
-		for _, c := range held {
-			_ = c.Close()
-		}
-	}()
 	if trouble {
-		dialer := net.Dialer{Timeout: time.Second, LocalAddr: &net.TCPAddr{IP: net.ParseIP(d.prefix + ".230")}}
+		attack := newHolder(d.prefix + ".230")
+		defer attack.close()
 		for _, g := range d.gateways {
 			for range connections {
-				c, err := dialer.Dial("tcp", g.address(directoryPort))
-				if err != nil {
-					continue
-				}
-				held = append(held, c)
-				_, _ = io.WriteString(c, "GET "+lookupPath+" HTTP/1.1\r\nHost: a.example\r\nContent-Length: 1000\r\n\r\nbegin")
+				attack.hold(g.address(directoryPort), settling)
 			}
 		}
-		r.printf("one client has opened %d connections to the directories", len(held))
+		time.Sleep(settling)
+		r.printf("one client holds %d connections to the directories", attack.count())
 	}
 	var mu sync.Mutex
 	tried, named := 0, 0
