--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,5 +3,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target
-export GOFLAGS="${GOFLAGS:--buildvcs=false}"
-(cd review/standin-2 && go build -o ../../target/standin-2 .)
+export GOFLAGS=-mod=mod GOWORK=off GOTOOLCHAIN=local
+(cd review/standin-2 && go build -buildvcs=false -o ../../target/standin-2 .)
