--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"flag"
 	"fmt"
 	"os"
 	"os/signal"
@@ -37,11 +38,14 @@
 func main() { os.Exit(run()) }
 
 func run() int {
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin-2 CASE RECORD")
+	trouble := flag.Bool("trouble", true, "play the disruption of the case")
+	flag.Parse()
+	play := cases[flag.Arg(0)]
+	if flag.NArg() != 2 || play == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin-2 [-trouble=false] CASE RECORD")
 		return exitNotRun
 	}
-	r, err := newRecord(os.Args[2])
+	r, err := newRecord(flag.Arg(1))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
@@ -55,7 +59,7 @@
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	go func() { interrupt(r, "ended by "+(<-signals).String()) }()
-	err = cases[os.Args[1]](r, binary, os.Getenv("TROUBLE") != "0")
+	err = play(r, binary, *trouble)
 	switch {
 	case err == nil:
 		r.summary("held")
