--- a/review/standin-2/gateway.go
+++ b/review/standin-2/gateway.go
@@ -158,6 +158,7 @@
 	if err != nil {
 		return nil, err
 	}
+	workDir.Store(&dir)
 	d := &deployment{record: r, binary: binary, dir: dir, zones: []string{"cairo", "giza", "tanta"}, memoryMB: 284}
 	if d.prefix, err = freePrefix(hosts); err != nil {
 		return nil, err
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -72,9 +73,15 @@
 	return exitNotRun
 }
 
+// workDir is the temporary folder of the case, nil while there is none.
+var workDir atomic.Pointer[string]
+
 // interrupt ends a case before its end. The processes that it has started are killed by the
 // system when this one ends.
 func interrupt(r *record, reason string) {
 	r.summary("not run: %s", reason)
+	if dir := workDir.Load(); dir != nil {
+		_ = os.RemoveAll(*dir)
+	}
 	os.Exit(exitNotRun)
 }
