--- a/review/standin-2/slow.go
+++ b/review/standin-2/slow.go
@@ -80,7 +80,7 @@
 func (s *slowReader) run(timeLimit, later time.Duration) ([]result, error) {
 	dialer := net.Dialer{Timeout: time.Second, LocalAddr: &net.TCPAddr{IP: net.ParseIP(s.from)}, Control: func(_, _ string, c syscall.RawConn) error {
 		var err error
-		_ = c.Control(func(fd uintptr) { err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 16<<10) })
+		_ = c.Control(func(fd uintptr) { err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
 		return err
 	}}
 	c, err := dialer.Dial("tcp", s.address)
@@ -152,10 +152,10 @@
 		// Together they read what a link of 10 Mbit/s carries.
 		requesters  = 24
 		perSecond   = 10_000_000 / 8 / requesters
-		downloadLen = 225_000
+		downloadLen = 240_000
 		timeLimit   = 5 * time.Second
 		sendAt      = 1500 * time.Millisecond
-		furtherAt   = 5700*time.Millisecond - sendAt
+		furtherAt   = 5650*time.Millisecond - sendAt
 		grace       = 6 * time.Second
 	)
 	d, err := newDeployment(r, binary, 3)
