Do not take a reset response for a complete one

Callers saw: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still written.

Cause: the system reports a reset of a connection once. If the write of the upload gets that error, the read that follows finds an end of file, with which a response without a length ends. So it depended on which of the two came first. Both paths to servers read responses while they write requests.

Change: package tracker wraps the connections of sender and connector. If a read finds the end of file, it interrupts a write that is under way, waits for its result, and returns ErrReset if a write has found the connection lost. The parsers of both paths then see a body that broke off. It is classified as any lost connection, which it is; the connector's own record of that moves there. If the server closes in order and then resets the connection for what is still sent to it, the response counts as reset too: it can't be told whether it was complete.

The gateway of ./internal/saturator accepts bodies of 16 MB instead of 1 MB, so that an upload does not fit into the buffers.

--- a/connector/conn.go
+++ b/connector/conn.go
@@ -10,18 +10,16 @@
 
 	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/internal/bounder"
+	"github.com/verbenastand/verbenastand/internal/tracker"
 )
 
 // serverConn is a connection to a server. It remembers whether a refusal without a request
 // ID arrived over it: a late copy of that would pass for the response to a later request.
 type serverConn struct {
-	net.Conn
+	*tracker.Conn
 	// requests counts the requests that used the connection.
 	requests atomic.Int64
 	refused  atomic.Bool
-	// lost is set once the server has closed or reset the connection, and stalled once it
-	// has timed out.
-	lost, stalled atomic.Bool
 	// current is the last use.
 	current atomic.Pointer[use]
 }
@@ -32,7 +30,6 @@
 		return 0, ErrNoMemory
 	}
 	n, err := c.Conn.Read(p)
-	c.observe(err)
 	if u := c.current.Load(); n > 0 && u != nil && !u.head.charge(p[:n]) {
 		u.denied.Store(true)
 		// The transport sends some requests again if it gets an error instead of the first
@@ -42,27 +39,6 @@
 	return n, err
 }
 
-// Write implements net.Conn.
-func (c *serverConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.observe(err)
-	return n, err
-}
-
-// observe records the end of the connection. Only here is it known that an error is one of
-// the connection: errors of other kinds, which bytes of the server or the caller can bring
-// about, may look the same.
-func (c *serverConn) observe(err error) {
-	var netErr net.Error
-	switch {
-	case err == nil, errors.Is(err, net.ErrClosed):
-	case errors.As(err, &netErr) && netErr.Timeout():
-		c.stalled.Store(true)
-	default:
-		c.lost.Store(true)
-	}
-}
-
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
 func dialServer(dial dialFunc) dialFunc {
@@ -71,7 +47,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &serverConn{Conn: conn}, nil
+		return &serverConn{Conn: tracker.NewConn(conn)}, nil
 	}
 }
 
@@ -106,9 +82,9 @@
 	switch {
 	case ctx.Err() != nil || u == nil:
 		return err
-	case u.conn.lost.Load():
+	case u.conn.Lost():
 		return errors.Join(ErrConnectionLost, err)
-	case u.conn.stalled.Load():
+	case u.conn.Stalled():
 		return err
 	}
 	return errors.Join(ErrMalformedResponse, err)
--- a/internal/saturator/host_test.go
+++ b/internal/saturator/host_test.go
@@ -221,20 +221,24 @@
 		}
 	}
 	settingsOfService := map[string]any{"healthCheckPath": "/health", "maxConnections": 1000}
-	registration := func(id, service string) map[string]any {
+	registration := func(address, service string) map[string]any {
 		return map[string]any{
-			"address": newBackend(t, id), "born": time.Now().UnixMilli(),
+			"address": address, "born": time.Now().UnixMilli(),
 			"information": map[string]any{"service": service, "zone": "a", "capacitySlots": 1000},
 			"status":      map[string]any{"state": "ready", "sequenceNumber": 1},
 		}
 	}
 	values := map[string]any{
 		"op/config": map[string]any{
-			"version": "r1", "routes": map[string]any{"held": route("/held/", "unsafe", "held"), "read": route("/read/", "safe", "reads"), "long": route("/long/", "safe", "held"), "many": route("/many/", "safe", "held"), "last": route("/last/", "safe", "held")},
-			"services": map[string]any{"reads": settingsOfService, "held": settingsOfService},
-			"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 60_000},
+			"version": "r1", "routes": map[string]any{"held": route("/held/", "unsafe", "held"), "read": route("/read/", "safe", "reads"), "long": route("/long/", "safe", "held"), "many": route("/many/", "safe", "held"), "last": route("/last/", "safe", "held"), "faulty": route("/faulty/", "unsafe", "faulty")},
+			"services": map[string]any{"reads": settingsOfService, "held": settingsOfService, "faulty": settingsOfService},
+			"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": uploadBytes, "headerTimeoutMs": 3000, "idleTimeoutMs": 60_000},
 		},
-		"servers/i-1": registration("i-1", "reads"), "servers/i-2": registration("i-2", "held"),
+		"servers/i-1": registration(newBackend(t, "i-1"), "reads"), "servers/i-2": registration(newBackend(t, "i-2"), "held"),
+	}
+	for i := range faultyServers {
+		id := fmt.Sprintf("f-%d", i)
+		values["servers/"+id] = registration(newFaultyServer(t, id), "faulty")
 	}
 	directory := t.TempDir()
 	h := &host{t: t, address: freeAddress(t, "tcp"), others: []string{freeAddress(t, "tcp"), freeAddress(t, "tcp"), freeAddress(t, "tcp")}}
@@ -301,12 +305,18 @@
 	h.peer = peer
 	hosts, err := json.Marshal([]emulator.HostEntry{{Host: "host-0", Zone: "a", PeerAddress: peer}})
 	require.NoError(t, err)
-	ticket := merger.Ticket{Number: 1, Services: []merger.ServiceObject{{Name: "reads", Timeout: "60s"}, {Name: "held", Timeout: "60s"}}}
+	ticket := merger.Ticket{Number: 1, Services: []merger.ServiceObject{{Name: "reads", Timeout: "60s"}, {Name: "held", Timeout: "60s"}, {Name: "faulty", Timeout: "60s"}}}
 	for id, service := range map[verbenastand.ServerID]verbenastand.ServiceName{"i-1": "reads", "i-2": "held"} {
 		ticket.Servers = append(ticket.Servers, merger.ServerObject{
 			ID: id, Service: service, Zone: "a", Address: newBackend(t, string(id)), Slots: 1000, Connections: 1000,
 		})
 	}
+	for i := range faultyServers {
+		id := fmt.Sprintf("f-%d", i)
+		ticket.Servers = append(ticket.Servers, merger.ServerObject{
+			ID: verbenastand.ServerID(id), Service: "faulty", Zone: "a", Address: newFaultyServer(t, id), Slots: 1000, Connections: 1000,
+		})
+	}
 	encoded, err := ticket.Encode()
 	require.NoError(t, err)
 	for path, body := range map[string][]byte{"/emulator/hosts": hosts, "/emulator/ticket": encoded} {
--- a/sender/connection.go
+++ b/sender/connection.go
@@ -15,6 +15,7 @@
 
 	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/internal/bounder"
+	"github.com/verbenastand/verbenastand/internal/tracker"
 )
 
 const (
@@ -93,7 +94,7 @@
 type Connection struct {
 	sender *Sender
 	target Target
-	conn   net.Conn
+	conn   *tracker.Conn
 	limit  *bounder.Reader
 	reader *bufio.Reader
 
@@ -110,9 +111,10 @@
 }
 
 func newConnection(s *Sender, t Target, conn net.Conn) *Connection {
-	limit := bounder.NewReader(conn, maxHeaderBytes)
+	tracked := tracker.NewConn(conn)
+	limit := bounder.NewReader(tracked, maxHeaderBytes)
 	return &Connection{
-		sender: s, target: t, conn: conn, limit: limit, reader: bufio.NewReaderSize(limit, readBuffer),
+		sender: s, target: t, conn: tracked, limit: limit, reader: bufio.NewReaderSize(limit, readBuffer),
 		idleTimeout: s.config.IdleTimeout, reusable: true, openedAt: time.Now(),
 	}
 }
@@ -142,7 +144,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, ok := c.conn.(syscall.Conn)
+	raw, ok := c.conn.NetConn().(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/sender/exchange.go
+++ b/sender/exchange.go
@@ -13,6 +13,7 @@
 
 	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/internal/bounder"
+	"github.com/verbenastand/verbenastand/internal/tracker"
 )
 
 // Exchange sends a request and returns the status and header of the response. The
@@ -248,23 +249,22 @@
 }
 
 // chunkWriter writes a body in chunked transfer encoding.
-type chunkWriter struct{ writer io.Writer }
+type chunkWriter struct{ conn *tracker.Conn }
 
-func newChunkWriter(w io.Writer) *chunkWriter { return &chunkWriter{writer: w} }
+func newChunkWriter(conn *tracker.Conn) *chunkWriter { return &chunkWriter{conn: conn} }
 
 // Write implements io.Writer.
 func (c *chunkWriter) Write(p []byte) (int, error) {
 	if len(p) == 0 {
 		return 0, nil
 	}
-	buffers := net.Buffers{fmt.Appendf(nil, "%x\r\n", len(p)), p, []byte("\r\n")}
-	if _, err := buffers.WriteTo(c.writer); err != nil {
+	if _, err := c.conn.WriteBuffers(net.Buffers{fmt.Appendf(nil, "%x\r\n", len(p)), p, []byte("\r\n")}); err != nil {
 		return 0, err
 	}
 	return len(p), nil
 }
 
 func (c *chunkWriter) close() error {
-	_, err := io.WriteString(c.writer, "0\r\n\r\n")
+	_, err := io.WriteString(c.conn, "0\r\n\r\n")
 	return err
 }
