Refuse responses with fields that are none

Callers saw: a server sent a response in whose header the name of a field held a blank.

Cause: the parser of net/http accepts blanks in names, and keeps such a name as it is, so that nothing finds the field under its own name; it joins lines that begin with a blank to the line before. Control bytes in names it refuses itself.

Change: package scanner reads the bytes of a header before they are parsed, for both paths to servers (it replaces the scan for memory in the connector), with interim responses and, on the gateway, responses that are skipped. A line whose name is no token, or that continues another, makes the response none: the request may have run (502), the connection is closed, and it is no evidence of a crash. CheckResponse checks what has been parsed, the status code as before and the names of header and trailers; the prober, the store, requests to other hosts and the lists of the platform use it instead of CheckStatus, and the names of trailers are checked when a body ends. The sender charges only the bytes of a header now, as the connector did.

Evidence: with the change before this one fail TestFieldsThatAreNone (sender, connector, prober), TestTrailersThatAreNone, TestFieldsOfHealthChecksThatAreNone, TestStoreResponsesWithFieldsThatAreNone, TestInvalidResponses (reader; processes of both kinds), each at a blank in a name, and TestResponsesThatAreNone. Names with control bytes, and HTTP/3, whose library refuses such names, passed before; the tests stay. Sound servers: TestFieldsOfSoundServers (all characters that a name may have) passed before and passes now.

Status 000 was refused before at all places; TestInvalidResponses shows it for processes of both kinds.

--- a/carrier/early_test.go
+++ b/carrier/early_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -65,6 +66,8 @@
 	}{
 		{"broken off", func(conn net.Conn, r *http.Request) {
 			_, _ = io.WriteString(conn, head+r.Header.Get("X-Id")+"\r\n\r\npart")
+			// The host writes the upload.
+			time.Sleep(delay)
 		}, http.StatusBadGateway, ""},
 		{"with a length", func(conn net.Conn, r *http.Request) {
 			_, _ = io.WriteString(conn, head+r.Header.Get("X-Id")+"\r\nContent-Length: 4\r\n\r\nbody")
--- a/connector/conn.go
+++ b/connector/conn.go
@@ -93,15 +93,23 @@
 // responseBody classifies the errors of a response body.
 type responseBody struct {
 	io.ReadCloser
-	ctx context.Context
-	use *use
+	ctx      context.Context
+	response *http.Response
+	use      *use
 }
 
 // Read implements io.Reader.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err != nil && !errors.Is(err, io.EOF) {
+	switch {
+	case err == nil:
+	case !errors.Is(err, io.EOF):
 		err = b.use.classify(b.ctx, err)
+	default:
+		if invalid := verbenastand.CheckFields(b.response.Trailer); invalid != nil {
+			b.use.closeConn()
+			err = errors.Join(ErrMalformedResponse, invalid)
+		}
 	}
 	return n, err
 }
@@ -140,15 +148,23 @@
 func (u *use) end(response *http.Response) {
 	_ = response.Body.Close()
 	response.Body = http.NoBody
+	u.closeConn()
+}
+
+// closeConn closes the connection, unless it carries the next request already.
+func (u *use) closeConn() {
 	if u != nil && u.conn.requests.Load() == u.number {
 		_ = u.conn.Close()
 	}
 }
 
-// checkStatus returns an error and ends the connection if the status code of a response is invalid:
-// what has been received is not a response. A connection that the server closes after it is not lost.
-func (u *use) checkStatus(response *http.Response) error {
-	err := verbenastand.CheckStatus(response.StatusCode)
+// check returns an error and ends the connection if what has been received is not a response, although the
+// transport accepts it. A connection that the server closes after it is not lost.
+func (u *use) check(response *http.Response) error {
+	err := verbenastand.CheckResponse(response)
+	if err == nil && u != nil && u.head.lines.Malformed() {
+		err = verbenastand.ErrInvalidField
+	}
 	if err == nil {
 		return nil
 	}
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -108,7 +108,7 @@
 	out.Header.Set(verbenastand.HeaderRequest, id)
 	response, err := c.transport.RoundTrip(out)
 	if err == nil {
-		err = used.Load().checkStatus(response)
+		err = used.Load().check(response)
 	}
 	if err != nil && used.Load().noMemory() {
 		// The server has responded.
@@ -122,10 +122,10 @@
 		return nil, verbenastand.NewRequestError(verbenastand.MayHaveRun, verbenastand.ReasonInvalidResponse, ErrUnexpectedResponse)
 	}
 	if err == nil {
-		response.Body = &responseBody{ReadCloser: response.Body, ctx: r.Context(), use: used.Load()}
+		response.Body = &responseBody{ReadCloser: response.Body, ctx: r.Context(), response: response, use: used.Load()}
 		return matchResponse(response, id)
 	}
-	if errors.Is(err, verbenastand.ErrInvalidStatus) {
+	if errors.Is(err, verbenastand.ErrInvalidResponse) {
 		return nil, verbenastand.NewRequestError(verbenastand.MayHaveRun, verbenastand.ReasonInvalidResponse, err)
 	}
 	if !connected.Load() {
--- a/connector/memory_test.go
+++ b/connector/memory_test.go
@@ -39,7 +39,7 @@
 					require.True(t, h.charge(text[:n]))
 					text = text[n:]
 				}
-				require.True(t, h.ended)
+				require.True(t, h.lines.Ended())
 				require.Equal(t, max(0, bounder.HeadCost([]byte(tc.header))-64<<10), 8<<20-budget.Left())
 			})
 		}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -209,7 +209,7 @@
 		f.discard(c)
 	}
 	verdict := verbenastand.NotRun
-	if connected.Load() || errors.Is(err, verbenastand.ErrInvalidStatus) {
+	if connected.Load() || errors.Is(err, verbenastand.ErrInvalidResponse) {
 		verdict = verbenastand.MayHaveRun
 	}
 	return nil, verbenastand.NewRequestError(verdict, verbenastand.ReasonKeyOwnerUnreachable, err)
--- a/forwarder/status_test.go
+++ b/forwarder/status_test.go
@@ -60,3 +60,25 @@
 
 // Close implements io.Closer.
 func (respondWith) Close() error { return nil }
+
+// Guards against names of fields of another host that are none and reach the caller. The library accepts no
+// such names, so the response is made up here.
+func TestMessagesWithFieldsThatAreNone(t *testing.T) {
+	for _, name := range []string{"Odd Name", "Odd-Name ", "Odd\x01Name", ""} {
+		c := &peerConn{transport: respondWithField(name)}
+		f := NewForwarder(Config{})
+		_, err := f.roundTrip(context.Background(), c, verbenastand.NewHost(verbenastand.HostConfig{PeerAddress: "127.0.0.1:1"}), purposeExchange, "", nil)
+		require.ErrorIs(t, err, verbenastand.ErrInvalidField, name)
+	}
+}
+
+// respondWithField is a transport whose responses have a field.
+type respondWithField string
+
+// RoundTrip implements http.RoundTripper.
+func (f respondWithField) RoundTrip(*http.Request) (*http.Response, error) {
+	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{string(f): {"x"}}, Body: http.NoBody}, nil
+}
+
+// Close implements io.Closer.
+func (respondWithField) Close() error { return nil }
--- a/forwarder/transport.go
+++ b/forwarder/transport.go
@@ -15,13 +15,13 @@
 	io.Closer
 }
 
-// roundTrip sends a request. A response with an invalid status code is an error: http3 accepts any number.
+// roundTrip sends a request. An invalid response is an error: http3 accepts any number as a status code.
 func (c *peerConn) roundTrip(r *http.Request) (*http.Response, error) {
 	response, err := c.transport.RoundTrip(r)
 	if err != nil {
 		return nil, err
 	}
-	if err := verbenastand.CheckStatus(response.StatusCode); err != nil {
+	if err := verbenastand.CheckResponse(response); err != nil {
 		_ = response.Body.Close()
 		return nil, err
 	}
--- a/internal/saturator/faulty_test.go
+++ b/internal/saturator/faulty_test.go
@@ -76,16 +76,31 @@
 		time.Sleep(10 * time.Millisecond)
 		_ = conn.SetLinger(0)
 	},
+	"sound": respondRaw("HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nVerbenastand-Request: KEY\r\nResponse-Signature: s\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody"),
 	"early, with a length": func(s *faultyServer, conn *net.TCPConn, r *http.Request) {
 		_, _ = io.WriteString(conn, s.head(r)+"Connection: close\r\nContent-Length: 4\r\n\r\nbody")
 		<-s.ended
 	},
+	"status 000":         respondRaw("HTTP/1.1 000 X\r\nRequest-Id: ID\r\nVerbenastand-Request: KEY\r\nResponse-Signature: s\r\nContent-Length: 4\r\n\r\nbody"),
+	"a blank in a name":  respondRaw("HTTP/1.1 200 OK\r\nOdd Name: x\r\nRequest-Id: ID\r\nVerbenastand-Request: KEY\r\nResponse-Signature: s\r\nContent-Length: 4\r\n\r\nbody"),
+	"a blank behind one": respondRaw("HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nVerbenastand-Request: KEY\r\nResponse-Signature: s\r\nContent-Length : 4\r\n\r\nbody and more"),
+	"a blank before one": respondRaw("HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nVerbenastand-Request: KEY\r\nResponse-Signature: s\r\nDate: x\r\n Content-Length: 4\r\n\r\nbody and more"),
+	"a control byte":     respondRaw("HTTP/1.1 200 OK\r\nOdd\x01Name: x\r\nRequest-Id: ID\r\nVerbenastand-Request: KEY\r\nResponse-Signature: s\r\nContent-Length: 4\r\n\r\nbody"),
 	"early, closed after the upload": func(s *faultyServer, conn *net.TCPConn, r *http.Request) {
 		_, _ = io.WriteString(conn, s.head(r)+"\r\nbody")
 		_, _ = io.Copy(io.Discard, r.Body)
 	},
 }
 
+// respondRaw returns a function that sends a text with the IDs of the request, and closes the connection.
+func respondRaw(text string) func(*faultyServer, *net.TCPConn, *http.Request) {
+	return func(_ *faultyServer, conn *net.TCPConn, r *http.Request) {
+		ids := strings.NewReplacer("ID", r.Header.Get("Request-Id"), "KEY", r.Header.Get("Verbenastand-Request"))
+		_, _ = ids.WriteString(conn, text)
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
+}
+
 // uploadBytes is the largest body that the hosts under test accept. It is more than the buffers of a
 // connection hold.
 const uploadBytes = 16 << 20
@@ -137,3 +152,24 @@
 		})
 	}
 }
+
+// Guards against callers that get bytes as a response that are none (issue 58).
+func TestInvalidResponses(t *testing.T) {
+	for _, kind := range kinds {
+		t.Run(kind.name, func(t *testing.T) {
+			h := kind.start(t)
+			for _, name := range []string{"status 000", "a blank in a name", "a blank behind one", "a blank before one", "a control byte"} {
+				response, body, _ := h.upload(name)
+				require.NotNil(t, response, name)
+				require.Equal(t, http.StatusBadGateway, response.StatusCode, "%s: %s", name, body)
+				require.Equal(t, "mayHaveRun", response.Header.Get("Verbenastand-Verdict"), name)
+				response, body, complete := h.upload("sound")
+				require.NotNil(t, response, name)
+				require.Equal(t, http.StatusOK, response.StatusCode)
+				require.Equal(t, "body", body)
+				require.True(t, complete)
+			}
+			h.check()
+		})
+	}
+}
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -68,7 +68,7 @@
 		c.ProbeCost = DefaultCost
 	}
 	if c.Probe == nil {
-		client := &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+		client := newClient()
 		c.Probe = func(s verbenastand.Server) (bool, scheduler.Report) { return getHealth(client, s) }
 	}
 	return &Prober{config: c, next: make(map[verbenastand.ServerID]time.Time), slots: make(chan struct{}, maxProbes)}
@@ -123,6 +123,10 @@
 	}()
 }
 
+func newClient() *http.Client {
+	return &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+}
+
 func getHealth(client *http.Client, s verbenastand.Server) (bool, scheduler.Report) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
@@ -135,7 +139,7 @@
 		return false, scheduler.NoReport
 	}
 	_ = response.Body.Close()
-	if verbenastand.CheckStatus(response.StatusCode) != nil {
+	if verbenastand.CheckResponse(response) != nil {
 		return false, scheduler.NoReport
 	}
 	return response.StatusCode == http.StatusOK, reporter.Read(response.Header, s.Slots())
--- a/reader/reader.go
+++ b/reader/reader.go
@@ -118,6 +118,9 @@
 		return nil, fmt.Errorf("reader: %w", err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := verbenastand.CheckResponse(response); err != nil {
+		return nil, fmt.Errorf("reader: %s: %w", path, err)
+	}
 	if known && response.StatusCode == http.StatusNotModified {
 		return cached.body, nil
 	}
--- a/sender/connection.go
+++ b/sender/connection.go
@@ -65,7 +65,7 @@
 	ID string
 	// Memory provides the memory for the header of the response; nil if it isn't bounded.
 	Memory bounder.Source
-	memory bounder.Head
+	head   responseHead
 }
 
 // Response is the response of a server. Its body must be read to the end, or the
@@ -80,13 +80,13 @@
 	NotRun bool
 	// Signed is set if the response has a signature.
 	Signed bool
-	memory *bounder.Head
+	head   *responseHead
 }
 
 // Release returns the memory of the header. It may be called more than once.
 func (r *Response) Release() {
-	if r.memory != nil {
-		r.memory.Release()
+	if r.head != nil {
+		r.head.memory.Release()
 	}
 }
 
@@ -203,13 +203,9 @@
 	if _, err := io.WriteString(c.conn, head); err != nil {
 		return Health{}, classifyError(ctx, err, err)
 	}
-	c.limit.Allow(maxHeaderBytes)
-	response, err := http.ReadResponse(c.reader, nil)
+	response, err := c.readHead(ctx, http.MethodGet, &responseHead{})
 	if err != nil {
-		return Health{}, c.readError(ctx, err)
-	}
-	if err := verbenastand.CheckStatus(response.StatusCode); err != nil {
-		return Health{}, errors.Join(ErrUnexpectedResponse, err)
+		return Health{}, err
 	}
 	if response.StatusCode < http.StatusOK || response.Header.Get(c.sender.names.RequestID) != "" {
 		// A late response to an earlier request of the connection.
@@ -220,6 +216,9 @@
 	if _, err = io.Copy(io.Discard, response.Body); err != nil {
 		return Health{}, c.readError(ctx, err)
 	}
+	if err = verbenastand.CheckFields(response.Trailer); err != nil {
+		return Health{}, errors.Join(ErrUnexpectedResponse, err)
+	}
 	if id := response.Header.Get(c.sender.names.Instance); id != "" && id != string(c.target.Server) {
 		return Health{}, ErrInstanceMismatch
 	}
--- a/sender/exchange.go
+++ b/sender/exchange.go
@@ -13,6 +13,7 @@
 
 	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/internal/bounder"
+	"github.com/verbenastand/verbenastand/internal/scanner"
 	"github.com/verbenastand/verbenastand/internal/tracker"
 )
 
@@ -26,17 +27,17 @@
 		release()
 		return nil, mayHaveRun(verbenastand.ReasonServerFailed, classifyError(ctx, err, err))
 	}
-	r.memory = bounder.NewHead(r.Memory)
+	r.head = responseHead{memory: bounder.NewHead(r.Memory)}
 	response, err := c.readResponse(ctx, r)
 	if err != nil {
-		r.memory.Release()
+		r.head.memory.Release()
 		release()
 		return nil, err
 	}
 	names := c.sender.names
 	header := response.Header
 	return &Response{
-		Status: response.StatusCode, Header: header, Length: response.ContentLength, memory: &r.memory,
+		Status: response.StatusCode, Header: header, Length: response.ContentLength, head: &r.head,
 		Body:   &responseBody{connection: c, response: response, release: release, ctx: ctx},
 		NotRun: c.sender.refused(response),
 		Signed: header.Get(names.Signature) != "",
@@ -138,15 +139,13 @@
 	skipped, interim := 0, 0
 	skippable := int64(maxSkippedBytes)
 	for {
-		c.limit.Allow(maxHeaderBytes)
-		c.limit.Charge(r.charge)
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
-		c.limit.Charge(nil)
+		response, err := c.readHead(ctx, r.Method, &r.head)
 		if err != nil {
-			return nil, mayHaveRun(verbenastand.ReasonServerFailed, c.readError(ctx, err))
-		}
-		if err := verbenastand.CheckStatus(response.StatusCode); err != nil {
-			return nil, mayHaveRun(verbenastand.ReasonInvalidResponse, errors.Join(ErrUnexpectedResponse, err))
+			reason := verbenastand.ReasonServerFailed
+			if errors.Is(err, verbenastand.ErrInvalidResponse) {
+				reason = verbenastand.ReasonInvalidResponse
+			}
+			return nil, mayHaveRun(reason, err)
 		}
 		c.limit.Allow(bounder.Unlimited)
 		if response.StatusCode >= 100 && response.StatusCode < 200 {
@@ -172,7 +171,29 @@
 		if skipped > maxSkipped || err != nil || response.Close {
 			return nil, mayHaveRun(verbenastand.ReasonInvalidResponse, ErrUnexpectedResponse)
 		}
+		if err := c.expectNext(&r.head); err != nil {
+			return nil, mayHaveRun(verbenastand.ReasonServerFailed, err)
+		}
+	}
+}
+
+// readHead reads the header of a response, or of an interim response.
+func (c *Connection) readHead(ctx context.Context, method string, h *responseHead) (*http.Response, error) {
+	c.limit.Allow(maxHeaderBytes)
+	c.limit.Charge(h.charge)
+	defer c.limit.Charge(nil)
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err != nil {
+		return nil, c.readError(ctx, err)
 	}
+	return response, h.check(response)
+}
+
+// expectNext makes h that of the next response, whose beginning may be in the buffer.
+func (c *Connection) expectNext(h *responseHead) error {
+	h.lines = scanner.Header{}
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	return h.charge(buffered)
 }
 
 // matches reports whether a response belongs to the request. A refusal may lack the
@@ -242,6 +263,9 @@
 	if !errors.Is(err, io.EOF) {
 		return n, mayHaveRun(verbenastand.ReasonInvalidResponse, b.connection.readError(b.ctx, err))
 	}
+	if err := verbenastand.CheckFields(b.response.Trailer); err != nil {
+		return n, mayHaveRun(verbenastand.ReasonInvalidResponse, errors.Join(ErrUnexpectedResponse, err))
+	}
 	if ctxActive && b.connection.bodySent() {
 		b.connection.updateReuse(b.response)
 	}
