Bound the header of responses to health checks to 64 KB

Evidence: TestHeadersWithoutEnd failed before in all five cases (8.5 to 10.7 MB sent until the connection was closed) and passes.

--- a/prober/prober.go
+++ b/prober/prober.go
@@ -25,7 +25,9 @@
 	// overlapFactor allows for hosts that still run next to their replacements.
 	overlapFactor = 2
 	probeTimeout  = 500 * time.Millisecond
-	maxProbes     = 16
+	// maxHeaderBytes bounds the header of a response, and maxProbes those that are read at once.
+	maxHeaderBytes = 64 << 10
+	maxProbes      = 16
 	// maxIdleTime is the time without a response after which a server is probed.
 	maxIdleTime = time.Second
 )
@@ -124,7 +126,7 @@
 }
 
 func newClient() *http.Client {
-	return &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	return &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}}
 }
 
 func getHealth(client *http.Client, s verbenastand.Server) (bool, scheduler.Report) {
