--- a/connector/conn.go
+++ b/connector/conn.go
@@ -96,12 +96,17 @@
 	ctx      context.Context
 	response *http.Response
 	use      *use
+	// remaining is the number of bytes that may still be read.
+	remaining int64
 }
 
 // Read implements io.Reader.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	b.remaining -= int64(n)
 	switch {
+	case b.remaining < 0:
+		err = errors.Join(ErrMalformedResponse, bounder.ErrExceeded)
 	case err == nil:
 	case !errors.Is(err, io.EOF):
 		err = b.use.classify(b.ctx, err)
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -34,6 +34,9 @@
 	// connection was opened for it. The error is nil if there was a response. It may be
 	// nil.
 	OnResult func(server verbenastand.Server, newConnection bool, err error)
+	// MaxUnframedBody bounds a response body in bytes if its length is not announced: a server in trouble
+	// may send without end. Zero for bounder.DefaultMaxUnframedBody.
+	MaxUnframedBody int64
 }
 
 // Connector manages connections to servers. It implements
@@ -46,6 +49,9 @@
 // NewConnector returns a connector without connections.
 func NewConnector(c Config) *Connector {
 	dialer := &net.Dialer{Timeout: dialTimeout}
+	if c.MaxUnframedBody == 0 {
+		c.MaxUnframedBody = bounder.DefaultMaxUnframedBody
+	}
 	if c.OnResult == nil {
 		c.OnResult = func(verbenastand.Server, bool, error) {}
 	}
@@ -122,8 +128,7 @@
 		return nil, verbenastand.NewRequestError(verbenastand.MayHaveRun, verbenastand.ReasonInvalidResponse, ErrUnexpectedResponse)
 	}
 	if err == nil {
-		response.Body = &responseBody{ReadCloser: response.Body, ctx: r.Context(), response: response, use: used.Load()}
-		return matchResponse(response, id)
+		return matchResponse(c.limitBody(r.Context(), response, used.Load()), id)
 	}
 	if errors.Is(err, verbenastand.ErrInvalidResponse) {
 		return nil, verbenastand.NewRequestError(verbenastand.MayHaveRun, verbenastand.ReasonInvalidResponse, err)
@@ -137,6 +142,16 @@
 	return nil, verbenastand.NewRequestError(verbenastand.MayHaveRun, verbenastand.ReasonServerFailed, used.Load().classify(r.Context(), err))
 }
 
+// limitBody replaces the body of a response by one whose errors are classified, and whose length is bounded.
+func (c *Connector) limitBody(ctx context.Context, response *http.Response, u *use) *http.Response {
+	body := &responseBody{ReadCloser: response.Body, ctx: ctx, response: response, use: u, remaining: bounder.Unlimited}
+	if response.ContentLength < 0 {
+		body.remaining = c.config.MaxUnframedBody
+	}
+	response.Body = body
+	return response
+}
+
 // matchResponse rejects the response to another request: a server may send one late,
 // or twice, on a connection that is in use again. Servers that do not return the ID
 // are not checked.
--- a/internal/bounder/bounder.go
+++ b/internal/bounder/bounder.go
@@ -10,8 +10,12 @@
 // ErrExceeded is returned by Read once the limit is reached.
 var ErrExceeded = errors.New("bounder: read limit reached")
 
-// Unlimited is a limit that is never reached.
-const Unlimited = 1 << 62
+const (
+	// Unlimited is a limit that is never reached.
+	Unlimited = 1 << 62
+	// DefaultMaxUnframedBody bounds the response bodies of servers whose length is not announced.
+	DefaultMaxUnframedBody = 256 << 20
+)
 
 // Reader reads up to a number of bytes, which Allow sets anew for each message. It is
 // not safe for concurrent use.
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -12,6 +12,7 @@
 	"time"
 
 	verbenastand "github.com/verbenastand/verbenastand"
+	"github.com/verbenastand/verbenastand/internal/bounder"
 )
 
 // Defaults of a Config.
@@ -23,8 +24,6 @@
 	DefaultIdleTimeout = 5 * time.Second
 	// DefaultMaxIdle bounds the idle connections to one server.
 	DefaultMaxIdle = 16
-	// DefaultMaxUnframedBody bounds the response bodies whose length is not announced.
-	DefaultMaxUnframedBody = 256 << 20
 )
 
 // keepAliveShare is the share of the server's keep-alive timeout during which a
@@ -74,7 +73,7 @@
 		c.MaxIdle = DefaultMaxIdle
 	}
 	if c.MaxUnframedBody == 0 {
-		c.MaxUnframedBody = DefaultMaxUnframedBody
+		c.MaxUnframedBody = bounder.DefaultMaxUnframedBody
 	}
 	if c.Dial == nil {
 		c.Dial = dialTCP
