Take no lack of memory for the loss of a connection

What could happen: a gateway that has no memory for the header of a response counted the connection as closed by the server. That is evidence that the request has crashed it, so later copies of the request may be refused, although the server has responded.

Cause: the error for lack of memory is that of the last read, by which the sender tells whether a connection is lost.

Evidence: TestAResponseWithoutMemoryIsNoLostConnection failed before and passes. The entry host was right before (TestHeadersOfResponsesAreCharged).

--- a/sender/exchange.go
+++ b/sender/exchange.go
@@ -232,6 +232,9 @@
 		return errors.Join(context.Cause(ctx), err)
 	case connection == nil:
 		return errors.Join(ErrUnexpectedResponse, err)
+	case errors.Is(connection, ErrNoMemory):
+		// The server has responded.
+		return err
 	case errors.Is(connection, os.ErrDeadlineExceeded):
 		return errors.Join(context.DeadlineExceeded, err)
 	}
