Bound the lists of the platform by the memory of an entry host

What could happen: a platform that sends a header or a list without end makes an entry host read 10 or 64 MB of it.

Change: the header is bounded to 64 KB, the list to a sixteenth of the memory if that is known (64 MB otherwise, as before). A list that is announced to be longer is not read; a longer one is an error of its own, not a list that can't be decoded.

Processes, added here: TestServersThatSendWithoutEnd lets four servers send without end in each part of a response and in health checks, to 24 clients, for 8 s.

--- a/Makefile
+++ b/Makefile
@@ -47,3 +47,4 @@
 	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime 10s ./platform
 	$(GO) test -run '^$$' -fuzz FuzzRead -fuzztime 10s ./explainer
 	$(GO) test -run '^$$' -fuzz FuzzSplit -fuzztime 10s ./internal/splitter
+	$(GO) test -run '^$$' -fuzz FuzzHeader -fuzztime 10s ./internal/scanner
--- a/internal/saturator/faulty_test.go
+++ b/internal/saturator/faulty_test.go
@@ -4,28 +4,42 @@
 	"bufio"
 	"fmt"
 	"io"
+	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"path"
+	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 )
 
-// faultyServers is the number of servers of the faulty service of a host under test.
-const faultyServers = 4
+const (
+	// faultyServers is the number of servers of the faulty service of a host under test.
+	faultyServers = 4
+	// endlessTimeout is how long the clients of responses without end wait.
+	endlessTimeout = 3 * time.Second
+)
 
 // faultyServer is a server whose response the last part of a path selects.
 type faultyServer struct {
-	id string
+	id, address string
 	// ended is closed at the end of the test.
 	ended <-chan struct{}
+	// endless is the number of connections on which it sends without end, and checksEndless is set while it
+	// does so for health checks.
+	endless       atomic.Int64
+	checksEndless atomic.Bool
 }
 
-// newFaultyServer returns the address of a faulty server.
-func newFaultyServer(t *testing.T, id string) string {
+// newFaultyServer starts a faulty server.
+func newFaultyServer(t *testing.T, id string) *faultyServer {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	ended := make(chan struct{})
@@ -33,7 +47,7 @@
 		close(ended)
 		_ = l.Close()
 	})
-	s := &faultyServer{id: id, ended: ended}
+	s := &faultyServer{id: id, address: l.Addr().String(), ended: ended}
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -43,7 +57,15 @@
 			go s.serve(conn.(*net.TCPConn))
 		}
 	}()
-	return l.Addr().String()
+	return s
+}
+
+// newFaultyServers starts the servers of the faulty service.
+func (h *host) newFaultyServers() []*faultyServer {
+	for i := range faultyServers {
+		h.faulty = append(h.faulty, newFaultyServer(h.t, fmt.Sprintf("f-%d", i)))
+	}
+	return h.faulty
 }
 
 // serve responds to health checks, and to one request.
@@ -55,10 +77,20 @@
 		if err != nil {
 			return
 		}
-		if respond, found := faultyResponses[path.Base(r.URL.Path)]; found {
+		name := path.Base(r.URL.Path)
+		if respond, found := faultyResponses[name]; found {
 			respond(s, conn, r)
 			return
 		}
+		if e, found := endlessResponses[name]; found {
+			e.send(s, conn, r)
+			return
+		}
+		if s.checksEndless.Load() {
+			names := slices.Sorted(maps.Keys(endlessResponses))
+			endlessResponses[names[rand.IntN(len(names))]].send(s, conn, r)
+			return
+		}
 		_, _ = io.WriteString(conn, s.head(r)+"Content-Length: 0\r\n\r\n")
 	}
 }
@@ -136,7 +168,7 @@
 				if response == nil || !complete {
 					continue
 				}
-				require.Equal(t, http.StatusBadGateway, response.StatusCode, body)
+				require.Equal(t, http.StatusBadGateway, response.StatusCode, "%s %v", body, response.Header)
 				require.Equal(t, "mayHaveRun", response.Header.Get("Verbenastand-Verdict"))
 			}
 			for _, name := range []string{"early, with a length", "early, closed after the upload"} {
@@ -173,3 +205,152 @@
 		})
 	}
 }
+
+// endlessResponse is bytes without end: a filler behind a prefix.
+type endlessResponse struct{ prefix, filler string }
+
+// endlessResponses are by name; HEAD in a prefix stands for a header without the empty line behind it.
+var endlessResponses = map[string]endlessResponse{
+	"no HTTP":                  {"", "\x00\xff"},
+	"a status line":            {"HTTP/1.1 200 ", "x"},
+	"lines of a header":        {"HEAD", "a:\r\n"},
+	"names":                    {"HEAD", "X-%d: x\r\n"},
+	"a line of a header":       {"HEADX-Fill: ", "x"},
+	"interim responses":        {"", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"},
+	"a body without a length":  {"HEAD\r\n", "x"},
+	"a body with a length":     {"HEADContent-Length: 1000000000000\r\n\r\n", "x"},
+	"a chunked body":           {"HEADTransfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("x", 1<<10) + "\r\n"},
+	"tiny chunks":              {"HEADTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+	"a chunk extension":        {"HEADTransfer-Encoding: chunked\r\n\r\n1;", "x"},
+	"trailers":                 {"HEADTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-%d: x\r\n"},
+	"a failure":                {"HTTP/1.1 500 X\r\nRequest-Id: u\r\n\r\n", "x"},
+	"a refusal":                {"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nVerbenastand-Verdict: notRun\r\n\r\n", "x"},
+	"responses to others":      {"", "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nVerbenastand-Request: other\r\nContent-Length: 1\r\n\r\nx"},
+	"behind a whole response":  {"HEADContent-Length: 1\r\n\r\nx", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"},
+	"behind an early response": {"HEADTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "x"},
+}
+
+// send sends until the connection is closed.
+func (e endlessResponse) send(s *faultyServer, conn net.Conn, r *http.Request) {
+	s.endless.Add(1)
+	defer s.endless.Add(-1)
+	_, err := io.WriteString(conn, strings.ReplaceAll(e.prefix, "HEAD", s.head(r)))
+	for i := 0; err == nil; i++ {
+		part := e.filler
+		if strings.Contains(part, "%d") {
+			part = fmt.Sprintf(part, i)
+		}
+		_, err = io.WriteString(conn, strings.Repeat(part, max(1, 4<<10/len(part))))
+	}
+}
+
+// faultySource is a store or a platform that may send without end.
+type faultySource struct {
+	// endless is the name of the response to each request; if empty or nil, responses are sound. responses counts
+	// those without end.
+	endless   atomic.Pointer[string]
+	responses atomic.Int64
+	server    *httptest.Server
+}
+
+// start serves h until it sends without end.
+func (s *faultySource) start(t *testing.T, h http.Handler) {
+	s.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		name := s.endless.Load()
+		if name == nil || *name == "" {
+			h.ServeHTTP(w, r)
+			return
+		}
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		s.responses.Add(1)
+		endlessResponses[*name].send(&faultyServer{}, conn, r)
+	}))
+	t.Cleanup(func() {
+		s.server.CloseClientConnections()
+		s.server.Close()
+	})
+}
+
+// request sends a request to the faulty service and reads the response for as long as it lasts.
+func (h *host) request(name string) {
+	conn, err := dialerFrom("127.0.0.2").Dial("tcp", h.address)
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "GET /faulty/%d/%s HTTP/1.1\r\nHost: a.example\r\nRequest-Id: u\r\nRequest-Deadline: %d\r\n"+
+		"Verbenastand-Service: faulty\r\nVerbenastand-Timeout: %[3]d\r\nConnection: close\r\n\r\n",
+		time.Now().UnixNano(), strings.ReplaceAll(name, " ", "%20"), endlessTimeout.Milliseconds())
+	if err == nil {
+		_, _ = io.Copy(io.Discard, conn)
+	}
+}
+
+// Guards against hosts that run out of memory for servers that send without end, responses that never
+// end, and other callers that get no response meanwhile (issue 58).
+func TestServersThatSendWithoutEnd(t *testing.T) {
+	const clients = 24
+	for _, kind := range kinds {
+		t.Run(kind.name, func(t *testing.T) {
+			h := kind.start(t)
+			names := slices.Sorted(maps.Keys(endlessResponses))
+			var requests sync.WaitGroup
+			ended := time.Now().Add(sendTime)
+			for i := range clients {
+				requests.Go(func() {
+					for next := i; time.Now().Before(ended); next++ {
+						h.request(names[next%len(names)])
+					}
+				})
+			}
+			served := 0
+			for ; time.Now().Before(ended); served++ {
+				if served > 0 && served%50 == 0 {
+					for _, s := range h.faulty {
+						s.checksEndless.Store(served%100 == 0)
+					}
+				}
+				h.requireOne("/read/during")
+				h.countDescriptors()
+			}
+			requests.Wait()
+			t.Logf("%d requests of others were served", served)
+			require.Eventually(t, func() bool {
+				open := int64(0)
+				for _, s := range h.faulty {
+					open += s.endless.Load()
+				}
+				return open == 0
+			}, 2*endlessTimeout, 50*time.Millisecond, "connections on which servers send without end are open")
+			h.requireOne("/read/after")
+			h.check()
+		})
+	}
+}
+
+// Guards against hosts that run out of memory for a store or a platform that sends without end, and other
+// callers that get no response meanwhile.
+func TestSourcesThatSendWithoutEnd(t *testing.T) {
+	for _, kind := range kinds {
+		t.Run(kind.name, func(t *testing.T) {
+			h := kind.start(t)
+			for _, name := range []string{"a body with a length", "a body without a length", "a chunked body", "lines of a header", "names", "trailers"} {
+				h.source.endless.Store(&name)
+				h.source.server.CloseClientConnections()
+				for ended := time.Now().Add(startTime); h.source.responses.Load() < 2 && time.Now().Before(ended); {
+					h.requireOne("/read/during")
+					h.countDescriptors()
+				}
+				t.Logf("%s: %d responses, at most %d MB", name, h.source.responses.Load(), h.peakMemory()>>20)
+				require.Positive(t, h.source.responses.Swap(0))
+			}
+			h.source.endless.Store(nil)
+			h.requireOne("/read/after")
+			h.check()
+		})
+	}
+}
--- a/internal/saturator/host_test.go
+++ b/internal/saturator/host_test.go
@@ -64,6 +64,10 @@
 	others  []string
 	// peer is the address of the port for other hosts.
 	peer string
+	// faulty are the servers of the faulty service.
+	faulty []*faultyServer
+	// source is the store of a gateway, or the platform of an entry host.
+	source faultySource
 	// mostDescriptors is the largest number of descriptors seen.
 	mostDescriptors int
 }
@@ -184,6 +188,22 @@
 	require.FailNow(h.t, "no response to an ordinary request", last)
 }
 
+// requireOne sends an ordinary request, which must be answered at once.
+func (h *host) requireOne(path string) {
+	h.t.Helper()
+	transport := &http.Transport{DialContext: dialerFrom(ordinaryCaller).DialContext, DisableKeepAlives: true}
+	client := http.Client{Timeout: 5 * time.Second, Transport: transport}
+	r, err := http.NewRequest(http.MethodGet, "http://"+h.address+path, http.NoBody)
+	require.NoError(h.t, err)
+	r.Host = "a.example"
+	r.Header.Set("Request-Id", "ordinary")
+	r.Header.Set("Verbenastand-Service", "reads")
+	response, err := client.Do(r)
+	require.NoError(h.t, err)
+	_ = response.Body.Close()
+	require.Equal(h.t, http.StatusOK, response.StatusCode, "%v", response.Header)
+}
+
 // newBackend returns the address of a server that holds requests below /held/ until the test
 // ends, and answers others at once.
 func newBackend(t *testing.T, id string) string {
@@ -236,12 +256,11 @@
 		},
 		"servers/i-1": registration(newBackend(t, "i-1"), "reads"), "servers/i-2": registration(newBackend(t, "i-2"), "held"),
 	}
-	for i := range faultyServers {
-		id := fmt.Sprintf("f-%d", i)
-		values["servers/"+id] = registration(newFaultyServer(t, id), "faulty")
-	}
 	directory := t.TempDir()
 	h := &host{t: t, address: freeAddress(t, "tcp"), others: []string{freeAddress(t, "tcp"), freeAddress(t, "tcp"), freeAddress(t, "tcp")}}
+	for _, s := range h.newFaultyServers() {
+		values["servers/"+s.id] = registration(s.address, "faulty")
+	}
 	peer := freeAddress(t, "udp")
 	_, port, err := net.SplitHostPort(peer)
 	require.NoError(t, err)
@@ -251,7 +270,7 @@
 		"nodeName": "h0", "ipAddress": "127.0.77.1", "zone": "a", "internalPortRange": []int{number, number + 7}, "seedNodes": []string{},
 		"listenAddresses": map[string]string{"frontend": h.address, "readiness": h.others[0], "directory": h.others[1]},
 		"limits":          map[string]any{"memoryMb": memoryMB, "maxFileDescriptors": maxDescriptors},
-		"platform":        map[string]string{"address": newStore(t, values)},
+		"platform":        map[string]string{"address": newStore(t, values, &h.source)},
 		"bounds":          map[string]float64{"gracePeriodS": 3, "retryBudgetRatio": 0.2, "retryWindowS": 10, "retryBudgetExtra": 40, "ttl_max_s": 5},
 	})
 	require.NoError(t, err)
@@ -265,7 +284,7 @@
 }
 
 // newStore returns the address of a store with the values given, which never change.
-func newStore(t *testing.T, values map[string]any) string {
+func newStore(t *testing.T, values map[string]any, source *faultySource) string {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /verbenastand/kv-range", func(w http.ResponseWriter, _ *http.Request) {
 		var items []map[string]any
@@ -283,24 +302,17 @@
 		}
 		_, _ = w.Write([]byte(`{"events":[],"currentRev":1}`))
 	})
-	s := httptest.NewServer(mux)
-	t.Cleanup(func() {
-		s.CloseClientConnections()
-		s.Close()
-	})
-	return s.Listener.Addr().String()
+	source.start(t, mux)
+	return source.server.Listener.Addr().String()
 }
 
 // newEntryHost starts an entry host with a service that has one server.
 func newEntryHost(t *testing.T) *host {
-	platform := httptest.NewServer(emulator.NewPlatform().Handler())
-	t.Cleanup(func() {
-		platform.CloseClientConnections()
-		platform.Close()
-	})
+	h := &host{t: t, address: freeAddress(t, "tcp"), others: []string{freeAddress(t, "tcp")}}
+	h.source.start(t, emulator.NewPlatform().Handler())
+	platform := h.source.server
 	files, err := emulator.WriteCertificates(t.TempDir())
 	require.NoError(t, err)
-	h := &host{t: t, address: freeAddress(t, "tcp"), others: []string{freeAddress(t, "tcp")}}
 	peer := freeAddress(t, "udp")
 	h.peer = peer
 	hosts, err := json.Marshal([]emulator.HostEntry{{Host: "host-0", Zone: "a", PeerAddress: peer}})
@@ -311,10 +323,9 @@
 			ID: id, Service: service, Zone: "a", Address: newBackend(t, string(id)), Slots: 1000, Connections: 1000,
 		})
 	}
-	for i := range faultyServers {
-		id := fmt.Sprintf("f-%d", i)
+	for _, s := range h.newFaultyServers() {
 		ticket.Servers = append(ticket.Servers, merger.ServerObject{
-			ID: verbenastand.ServerID(id), Service: "faulty", Zone: "a", Address: newFaultyServer(t, id), Slots: 1000, Connections: 1000,
+			ID: verbenastand.ServerID(s.id), Service: "faulty", Zone: "a", Address: s.address, Slots: 1000, Connections: 1000,
 		})
 	}
 	encoded, err := ticket.Encode()
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -156,7 +156,7 @@
 
 func (h *Host) buildState(instance verbenastand.Instance) {
 	h.merger = merger.NewMerger(merger.Config{OnChange: h.onConfiguration})
-	h.reader = reader.NewReader(reader.Config{URL: h.settings.Platform})
+	h.reader = reader.NewReader(reader.Config{URL: h.settings.Platform, MaxBytes: platformMemory(h.settings.MemoryMB)})
 	h.watcher = watcher.NewWatcher(watcher.Config{Platform: h.reader, Merger: h.merger, OnError: h.onReadError})
 	h.recorder = recorder.NewRecorder(recorder.Config{Log: h.log, Meter: h.meter})
 	h.quarantiner = quarantiner.NewQuarantiner(quarantiner.Config{Clock: h.timer, OnChange: h.onEvidenceChange})
--- a/launcher/memory.go
+++ b/launcher/memory.go
@@ -26,6 +26,9 @@
 	keyShare = 0.125
 	// peerShare is the part of a host's memory for the requests of other hosts.
 	peerShare = 0.125
+	// platformShare is the part of a host's memory that a response of the platform may have. It is copied
+	// as it grows, and decoded.
+	platformShare = 0.0625
 	// collectorShare is the part of a host's memory from which on the collector runs more
 	// often. It bounds no use of memory, only what is no longer used.
 	collectorShare = 0.65
@@ -64,6 +67,10 @@
 	return bounder.NewShares(int64(memoryMB * peerShare * (1 << 20)))
 }
 
+// platformMemory returns the largest response of the platform in bytes on a host with the memory given in MB,
+// zero for the default if that is unknown.
+func platformMemory(memoryMB float64) int64 { return int64(memoryMB * platformShare * (1 << 20)) }
+
 // registerPeerPort registers the metrics of the port for other hosts.
 func registerPeerPort(m *meter.Meter, s *forwarder.Server) {
 	m.Gauge("peer_handshakes", "Handshakes in progress on the peer port.", func() float64 { return float64(s.Handshakes()) })
--- a/reader/reader.go
+++ b/reader/reader.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -18,12 +19,19 @@
 	"github.com/verbenastand/verbenastand/merger"
 )
 
-const maxResponseBytes = 64 << 20
+const (
+	// DefaultMaxBytes bounds a response if its configuration doesn't.
+	DefaultMaxBytes = 64 << 20
+	// maxHeaderBytes bounds the header of a response.
+	maxHeaderBytes = 64 << 10
+)
 
 // Config configures a Reader.
 type Config struct {
 	// URL is the base URL of the platform.
 	URL string
+	// MaxBytes bounds the body of a response; zero for DefaultMaxBytes.
+	MaxBytes int64
 }
 
 // Reader implements verbenastand.TicketSource and verbenastand.HostLister.
@@ -43,7 +51,12 @@
 
 // NewReader returns a reader.
 func NewReader(c Config) *Reader {
-	return &Reader{config: c, client: &http.Client{}, cache: make(map[string]cachedResponse)}
+	if c.MaxBytes == 0 {
+		c.MaxBytes = DefaultMaxBytes
+	}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.MaxResponseHeaderBytes = maxHeaderBytes
+	return &Reader{config: c, client: &http.Client{Transport: transport}, cache: make(map[string]cachedResponse)}
 }
 
 // Tickets returns the tickets with a number above after. While the response would
@@ -127,7 +140,7 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("reader: %s: status %d", path, response.StatusCode)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	body, err := r.readBody(response)
 	if err != nil {
 		return nil, fmt.Errorf("reader: %s: %w", path, err)
 	}
@@ -137,6 +150,20 @@
 	return body, nil
 }
 
+// ErrTooLong means that a response of the platform is longer than this host may hold.
+var ErrTooLong = errors.New("reader: the response is too long")
+
+func (r *Reader) readBody(response *http.Response) ([]byte, error) {
+	if response.ContentLength > r.config.MaxBytes {
+		return nil, ErrTooLong
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, r.config.MaxBytes+1))
+	if err == nil && int64(len(body)) > r.config.MaxBytes {
+		err = ErrTooLong
+	}
+	return body, err
+}
+
 // store caches a response. A full cache is cleared: most of its entries are for
 // earlier ticket numbers, which are not requested again.
 func (r *Reader) store(path string, response cachedResponse) {
