--- a/Makefile
+++ b/Makefile
@@ -48,3 +48,4 @@
 	$(GO) test -run '^$$' -fuzz FuzzRead -fuzztime 10s ./explainer
 	$(GO) test -run '^$$' -fuzz FuzzSplit -fuzztime 10s ./internal/splitter
 	$(GO) test -run '^$$' -fuzz FuzzHeader -fuzztime 10s ./internal/scanner
+	$(GO) test -run '^$$' -fuzz FuzzRoundTrip -fuzztime 10s ./connector
--- a/forwarder/status_test.go
+++ b/forwarder/status_test.go
@@ -82,3 +82,33 @@
 
 // Close implements io.Closer.
 func (respondWithField) Close() error { return nil }
+
+// endlessBody is a body without end that counts what is read of it.
+type endlessBody struct {
+	read   int64
+	closed bool
+}
+
+// Read implements io.Reader.
+func (b *endlessBody) Read(p []byte) (int, error) {
+	b.read += int64(len(p))
+	return len(p), nil
+}
+
+// Close implements io.Closer.
+func (b *endlessBody) Close() error {
+	b.closed = true
+	return nil
+}
+
+// Guards against messages of other hosts that are read without end (issue 58).
+func TestMessagesWithoutEnd(t *testing.T) {
+	for _, limit := range []int64{maxMessageBytes, maxRelayBytes, maxTicketsBytes} {
+		body := &endlessBody{}
+		data, err := readResponse(&http.Response{StatusCode: http.StatusOK, Body: body}, verbenastand.Host{}, purposeExchange, limit)
+		require.NoError(t, err, "what is cut off is no message, which its reader finds")
+		require.Len(t, data, int(limit))
+		require.EqualValues(t, limit, body.read)
+		require.True(t, body.closed)
+	}
+}
--- a/sender/endless_test.go
+++ b/sender/endless_test.go
@@ -225,14 +225,17 @@
 func (c scriptedConn) SetDeadline(time.Time) error { return nil }
 
 // FuzzExchange reads an arbitrary stream as the response to a request. What it returns
-// as a response must carry the ID of the request or be a refusal, and a connection on
-// which anything is left must not be reused.
+// as a response must carry the ID of the request or be a refusal, with a valid status and valid names, and a
+// connection on which anything is left must not be reused.
 func FuzzExchange(f *testing.F) {
 	f.Add([]byte(okResponse("r1", "body")))
 	f.Add([]byte(okResponse("old", "late") + okResponse("r1", "body") + "rest"))
 	f.Add([]byte(okHead + "Transfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n0\r\nX-T: 1\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\nuntil the end"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nX-Id: r1\r\nOdd Name: x\r\nContent-Length : 4\r\n\r\nbody"))
+	f.Add([]byte("HTTP/1.1 000 OK\r\nX-Id: r1\r\nA: b\r\n c: d\r\n\r\n"))
+	f.Add([]byte(okHead + "Transfer-Encoding: chunked\r\nTrailer: Odd Name\r\n\r\n0\r\nOdd Name: 1\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, stream []byte) {
 		s := NewSender(Config{HeaderFormat: testHeaderFormat{}, MaxUnframedBody: 1 << 20, Dial: func(context.Context, string) (net.Conn, error) {
 			return scriptedConn{stream: bytes.NewReader(stream)}, nil
@@ -247,6 +250,8 @@
 			return
 		}
 		require.True(t, response.NotRun || response.Header.Get("X-Id") == "r1")
+		require.NoError(t, verbenastand.CheckStatus(response.Status))
+		require.NoError(t, verbenastand.CheckFields(response.Header))
 		body, err := io.ReadAll(response.Body)
 		s.PutIdle(c)
 		if err != nil || c.reader.Buffered() > 0 {
