--- a/connector/early_test.go
+++ b/connector/early_test.go
@@ -12,23 +12,14 @@
 	"github.com/stretchr/testify/require"
 
 	verbenastand "github.com/verbenastand/verbenastand"
+	"github.com/verbenastand/verbenastand/internal/fake"
 )
 
-// uploadBytes is more than the buffers of a connection hold.
-const uploadBytes = 16 << 20
-
-// zeroReader is a body of zeros.
-type zeroReader struct{}
-
-// Read implements io.Reader.
-func (zeroReader) Read(p []byte) (int, error) {
-	clear(p)
-	return len(p), nil
-}
+const okHead = "HTTP/1.1 200 OK\r\n"
 
 // sendUpload sends a long request and returns the body of the response.
 func sendUpload(t *testing.T, c *Connector, address string, length int64) (string, error) {
-	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address+"/", io.NopCloser(io.LimitReader(zeroReader{}, uploadBytes)))
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address+"/", io.NopCloser(fake.Upload()))
 	require.NoError(t, err)
 	r.ContentLength = length
 	response, err := c.RoundTrip(verbenastand.NewServer(verbenastand.ServerConfig{Address: address}), r)
@@ -43,13 +34,11 @@
 // Guards against a response whose connection is reset while the request is written, and that
 // passes for a complete one (issue 58): the system reports a reset once, to the write or to the read.
 func TestAnEarlyResponseThatIsResetIsIncomplete(t *testing.T) {
-	for _, length := range []int64{uploadBytes, -1} {
+	for _, length := range []int64{fake.UploadBytes, -1} {
 		t.Run(strconv.FormatInt(length, 10), func(t *testing.T) {
-			address := listen(t, func(conn net.Conn) {
+			address := fake.Listen(t, func(conn *net.TCPConn) {
 				_, _ = http.ReadRequest(bufio.NewReader(conn))
-				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
-				time.Sleep(10 * time.Millisecond)
-				_ = conn.(*net.TCPConn).SetLinger(0)
+				fake.ResetEarly(conn, okHead, func() { time.Sleep(10 * time.Millisecond) })
 			})
 			c := NewConnector(Config{MaxConnections: 1})
 			defer c.Close()
@@ -66,44 +55,13 @@
 
 // Checks that responses that are complete before the request has been sent are still delivered.
 func TestEarlyResponsesOfSoundServers(t *testing.T) {
-	cases := []struct {
-		name    string
-		respond func(conn *net.TCPConn, r *http.Request)
-	}{
-		{"with a length, the rest is not read", func(conn *net.TCPConn, _ *http.Request) {
-			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody")
-			<-t.Context().Done()
-		}},
-		{"chunked, the rest is not read", func(conn *net.TCPConn, _ *http.Request) {
-			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n")
-			<-t.Context().Done()
-		}},
-		{"with a length, the rest is read", func(conn *net.TCPConn, r *http.Request) {
-			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody")
-			_, _ = io.Copy(io.Discard, r.Body)
-		}},
-		{"closed after the rest was read", func(conn *net.TCPConn, r *http.Request) {
-			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nbody")
-			_, _ = io.Copy(io.Discard, r.Body)
-		}},
-		{"half-closed while the rest is read", func(conn *net.TCPConn, r *http.Request) {
-			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nbody")
-			_ = conn.CloseWrite()
-			_, _ = io.Copy(io.Discard, r.Body)
-		}},
-		{"half-closed while the rest is not read", func(conn *net.TCPConn, _ *http.Request) {
-			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nbody")
-			_ = conn.CloseWrite()
-			<-t.Context().Done()
-		}},
-	}
-	for _, tc := range cases {
-		for _, length := range []int64{uploadBytes, -1} {
-			t.Run(tc.name+strconv.FormatInt(length, 10), func(t *testing.T) {
+	for _, tc := range fake.EarlyResponses(okHead, t.Context().Done()) {
+		for _, length := range []int64{fake.UploadBytes, -1} {
+			t.Run(tc.Name+strconv.FormatInt(length, 10), func(t *testing.T) {
 				t.Parallel()
-				address := listen(t, func(conn net.Conn) {
+				address := fake.Listen(t, func(conn *net.TCPConn) {
 					if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-						tc.respond(conn.(*net.TCPConn), r)
+						tc.Respond(conn, r)
 					}
 				})
 				c := NewConnector(Config{MaxConnections: 100})
--- a/connector/fields_test.go
+++ b/connector/fields_test.go
@@ -12,23 +12,9 @@
 	"github.com/stretchr/testify/require"
 
 	verbenastand "github.com/verbenastand/verbenastand"
+	"github.com/verbenastand/verbenastand/internal/fake"
 )
 
-// invalidFields returns lines that are no fields of a header. Behind the parsers of net/http, some of them
-// hide the length of the body, or change the value of the line before.
-func invalidFields() []string {
-	lines := []string{
-		"Odd Name: x", "Odd-Name : x", "Odd-Name\t: x", "Content-Length : 4", " Content-Length: 4", "\tContent-Length: 4",
-		" Odd-Name: x", "\tOdd-Name: x", " ", " : x", ": x",
-	}
-	for b := range byte(0x20) {
-		if b != '\n' {
-			lines = append(lines, "Odd"+string(rune(b))+"Name: x", string(rune(b))+"Odd-Name: x", "Odd-Name"+string(rune(b))+": x")
-		}
-	}
-	return append(lines, "Odd\x7fName: x")
-}
-
 // respondOnce returns the address of a server that sends the same bytes to each request, and a channel that is
 // closed once the first of its connections has ended.
 func respondOnce(t *testing.T, sent string) (address string, ended chan struct{}) {
@@ -60,7 +46,7 @@
 // Guards against bytes that pass for a response although a line of their header is no field (issue 58).
 func TestFieldsThatAreNone(t *testing.T) {
 	const ok = "HTTP/1.1 200 OK\r\n"
-	for _, line := range invalidFields() {
+	for _, line := range fake.InvalidFields() {
 		for name, sent := range map[string]string{
 			"first":                      ok + line + "\r\nContent-Length: 4\r\n\r\nbody",
 			"last":                       ok + "Content-Length: 4\r\nDate: today\r\n" + line + "\r\n\r\nbody",
--- a/sender/fields_test.go
+++ b/sender/fields_test.go
@@ -12,27 +12,13 @@
 	"github.com/stretchr/testify/require"
 
 	verbenastand "github.com/verbenastand/verbenastand"
+	"github.com/verbenastand/verbenastand/internal/fake"
 )
 
-// invalidFields returns lines that are no fields of a header. Behind the parsers of net/http, some of them
-// hide the length of the body, or change the value of the line before.
-func invalidFields() []string {
-	lines := []string{
-		"Odd Name: x", "Odd-Name : x", "Odd-Name\t: x", "Content-Length : 4", " Content-Length: 4", "\tContent-Length: 4",
-		" Odd-Name: x", "\tOdd-Name: x", " ", " : x", ": x",
-	}
-	for b := range byte(0x20) {
-		if b != '\n' {
-			lines = append(lines, "Odd"+string(rune(b))+"Name: x", string(rune(b))+"Odd-Name: x", "Odd-Name"+string(rune(b))+": x")
-		}
-	}
-	return append(lines, "Odd\x7fName: x")
-}
-
 // Guards against bytes that pass for a response although a line of their header is no field (issue 58).
 func TestFieldsThatAreNone(t *testing.T) {
 	const ok = "HTTP/1.1 200 OK\r\n"
-	for _, line := range invalidFields() {
+	for _, line := range fake.InvalidFields() {
 		for name, sent := range map[string]string{
 			"first":                      ok + line + "\r\nX-Id: r1\r\nContent-Length: 4\r\n\r\nbody",
 			"last":                       ok + "X-Id: r1\r\nContent-Length: 4\r\nX-Signature: s\r\n" + line + "\r\n\r\nbody",
@@ -90,7 +76,7 @@
 
 // Guards against a report of health or load in such a header.
 func TestFieldsOfHealthChecksThatAreNone(t *testing.T) {
-	for _, line := range invalidFields() {
+	for _, line := range fake.InvalidFields() {
 		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) {
 			server := newScriptedServer(t, func(conn net.Conn, _ *http.Request, _ int) bool {
 				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Instance: s1\r\nX-Load: 4\r\nContent-Length: 0\r\nDate: today\r\n"+line+"\r\n\r\n")
