Use the shared stand-ins in the process tests, and plainer comments

Comments and names of cases say "invalid", "after" and "delivered" instead of figures of speech. No check, case or bound changes; the code of the program differs in comments only.

--- a/carrier/hedge_load_test.go
+++ b/carrier/hedge_load_test.go
@@ -290,7 +290,7 @@
 	testHedges(t, cases)
 }
 
-// TestHedgesNearCapacity: the same near capacity. Guards, beside the above, against hedges that make callers wait there.
+// TestHedgesNearCapacity: as above, at 0.9 of the capacity. Also guards against hedges that make callers wait.
 func TestHedgesNearCapacity(t *testing.T) {
 	leaveToRunWithoutRaceDetector(t)
 	testHedges(t, []hedgeCase{
--- a/connector/conn.go
+++ b/connector/conn.go
@@ -163,8 +163,7 @@
 	}
 }
 
-// check returns an error and ends the connection if what has been received is not a response, although the
-// transport accepts it. A connection that the server closes after it is not lost.
+// check returns an error and ends the connection if a response is invalid, although the transport accepts it. A connection that the server closes after it is not lost.
 func (u *use) check(response *http.Response) error {
 	err := verbenastand.CheckResponse(response)
 	if err == nil && u != nil && u.head.lines.Malformed() {
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -34,7 +34,7 @@
 	// connection was opened for it. The error is nil if there was a response. It may be
 	// nil.
 	OnResult func(server verbenastand.Server, newConnection bool, err error)
-	// MaxUnframedBody bounds a response body in bytes if its length is not announced: a server in trouble
+	// MaxUnframedBody bounds a response body in bytes if its length is not announced: a faulty server
 	// may send without end. Zero for bounder.DefaultMaxUnframedBody.
 	MaxUnframedBody int64
 }
--- a/connector/early_test.go
+++ b/connector/early_test.go
@@ -32,7 +32,7 @@
 }
 
 // Guards against a response whose connection is reset while the request is written, and that
-// passes for a complete one (issue 58): the system reports a reset once, to the write or to the read.
+// is delivered as a complete one (issue 58): the system reports a reset once, to the write or to the read.
 func TestAnEarlyResponseThatIsResetIsIncomplete(t *testing.T) {
 	for _, length := range []int64{fake.UploadBytes, -1} {
 		t.Run(strconv.FormatInt(length, 10), func(t *testing.T) {
--- a/connector/fields_test.go
+++ b/connector/fields_test.go
@@ -43,18 +43,18 @@
 	}
 }
 
-// Guards against bytes that pass for a response although a line of their header is no field (issue 58).
+// Guards against responses with an invalid line in their header that are delivered (issue 58).
 func TestFieldsThatAreNone(t *testing.T) {
 	const ok = "HTTP/1.1 200 OK\r\n"
 	for _, line := range fake.InvalidFields() {
 		for name, sent := range map[string]string{
-			"first":                      ok + line + "\r\nContent-Length: 4\r\n\r\nbody",
-			"last":                       ok + "Content-Length: 4\r\nDate: today\r\n" + line + "\r\n\r\nbody",
-			"without another length":     ok + "Date: today\r\n" + line + "\r\n\r\nbody and more",
-			"without a body":             ok + "Content-Length: 0\r\nDate: today\r\n" + line + "\r\n\r\n",
-			"a refusal":                  "HTTP/1.1 503 X\r\n" + verbenastand.HeaderVerdict + ": notRun\r\n" + line + "\r\nContent-Length: 0\r\n\r\n",
-			"an interim response":        "HTTP/1.1 103 Early Hints\r\nLink: a\r\n" + line + "\r\n\r\n" + ok + "Content-Length: 4\r\n\r\nbody",
-			"behind an interim response": "HTTP/1.1  103 Early Hints\r\n\r\n" + ok + "Date: today\r\n" + line + "\r\nContent-Length: 4\r\n\r\nbody",
+			"first":                     ok + line + "\r\nContent-Length: 4\r\n\r\nbody",
+			"last":                      ok + "Content-Length: 4\r\nDate: today\r\n" + line + "\r\n\r\nbody",
+			"without another length":    ok + "Date: today\r\n" + line + "\r\n\r\nbody and more",
+			"without a body":            ok + "Content-Length: 0\r\nDate: today\r\n" + line + "\r\n\r\n",
+			"a refusal":                 "HTTP/1.1 503 X\r\n" + verbenastand.HeaderVerdict + ": notRun\r\n" + line + "\r\nContent-Length: 0\r\n\r\n",
+			"an interim response":       "HTTP/1.1 103 Early Hints\r\nLink: a\r\n" + line + "\r\n\r\n" + ok + "Content-Length: 4\r\n\r\nbody",
+			"after an interim response": "HTTP/1.1  103 Early Hints\r\n\r\n" + ok + "Date: today\r\n" + line + "\r\nContent-Length: 4\r\n\r\nbody",
 		} {
 			t.Run(fmt.Sprintf("%q %s", line, name), func(t *testing.T) {
 				address, ended := respondOnce(t, sent)
@@ -72,7 +72,7 @@
 	}
 }
 
-// Guards against trailers, or names of them in the header, that reach callers although they are none.
+// Guards against trailers with invalid names, also if the header announces them, that are delivered.
 func TestTrailersThatAreNone(t *testing.T) {
 	for _, tc := range []struct {
 		announced, sent string
--- a/forwarder/early_test.go
+++ b/forwarder/early_test.go
@@ -13,8 +13,8 @@
 	"github.com/verbenastand/verbenastand/certifier"
 )
 
-// Guards against a part of another host's response that passes for the whole, while the request is
-// written (issue 58). Streams tell their end from a reset.
+// Guards against a part of another host's response that is delivered as the whole, while the request is
+// written (issue 58). Unlike connections, QUIC streams report an end and a reset separately.
 func TestAnEarlyResponseOfAPeerThatBreaksOffIsIncomplete(t *testing.T) {
 	certificates, err := certifier.NewSharedCertifier("a secret")
 	require.NoError(t, err)
--- a/forwarder/status_test.go
+++ b/forwarder/status_test.go
@@ -61,8 +61,8 @@
 // Close implements io.Closer.
 func (respondWith) Close() error { return nil }
 
-// Guards against names of fields of another host that are none and reach the caller. The library accepts no
-// such names, so the response is made up here.
+// Guards against invalid names of fields in the response of another host. The HTTP/3 library refuses such
+// names itself, so the test replaces the transport.
 func TestMessagesWithFieldsThatAreNone(t *testing.T) {
 	for _, name := range []string{"Odd Name", "Odd-Name ", "Odd\x01Name", ""} {
 		c := &peerConn{transport: respondWithField(name)}
--- a/internal/fake/server.go
+++ b/internal/fake/server.go
@@ -41,8 +41,8 @@
 	})
 }
 
-// InvalidFields returns lines that are no fields of a header. Behind the parsers of net/http, some of them hide the
-// length of the body, or change the value of the line before.
+// InvalidFields returns invalid lines of a header. If net/http parses them, some remove the length of the body,
+// or change the value of the line before.
 func InvalidFields() []string {
 	lines := []string{
 		"Odd Name: x", "Odd-Name : x", "Odd-Name\t: x", "Content-Length : 4", " Content-Length: 4", "\tContent-Length: 4",
@@ -56,7 +56,7 @@
 	return append(lines, "Odd\x7fName: x")
 }
 
-// Endless is a response that does not end: a filler behind a prefix.
+// Endless is a response that does not end: a prefix, then a filler that is repeated.
 type Endless struct{ Name, Prefix, Filler string }
 
 // MaxSent bounds what a server can send of a response whose reader gives up soon: most of it is held in
--- a/internal/saturator/faulty_test.go
+++ b/internal/saturator/faulty_test.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/verbenastand/verbenastand/internal/fake"
 )
 
 const (
@@ -40,23 +42,10 @@
 
 // newFaultyServer starts a faulty server.
 func newFaultyServer(t *testing.T, id string) *faultyServer {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
 	ended := make(chan struct{})
-	t.Cleanup(func() {
-		close(ended)
-		_ = l.Close()
-	})
-	s := &faultyServer{id: id, address: l.Addr().String(), ended: ended}
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn.(*net.TCPConn))
-		}
-	}()
+	t.Cleanup(func() { close(ended) })
+	s := &faultyServer{id: id, ended: ended}
+	s.address = fake.Listen(t, s.serve)
 	return s
 }
 
@@ -70,7 +59,6 @@
 
 // serve responds to health checks, and to one request.
 func (s *faultyServer) serve(conn *net.TCPConn) {
-	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	for {
 		r, err := http.ReadRequest(reader)
@@ -95,7 +83,7 @@
 	}
 }
 
-// head returns a header without the empty line behind it.
+// head returns a header without its empty line.
 func (s *faultyServer) head(r *http.Request) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nVerbenastand-Request: %s\r\nInstance-Id: %s\r\nResponse-Signature: s\r\nServer-Load: 0,0,1000,100\r\n",
 		r.Header.Get("Request-Id"), r.Header.Get("Verbenastand-Request"), s.id)
@@ -104,9 +92,7 @@
 // faultyResponses are the responses of faulty servers by name.
 var faultyResponses = map[string]func(s *faultyServer, conn *net.TCPConn, r *http.Request){
 	"early, reset": func(s *faultyServer, conn *net.TCPConn, r *http.Request) {
-		_, _ = io.WriteString(conn, s.head(r)+"\r\npart")
-		time.Sleep(10 * time.Millisecond)
-		_ = conn.SetLinger(0)
+		fake.ResetEarly(conn, s.head(r), func() { time.Sleep(10 * time.Millisecond) })
 	},
 	"sound": respondRaw("HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nVerbenastand-Request: KEY\r\nResponse-Signature: s\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody"),
 	"early, with a length": func(s *faultyServer, conn *net.TCPConn, r *http.Request) {
@@ -115,7 +101,7 @@
 	},
 	"status 000":         respondRaw("HTTP/1.1 000 X\r\nRequest-Id: ID\r\nVerbenastand-Request: KEY\r\nResponse-Signature: s\r\nContent-Length: 4\r\n\r\nbody"),
 	"a blank in a name":  respondRaw("HTTP/1.1 200 OK\r\nOdd Name: x\r\nRequest-Id: ID\r\nVerbenastand-Request: KEY\r\nResponse-Signature: s\r\nContent-Length: 4\r\n\r\nbody"),
-	"a blank behind one": respondRaw("HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nVerbenastand-Request: KEY\r\nResponse-Signature: s\r\nContent-Length : 4\r\n\r\nbody and more"),
+	"a blank after one":  respondRaw("HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nVerbenastand-Request: KEY\r\nResponse-Signature: s\r\nContent-Length : 4\r\n\r\nbody and more"),
 	"a blank before one": respondRaw("HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nVerbenastand-Request: KEY\r\nResponse-Signature: s\r\nDate: x\r\n Content-Length: 4\r\n\r\nbody and more"),
 	"a control byte":     respondRaw("HTTP/1.1 200 OK\r\nOdd\x01Name: x\r\nRequest-Id: ID\r\nVerbenastand-Request: KEY\r\nResponse-Signature: s\r\nContent-Length: 4\r\n\r\nbody"),
 	"early, closed after the upload": func(s *faultyServer, conn *net.TCPConn, r *http.Request) {
@@ -133,10 +119,6 @@
 	}
 }
 
-// uploadBytes is the largest body that the hosts under test accept. It is more than the buffers of a
-// connection hold.
-const uploadBytes = 16 << 20
-
 // upload sends a request with a long body to the faulty service and returns the response, nil if there
 // is none, and whether its body is complete.
 func (h *host) upload(name string) (response *http.Response, body string, complete bool) {
@@ -146,9 +128,9 @@
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(startTime))
 	_, err = fmt.Fprintf(conn, "POST /faulty/%d/%s HTTP/1.1\r\nHost: a.example\r\nRequest-Id: u\r\nVerbenastand-Service: faulty\r\nContent-Length: %d\r\n\r\n",
-		time.Now().UnixNano(), strings.ReplaceAll(name, " ", "%20"), uploadBytes)
+		time.Now().UnixNano(), strings.ReplaceAll(name, " ", "%20"), fake.UploadBytes)
 	require.NoError(h.t, err)
-	go func() { _, _ = conn.Write(make([]byte, uploadBytes)) }()
+	go func() { _, _ = conn.Write(make([]byte, fake.UploadBytes)) }()
 	response, err = http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		return nil, "", false
@@ -185,12 +167,12 @@
 	}
 }
 
-// Guards against callers that get bytes as a response that are none (issue 58).
+// Guards against invalid responses that are delivered (issue 58).
 func TestInvalidResponses(t *testing.T) {
 	for _, kind := range kinds {
 		t.Run(kind.name, func(t *testing.T) {
 			h := kind.start(t)
-			for _, name := range []string{"status 000", "a blank in a name", "a blank behind one", "a blank before one", "a control byte"} {
+			for _, name := range []string{"status 000", "a blank in a name", "a blank after one", "a blank before one", "a control byte"} {
 				response, body, _ := h.upload(name)
 				require.NotNil(t, response, name)
 				require.Equal(t, http.StatusBadGateway, response.StatusCode, "%s: %s", name, body)
@@ -206,28 +188,28 @@
 	}
 }
 
-// endlessResponse is bytes without end: a filler behind a prefix.
+// endlessResponse is a response that does not end: a prefix, then a filler that is repeated.
 type endlessResponse struct{ prefix, filler string }
 
-// endlessResponses are by name; HEAD in a prefix stands for a header without the empty line behind it.
+// endlessResponses are by name; HEAD in a prefix is replaced by a header without its empty line.
 var endlessResponses = map[string]endlessResponse{
-	"no HTTP":                  {"", "\x00\xff"},
-	"a status line":            {"HTTP/1.1 200 ", "x"},
-	"lines of a header":        {"HEAD", "a:\r\n"},
-	"names":                    {"HEAD", "X-%d: x\r\n"},
-	"a line of a header":       {"HEADX-Fill: ", "x"},
-	"interim responses":        {"", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"},
-	"a body without a length":  {"HEAD\r\n", "x"},
-	"a body with a length":     {"HEADContent-Length: 1000000000000\r\n\r\n", "x"},
-	"a chunked body":           {"HEADTransfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("x", 1<<10) + "\r\n"},
-	"tiny chunks":              {"HEADTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
-	"a chunk extension":        {"HEADTransfer-Encoding: chunked\r\n\r\n1;", "x"},
-	"trailers":                 {"HEADTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-%d: x\r\n"},
-	"a failure":                {"HTTP/1.1 500 X\r\nRequest-Id: u\r\n\r\n", "x"},
-	"a refusal":                {"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nVerbenastand-Verdict: notRun\r\n\r\n", "x"},
-	"responses to others":      {"", "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nVerbenastand-Request: other\r\nContent-Length: 1\r\n\r\nx"},
-	"behind a whole response":  {"HEADContent-Length: 1\r\n\r\nx", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"},
-	"behind an early response": {"HEADTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "x"},
+	"no HTTP":                 {"", "\x00\xff"},
+	"a status line":           {"HTTP/1.1 200 ", "x"},
+	"lines of a header":       {"HEAD", "a:\r\n"},
+	"names":                   {"HEAD", "X-%d: x\r\n"},
+	"a line of a header":      {"HEADX-Fill: ", "x"},
+	"interim responses":       {"", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"},
+	"a body without a length": {"HEAD\r\n", "x"},
+	"a body with a length":    {"HEADContent-Length: 1000000000000\r\n\r\n", "x"},
+	"a chunked body":          {"HEADTransfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("x", 1<<10) + "\r\n"},
+	"tiny chunks":             {"HEADTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+	"a chunk extension":       {"HEADTransfer-Encoding: chunked\r\n\r\n1;", "x"},
+	"trailers":                {"HEADTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-%d: x\r\n"},
+	"a failure":               {"HTTP/1.1 500 X\r\nRequest-Id: u\r\n\r\n", "x"},
+	"a refusal":               {"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nVerbenastand-Verdict: notRun\r\n\r\n", "x"},
+	"responses to others":     {"", "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nVerbenastand-Request: other\r\nContent-Length: 1\r\n\r\nx"},
+	"after a whole response":  {"HEADContent-Length: 1\r\n\r\nx", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"},
+	"after an early response": {"HEADTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "x"},
 }
 
 // send sends until the connection is closed.
--- a/internal/saturator/host_test.go
+++ b/internal/saturator/host_test.go
@@ -20,6 +20,7 @@
 
 	verbenastand "github.com/verbenastand/verbenastand"
 	"github.com/verbenastand/verbenastand/internal/emulator"
+	"github.com/verbenastand/verbenastand/internal/fake"
 	"github.com/verbenastand/verbenastand/merger"
 )
 
@@ -252,7 +253,7 @@
 		"op/config": map[string]any{
 			"version": "r1", "routes": map[string]any{"held": route("/held/", "unsafe", "held"), "read": route("/read/", "safe", "reads"), "long": route("/long/", "safe", "held"), "many": route("/many/", "safe", "held"), "last": route("/last/", "safe", "held"), "faulty": route("/faulty/", "unsafe", "faulty")},
 			"services": map[string]any{"reads": settingsOfService, "held": settingsOfService, "faulty": settingsOfService},
-			"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": uploadBytes, "headerTimeoutMs": 3000, "idleTimeoutMs": 60_000},
+			"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": fake.UploadBytes, "headerTimeoutMs": 3000, "idleTimeoutMs": 60_000},
 		},
 		"servers/i-1": registration(newBackend(t, "i-1"), "reads"), "servers/i-2": registration(newBackend(t, "i-2"), "held"),
 	}
--- a/internal/scanner/scanner.go
+++ b/internal/scanner/scanner.go
@@ -12,7 +12,7 @@
 const (
 	// lineContent is a status line or the value of a field.
 	lineContent lineState = iota
-	// lineStart is the start of a line, also behind a carriage return.
+	// lineStart is the start of a line, also after a carriage return.
 	lineStart
 	lineName
 )
@@ -25,7 +25,7 @@
 	// statusKnown is set once the first digit of the status code has been read, and interim if the
 	// current header is that of an interim response.
 	statusKnown, interim bool
-	// carriageReturn is set behind one at the start of a line.
+	// carriageReturn is set after one at the start of a line.
 	carriageReturn   bool
 	ended, malformed bool
 }
@@ -81,6 +81,6 @@
 // Ended reports whether the whole header has been read.
 func (h *Header) Ended() bool { return h.ended }
 
-// Malformed reports whether a line is none of a header: the name of its field is no token (RFC 9110, 5.1), or
+// Malformed reports whether a line of the header is invalid: the name of its field is no token (RFC 9110, 5.1), or
 // it continues the line before it (RFC 9112, 5.2).
 func (h *Header) Malformed() bool { return h.malformed }
--- a/internal/scanner/scanner_test.go
+++ b/internal/scanner/scanner_test.go
@@ -33,8 +33,8 @@
 		{"interim responses", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n" + ok + "A: b\r\n\r\n", " a", false},
 		{"further blanks before the status code", "HTTP/1.1  103 Early Hints\r\n\r\nHTTP/1.1   200 OK\r\nA : b\r\n\r\n", "body", true},
 		{"a blank in a name", ok + "A b: c\r\n\r\n", "body", true},
-		{"a blank behind a name", ok + "Content-Length : 4\r\n\r\n", "body", true},
-		{"a tab behind a name", ok + "Content-Length\t: 4\r\n\r\n", "body", true},
+		{"a blank after a name", ok + "Content-Length : 4\r\n\r\n", "body", true},
+		{"a tab after a name", ok + "Content-Length\t: 4\r\n\r\n", "body", true},
 		{"a blank before a name", ok + "A: b\r\n Content-Length: 4\r\n\r\n", "body", true},
 		{"a tab before a name", ok + "A: b\r\n\tContent-Length: 4\r\n\r\n", "body", true},
 		{"a blank before the first name", ok + " A: b\r\n\r\n", "body", true},
@@ -45,7 +45,7 @@
 		{"no name", ok + ": b\r\n\r\n", "body", true},
 		{"no colon", ok + "A\r\n\r\n", "body", true},
 		{"in an interim response", "HTTP/1.1 103 Early Hints\r\nA b: c\r\n\r\n" + ok + "\r\n", "body", true},
-		{"behind an interim response", "HTTP/1.1 103 Early Hints\r\n\r\n" + ok + "A b: c\r\n\r\n", "body", true},
+		{"after an interim response", "HTTP/1.1 103 Early Hints\r\n\r\n" + ok + "A b: c\r\n\r\n", "body", true},
 	}
 	for _, tc := range cases {
 		for _, size := range []int{1, 2, 7, 1 << 20} {
--- a/prober/fields_test.go
+++ b/prober/fields_test.go
@@ -10,7 +10,7 @@
 	"github.com/verbenastand/verbenastand/scheduler"
 )
 
-// Guards against a load report that is taken from bytes that are no response.
+// Guards against a load report that is read from an invalid response.
 func TestFieldsThatAreNone(t *testing.T) {
 	for _, line := range []string{"Odd Name: x", "Odd-Name : x", "Odd-Name\t: x", "Odd\x01Name: x", ": x"} {
 		address := fake.RespondOnce(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n"+verbenastand.HeaderLoad+": TEXT named_metrics.running=3\r\nContent-Length: 0\r\n\r\n")
--- a/reader/fields_test.go
+++ b/reader/fields_test.go
@@ -8,7 +8,7 @@
 	"github.com/verbenastand/verbenastand/internal/fake"
 )
 
-// Guards against lists of the platform that are taken from bytes that are no response.
+// Guards against lists that are read from an invalid response of the platform.
 func TestInvalidResponses(t *testing.T) {
 	for _, head := range []string{
 		"HTTP/1.1 000 OK\r\n", "HTTP/1.1 999 OK\r\n", "HTTP/1.1 200 OK\r\nOdd Name: x\r\n", "HTTP/1.1 200 OK\r\nContent-Length : 1\r\n",
--- a/response.go
+++ b/response.go
@@ -17,8 +17,8 @@
 var ErrInvalidStatus = fmt.Errorf("%w: status code", ErrInvalidResponse)
 
 // ErrInvalidField means that the name of a field of a response is no token (RFC 9110, 5.1), or that a line
-// of its header continues the one before it (RFC 9112, 5.2). Parsers accept blanks in names, and with them a
-// Content-Length that is none.
+// of its header continues the one before it (RFC 9112, 5.2). Parsers accept blanks in names, so that
+// they ignore a Content-Length with one.
 var ErrInvalidField = fmt.Errorf("%w: header field", ErrInvalidResponse)
 
 // CheckStatus returns an ErrInvalidStatus if a status code is invalid.
--- a/sender/fields_test.go
+++ b/sender/fields_test.go
@@ -15,19 +15,19 @@
 	"github.com/verbenastand/verbenastand/internal/fake"
 )
 
-// Guards against bytes that pass for a response although a line of their header is no field (issue 58).
+// Guards against responses with an invalid line in their header that are delivered (issue 58).
 func TestFieldsThatAreNone(t *testing.T) {
 	const ok = "HTTP/1.1 200 OK\r\n"
 	for _, line := range fake.InvalidFields() {
 		for name, sent := range map[string]string{
-			"first":                      ok + line + "\r\nX-Id: r1\r\nContent-Length: 4\r\n\r\nbody",
-			"last":                       ok + "X-Id: r1\r\nContent-Length: 4\r\nX-Signature: s\r\n" + line + "\r\n\r\nbody",
-			"without another length":     ok + "X-Id: r1\r\nX-Signature: s\r\n" + line + "\r\n\r\nbody and more",
-			"a refusal":                  "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\n" + line + "\r\nContent-Length: 0\r\n\r\n",
-			"an interim response":        "HTTP/1.1 103 Early Hints\r\nLink: a\r\n" + line + "\r\n\r\n" + okResponse("r1", "body"),
-			"behind an interim response": "HTTP/1.1 103 Early Hints\r\n\r\n" + ok + "X-Id: r1\r\n" + line + "\r\nContent-Length: 4\r\n\r\nbody",
-			"a late response":            ok + "X-Id: r0\r\n" + line + "\r\nContent-Length: 4\r\n\r\nlate" + okResponse("r1", "body"),
-			"behind a late response":     okResponse("r0", "late") + ok + "X-Id: r1\r\n" + line + "\r\nContent-Length: 4\r\n\r\nbody",
+			"first":                     ok + line + "\r\nX-Id: r1\r\nContent-Length: 4\r\n\r\nbody",
+			"last":                      ok + "X-Id: r1\r\nContent-Length: 4\r\nX-Signature: s\r\n" + line + "\r\n\r\nbody",
+			"without another length":    ok + "X-Id: r1\r\nX-Signature: s\r\n" + line + "\r\n\r\nbody and more",
+			"a refusal":                 "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\n" + line + "\r\nContent-Length: 0\r\n\r\n",
+			"an interim response":       "HTTP/1.1 103 Early Hints\r\nLink: a\r\n" + line + "\r\n\r\n" + okResponse("r1", "body"),
+			"after an interim response": "HTTP/1.1 103 Early Hints\r\n\r\n" + ok + "X-Id: r1\r\n" + line + "\r\nContent-Length: 4\r\n\r\nbody",
+			"a late response":           ok + "X-Id: r0\r\n" + line + "\r\nContent-Length: 4\r\n\r\nlate" + okResponse("r1", "body"),
+			"after a late response":     okResponse("r0", "late") + ok + "X-Id: r1\r\n" + line + "\r\nContent-Length: 4\r\n\r\nbody",
 		} {
 			t.Run(fmt.Sprintf("%q %s", line, name), func(t *testing.T) {
 				server := newScriptedServer(t, func(conn net.Conn, _ *http.Request, _ int) bool {
